--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Decisions of the load balancer, without I/O, clock or randomness of their own.
+//!
+//! Events, a monotonic time and a caller's random generator go in; outcomes come out.
+
+#[macro_use]
+mod derive;
+
+pub mod balance;
+pub mod catalogue;
+pub mod entry;
+pub mod map;
+pub mod read;
+pub mod request;
+pub mod route;
+pub mod settings;
+pub mod target;
+pub mod ticket;
+pub mod time;
+pub mod version;
--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,250 @@
+//! Settings of the daemon, checked whole.
+
+use std::net::SocketAddr;
+
+use crate::read;
+use crate::read::Fault;
+use crate::read::Reader;
+use crate::time::Span;
+
+data! {
+    /// Settings of one VM's daemon.
+    pub struct Settings {
+        /// Name of this VM.
+        pub vm: Box<str>,
+        /// Region of this VM.
+        pub region: Box<str>,
+        /// Data centre of this VM.
+        pub data_center: Box<str>,
+        /// Name of the fleet; VMs of other fleets are refused.
+        pub fleet: Box<str>,
+        /// Secret that the VMs of the fleet share.
+        pub fleet_key: Box<str>,
+        /// Addresses to listen on.
+        pub listen: Listen,
+        /// Where the platform answers.
+        pub platform: Platform,
+        /// Peer addresses to try before any member is known.
+        pub seeds: Vec<SocketAddr>,
+        /// Bounds on the age of the catalogue view.
+        pub view: View,
+        /// Bounds on a planned stop and on address answers.
+        pub stop: Stop,
+        /// Bounds on requests and answers.
+        pub http: Http,
+        /// When evidence of a target has to be renewed.
+        pub evidence: Evidence,
+        /// Address of a statsd server; no metrics are sent without it.
+        pub statsd: Option<SocketAddr>,
+    }
+
+    /// Addresses to listen on.
+    pub struct Listen {
+        /// Callers ask here for addresses.
+        pub directory: SocketAddr,
+        /// Callers send requests here.
+        pub caller: SocketAddr,
+        /// Peers connect here.
+        pub peer: SocketAddr,
+        /// Operators read here.
+        pub operator: SocketAddr,
+    }
+
+    /// Where the platform answers.
+    pub struct Platform {
+        /// Configuration service.
+        pub configuration: SocketAddr,
+        /// List of live and leaving VMs.
+        pub vm_list: SocketAddr,
+    }
+
+    /// Bounds on the age of the catalogue view.
+    pub struct View {
+        /// Age at which the view is reported as stale.
+        pub stale_after: Span,
+        /// Age at which this VM starts to read the configuration service itself.
+        pub takeover_after: Span,
+        /// Time that a starting VM waits for peers.
+        pub peer_wait: Span,
+        /// VMs of a data centre that read the configuration service.
+        pub readers_per_data_center: u64,
+    }
+
+    /// Bounds on a planned stop and on address answers.
+    pub struct Stop {
+        /// Time that a caller may keep an address answer.
+        pub address_ttl: Span,
+        /// Longest wait for requests in flight.
+        pub drain_limit: Span,
+    }
+
+    /// Bounds on requests and answers.
+    pub struct Http {
+        /// Largest head of a request or an answer.
+        pub head_bytes: u64,
+        /// Longest wait for the head of a request.
+        pub head_timeout: Span,
+        /// Longest wait for the next part of a body, in either direction.
+        pub body_idle: Span,
+        /// Longest wait for a connection to a target.
+        pub connect_timeout: Span,
+        /// Connections from callers at once.
+        pub connections: u64,
+        /// Connections that one target accepts over all VMs.
+        pub connections_per_target: u64,
+    }
+
+    /// When evidence of a target has to be renewed.
+    pub struct Evidence {
+        /// Age at which a target must be confirmed before new work.
+        pub confirm_after: Span,
+        /// Time that evidence of leaving holds.
+        pub leaving_hold: Span,
+        /// Longest wait for the answer to a probe.
+        pub probe_timeout: Span,
+    }
+}
+
+const FLEET_KEY_MIN_BYTES: usize = 32;
+
+/// Checks the text of a settings file.
+///
+/// # Errors
+///
+/// Returns every fault found.
+pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
+    read::object(text, settings)
+}
+
+fn settings(reader: &mut Reader) -> Option<Settings> {
+    let vm = reader.name("vm");
+    let region = reader.name("region");
+    let data_center = reader.name("data_center");
+    let fleet = reader.name("fleet");
+    let fleet_key = fleet_key(reader);
+    let listen = reader.nested("listen", listen);
+    let platform = reader.nested("platform", platform);
+    let seeds = seeds(reader);
+    let view = reader.nested("view", view);
+    let stop = reader.nested("stop", stop);
+    let http = reader.nested("http", http);
+    let evidence = reader.nested("evidence", evidence);
+    let statsd = reader.optional_address("statsd");
+    Some(Settings {
+        vm: vm?,
+        region: region?,
+        data_center: data_center?,
+        fleet: fleet?,
+        fleet_key: fleet_key?,
+        listen: listen?,
+        platform: platform?,
+        seeds,
+        view: view?,
+        stop: stop?,
+        http: http?,
+        evidence: evidence?,
+        statsd,
+    })
+}
+
+fn fleet_key(reader: &mut Reader) -> Option<Box<str>> {
+    let key = reader.text("fleet_key")?;
+    if key.len() < FLEET_KEY_MIN_BYTES {
+        reader.refuse(
+            "fleet_key",
+            &format!("must have at least {FLEET_KEY_MIN_BYTES} bytes"),
+        );
+    }
+    Some(key)
+}
+
+fn seeds(reader: &mut Reader) -> Vec<SocketAddr> {
+    let mut seeds = Vec::new();
+    for (index, text) in reader.texts("seeds").iter().enumerate() {
+        if let Ok(address) = text.parse() {
+            seeds.push(address);
+        } else {
+            let reason = "must be an IP number with a port, such as 10.0.0.1:7000";
+            reader.refuse(&format!("seeds[{index}]"), reason);
+        }
+    }
+    seeds
+}
+
+fn listen(reader: &mut Reader) -> Option<Listen> {
+    let directory = reader.address("directory");
+    let caller = reader.address("caller");
+    let peer = reader.address("peer");
+    let operator = reader.address("operator");
+    Some(Listen {
+        directory: directory?,
+        caller: caller?,
+        peer: peer?,
+        operator: operator?,
+    })
+}
+
+fn platform(reader: &mut Reader) -> Option<Platform> {
+    let configuration = reader.address("configuration");
+    let vm_list = reader.address("vm_list");
+    Some(Platform {
+        configuration: configuration?,
+        vm_list: vm_list?,
+    })
+}
+
+fn view(reader: &mut Reader) -> Option<View> {
+    let stale_after = millis(reader, "stale_after_ms", 30_000);
+    let takeover_after = millis(reader, "takeover_after_ms", 10_000);
+    let peer_wait = millis(reader, "peer_wait_ms", 1_000);
+    let readers = reader.integer("readers_per_data_center", 1..=16, Some(2));
+    Some(View {
+        stale_after: stale_after?,
+        takeover_after: takeover_after?,
+        peer_wait: peer_wait?,
+        readers_per_data_center: readers?,
+    })
+}
+
+fn stop(reader: &mut Reader) -> Option<Stop> {
+    let address_ttl = millis(reader, "address_ttl_ms", 10_000);
+    let drain_limit = millis(reader, "drain_limit_ms", 60_000);
+    Some(Stop {
+        address_ttl: address_ttl?,
+        drain_limit: drain_limit?,
+    })
+}
+
+fn http(reader: &mut Reader) -> Option<Http> {
+    let head_bytes = reader.integer("head_bytes", 8_192..=1_048_576, Some(32_768));
+    let head_timeout = millis(reader, "head_timeout_ms", 5_000);
+    let body_idle = millis(reader, "body_idle_ms", 10_000);
+    let connect_timeout = millis(reader, "connect_timeout_ms", 250);
+    let connections = reader.integer("connections", 1..=1_000_000, Some(10_000));
+    let per_target = reader.integer("connections_per_target", 1..=1_000_000, Some(240));
+    Some(Http {
+        head_bytes: head_bytes?,
+        head_timeout: head_timeout?,
+        body_idle: body_idle?,
+        connect_timeout: connect_timeout?,
+        connections: connections?,
+        connections_per_target: per_target?,
+    })
+}
+
+fn evidence(reader: &mut Reader) -> Option<Evidence> {
+    let confirm_after = millis(reader, "confirm_after_ms", 2_000);
+    let leaving_hold = millis(reader, "leaving_hold_ms", 60_000);
+    let probe_timeout = millis(reader, "probe_timeout_ms", 250);
+    Some(Evidence {
+        confirm_after: confirm_after?,
+        leaving_hold: leaving_hold?,
+        probe_timeout: probe_timeout?,
+    })
+}
+
+fn millis(reader: &mut Reader, name: &str, default: u64) -> Option<Span> {
+    reader
+        .integer(name, 1..=3_600_000, Some(default))
+        .map(Span::from_millis)
+}
--- /dev/null
+++ b/crates/core/src/ticket.rs
@@ -0,0 +1,163 @@
+//! Tickets: each lets one non-idempotent request run once on one incarnation of one VM.
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use hmac::Hmac;
+use hmac::KeyInit;
+use hmac::Mac;
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Sha256;
+
+use crate::map::Map;
+use crate::time::Instant;
+
+const TAG_BYTES: usize = 32;
+const KEY_LABEL: &[u8] = b"oriolecleat ticket key";
+
+data! {
+    /// Permission to run one request once.
+    #[derive(Serialize, Deserialize)]
+    pub struct Ticket {
+        /// The VM that may run it.
+        pub vm: Box<str>,
+        /// The incarnation of that VM.
+        pub incarnation: u64,
+        /// Unique with overwhelming probability.
+        pub id: u128,
+        /// Expiry in microseconds of that VM's uptime.
+        pub expires_us: u64,
+    }
+
+    /// Why a ticket does not let a request run.
+    pub enum Refusal {
+        /// Not issued by this fleet.
+        Invalid,
+        /// Of another VM or incarnation.
+        Elsewhere,
+        /// Expired.
+        Expired,
+        /// Used; the state tells what became of the work.
+        Used(State),
+        /// No room to remember another ticket.
+        Full,
+    }
+}
+
+key! {
+    /// What became of the work of a ticket.
+    pub enum State {
+        /// An attempt is under way, or its result cannot be known.
+        Undecided,
+        /// The whole answer was delivered.
+        Ran,
+    }
+}
+
+/// Signs and verifies tickets of one fleet.
+#[derive(Clone)]
+pub struct Issuer {
+    mac: Hmac<Sha256>,
+}
+
+impl Issuer {
+    /// An issuer under a key derived from the fleet key.
+    ///
+    /// # Panics
+    ///
+    /// Never: HMAC takes keys of any length.
+    #[must_use]
+    pub fn new(fleet_key: &[u8]) -> Self {
+        let mut mac = Hmac::<Sha256>::new_from_slice(fleet_key).expect("HMAC takes any key length");
+        mac.update(KEY_LABEL);
+        let key = mac.finalize().into_bytes();
+        Self {
+            mac: Hmac::new_from_slice(&key).expect("HMAC takes any key length"),
+        }
+    }
+
+    /// The text of `ticket`.
+    ///
+    /// # Panics
+    ///
+    /// Never: a ticket always has a JSON form.
+    #[must_use]
+    pub fn sign(&self, ticket: &Ticket) -> Box<str> {
+        let mut bytes = serde_json::to_vec(ticket).expect("a ticket has a JSON form");
+        let mut mac = self.mac.clone();
+        mac.update(&bytes);
+        bytes.extend_from_slice(&mac.finalize().into_bytes());
+        URL_SAFE_NO_PAD.encode(bytes).into()
+    }
+
+    /// The ticket of `text`, if this fleet signed it.
+    #[must_use]
+    pub fn verify(&self, text: &str) -> Option<Ticket> {
+        let bytes = URL_SAFE_NO_PAD.decode(text).ok()?;
+        let (body, tag) = bytes.split_at_checked(bytes.len().checked_sub(TAG_BYTES)?)?;
+        let mut mac = self.mac.clone();
+        mac.update(body);
+        mac.verify_slice(tag).ok()?;
+        serde_json::from_slice(body).ok()
+    }
+}
+
+/// The tickets that this incarnation ran, until each expires.
+#[derive(Debug)]
+pub struct Ledger {
+    vm: Box<str>,
+    incarnation: u64,
+    capacity: usize,
+    used: Map<u128, (Instant, State)>,
+}
+
+impl Ledger {
+    /// An empty ledger of one incarnation.
+    #[must_use]
+    pub fn new(vm: &str, incarnation: u64, capacity: usize) -> Self {
+        Self {
+            vm: vm.into(),
+            incarnation,
+            capacity,
+            used: Map::default(),
+        }
+    }
+
+    /// Marks `ticket` as used.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request must not run.
+    pub fn claim(&mut self, now: Instant, ticket: &Ticket) -> Result<(), Refusal> {
+        if ticket.vm != self.vm || ticket.incarnation != self.incarnation {
+            return Err(Refusal::Elsewhere);
+        }
+        let expires = Instant::from_micros(ticket.expires_us);
+        if now >= expires {
+            return Err(Refusal::Expired);
+        }
+        if let Some((_, state)) = self.used.get(&ticket.id) {
+            return Err(Refusal::Used(*state));
+        }
+        if self.used.len() >= self.capacity {
+            self.used.retain(|_, (expires, _)| *expires > now);
+        }
+        if self.used.len() >= self.capacity {
+            return Err(Refusal::Full);
+        }
+        self.used.insert(ticket.id, (expires, State::Undecided));
+        Ok(())
+    }
+
+    /// The whole answer to the request of `id` was delivered.
+    pub fn ran(&mut self, id: u128) {
+        if let Some((_, state)) = self.used.get_mut(&id) {
+            *state = State::Ran;
+        }
+    }
+
+    /// The request of `id` did not run; its ticket may be used again.
+    pub fn release(&mut self, id: u128) {
+        self.used.remove(&id);
+    }
+}
--- /dev/null
+++ b/crates/core/src/version.rs
@@ -0,0 +1,12 @@
+//! Versions of catalogue keys.
+
+key! {
+    /// Orders the contents of a key: generation first, then revision.
+    #[derive(Default, serde::Serialize, serde::Deserialize)]
+    pub struct Version {
+        /// Raised by an operator after the configuration service was restored from a backup.
+        pub generation: u64,
+        /// The key's `mod_revision` in the configuration service.
+        pub revision: u64,
+    }
+}
