Choose targets by estimated load, with a queue by class and budgets

Cause: the balancer gave every call to the target with the least own in-flight count, without limits, classes, ejection or measuring.

Change: calls wait in lanes by class and entry; the target with the least expected loss is chosen from own counts and load reports; measuring is paid from a token bucket that starts empty; slow and failing targets get only trials; late calls at slow targets get copies. The actions Hedge, Cancel and Probe and the events report, peer_load, charge, stand, round_trip and probed are new; finish names the call and returns its fate.

Result: cargo test -p oriolecleat-core passes (5 tests).

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -2,13 +2,22 @@
 //!
 //! Events go in as method calls; what to do comes out as [`Action`]s.
 
-use std::collections::VecDeque;
-
 use rand::rngs::SmallRng;
 
+use crate::choose::Chooser;
 use crate::entry;
 use crate::entry::Class;
+use crate::estimate::Report;
+use crate::flight::Attempt;
+use crate::flight::Flight;
+use crate::hedge;
+use crate::map::Map;
+use crate::purse::Purse;
+use crate::queue::Queue;
+use crate::queue::Waiting;
 use crate::target;
+use crate::target::Place;
+use crate::target::Standing;
 use crate::target::Table;
 use crate::time::Instant;
 use crate::time::Span;
@@ -37,6 +46,31 @@
             target: target::Key,
             /// Longest wait in the target before it sheds the call.
             queue: Span,
+            /// Whether the target is to report its load; if not, the request says so.
+            report: bool,
+        },
+        /// Send a copy of `call`, which runs elsewhere already, to `target`.
+        Hedge {
+            /// The call.
+            call: Call,
+            /// Where the copy goes.
+            target: target::Key,
+            /// Longest wait in the target before it sheds the copy.
+            queue: Span,
+            /// Whether the target is to report its load; if not, the request says so.
+            report: bool,
+        },
+        /// Close the connection of the copy of `call` at `target`; it needs no `finish`.
+        Cancel {
+            /// The call.
+            call: Call,
+            /// Where the copy is.
+            target: target::Key,
+        },
+        /// Probe `target` and report the answer by `probed`.
+        Probe {
+            /// The target.
+            target: target::Key,
         },
         /// Answer the caller that `call` did not run.
         Refuse {
@@ -63,9 +97,17 @@
             /// Whether bytes may have reached the target.
             written: bool,
         },
-        /// The caller left, or the attempt was cancelled.
+        /// The caller left, the deadline passed, or the attempt was cancelled.
         Cancelled,
     }
+
+    /// What becomes of a call whose attempt ended.
+    pub enum Fate {
+        /// The caller gets this ending; the balancer has forgotten the call.
+        Over,
+        /// Another copy runs, or the call waits again, or an action for it was given.
+        Pending,
+    }
 }
 
 data! {
@@ -77,20 +119,90 @@
         pub class: Class,
         /// When the caller stops waiting.
         pub deadline: Instant,
+        /// Tells the entries of the service apart.
+        pub entry: u32,
+        /// Copies permitted, as a percentage of the calls; zero for none.
+        pub hedge_percent: u8,
+    }
+
+    /// What the calls of a service may consume on this VM.
+    pub struct Limits {
+        /// Calls that may wait.
+        pub queue: usize,
+        /// Bytes a second spent on measuring targets.
+        pub measuring_rate: u64,
+        /// Bytes of measuring that may be spent at once.
+        pub measuring_burst: u64,
+        /// Bytes a second to and from other regions.
+        pub remote_rate: u64,
+        /// Bytes to and from other regions that may be spent at once.
+        pub remote_burst: u64,
+        /// Typical bytes of a request and its answer.
+        pub exchange: u64,
     }
 }
 
+/// Bytes of a request that a target refuses and of its answer.
+pub const REFUSED_BYTES: u64 = 500;
+/// Bytes of a load report on an answer, by the format of the header.
+pub const REPORT_BYTES: u64 = 78;
+/// Bytes of a probe and its answer.
+pub const PROBE_BYTES: u64 = 320;
+
+/// A gap between two events during which this process must have stood still, as `next_tick` asks
+/// for shorter waits.
+const PAUSE: Span = Span::from_millis(500);
+const TICK_WAITING: Span = Span::from_millis(2);
+const TICK_RUNNING: Span = Span::from_millis(20);
+const PROBE_AGAIN: Span = Span::from_millis(500);
+
 /// Queue and targets of one service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Balancer {
-    targets: Table,
-    queue: VecDeque<Ask>,
+    place: Place,
+    pub(crate) limits: Limits,
+    pub(crate) targets: Table,
+    pub(crate) queue: Queue,
+    pub(crate) flights: Map<Call, Flight>,
+    pub(crate) chooser: Chooser,
+    pub(crate) measuring: Purse,
+    pub(crate) remote: Purse,
+    pub(crate) hedges: Map<u32, hedge::Budget>,
+    pub(crate) latency: hedge::Quantile,
+    last: Instant,
 }
 
 impl Balancer {
+    /// A balancer without targets.
+    #[must_use]
+    pub fn new(place: Place, limits: Limits) -> Self {
+        Self {
+            place,
+            targets: Table::default(),
+            queue: Queue::default(),
+            flights: Map::default(),
+            chooser: Chooser::default(),
+            measuring: Purse::new(limits.measuring_rate, limits.measuring_burst),
+            remote: Purse::new(limits.remote_rate, limits.remote_burst),
+            hedges: Map::default(),
+            latency: hedge::Quantile::default(),
+            last: Instant::default(),
+            limits,
+        }
+    }
+
     /// Takes over the targets that the catalogue names.
-    pub fn update(&mut self, specs: &[entry::Target]) {
-        self.targets.update(specs);
+    pub fn update(&mut self, now: Instant, specs: &[entry::Target]) {
+        self.pass(now);
+        self.targets.update(now, &self.place, specs);
+    }
+
+    /// Takes over changed limits.
+    pub fn limit(&mut self, limits: Limits) {
+        self.measuring
+            .resize(limits.measuring_rate, limits.measuring_burst);
+        self.remote.resize(limits.remote_rate, limits.remote_burst);
+        self.limits = limits;
     }
 
     /// The targets with what is known of each.
@@ -99,65 +211,155 @@
         &self.targets
     }
 
-    /// A call arrived.
+    /// Calls that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Says whether `target` may get new work.
+    pub fn stand(&mut self, target: target::Key, standing: Standing) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.standing = standing;
+        }
+    }
+
+    /// The round trip to `target` was measured, as when a connection was opened.
+    pub fn round_trip(&mut self, target: target::Key, round_trip: Span) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.round_trip = crate::estimate::seconds(round_trip);
+        }
+    }
+
+    /// A call arrived, or a call that was over is offered again.
     pub fn arrive(&mut self, now: Instant, ask: Ask, rng: &mut SmallRng, out: &mut Vec<Action>) {
-        self.queue.push_back(ask);
+        self.pass(now);
+        let arrived = now;
+        self.admit(now, Waiting { ask, arrived }, out);
         self.dispatch(now, rng, out);
     }
 
-    /// The attempt of a call at `target` ended.
+    /// `target` reported its load; the report is `age` old. Goes before the `finish` of the
+    /// attempt whose answer carried it.
+    pub fn report(&mut self, now: Instant, target: target::Key, report: Report, age: Span) {
+        self.pass(now);
+        if let Some(target) = self.targets.get_mut(target) {
+            let own = target.in_flight.saturating_sub(1);
+            target.estimate.report(now - age, report, own);
+        }
+    }
+
+    /// A VM of the same data centre passed on a report that it got `age` ago.
+    pub fn peer_load(&mut self, now: Instant, target: target::Key, report: Report, age: Span) {
+        self.pass(now);
+        if let Some(target) = self.targets.get_mut(target) {
+            let own = target.in_flight;
+            target.estimate.report(now - age, report, own);
+        }
+    }
+
+    /// The attempt of `call` at `target` ended.
     pub fn finish(
         &mut self,
         now: Instant,
+        call: Call,
         target: target::Key,
-        _ending: Ending,
+        ending: Ending,
         rng: &mut SmallRng,
         out: &mut Vec<Action>,
-    ) {
-        if let Some(target) = self.targets.get_mut(target) {
-            target.in_flight = target.in_flight.saturating_sub(1);
-        }
+    ) -> Fate {
+        self.pass(now);
+        let fate = self.settle(now, call, target, ending, out);
         self.dispatch(now, rng, out);
+        fate
+    }
+
+    /// A call is not wanted any more, whether it waits or runs.
+    pub fn withdraw(&mut self, now: Instant, call: Call, out: &mut Vec<Action>) {
+        self.pass(now);
+        self.queue.extract(|waiting| waiting.ask.call == call);
+        if let Some(flight) = self.flights.remove(&call) {
+            for attempt in flight.attempts() {
+                self.release(flight.ask.entry, attempt);
+                let target = attempt.target;
+                out.push(Action::Cancel { call, target });
+            }
+        }
     }
 
-    /// A call that waits is not wanted any more.
-    pub fn withdraw(&mut self, call: Call) {
-        self.queue.retain(|ask| ask.call != call);
+    /// Measuring bytes were spent apart from the balancer's own actions, as on load frames.
+    pub fn charge(&mut self, now: Instant, bytes: u64) {
+        self.measuring.charge(now, bytes);
+    }
+
+    /// A probe of `target` was answered, or not.
+    pub fn probed(&mut self, target: target::Key, answered: bool) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.probe = None;
+            if answered && target.standing == Standing::Unconfirmed {
+                target.standing = Standing::Open;
+            }
+        }
     }
 
     /// Time passed.
     pub fn tick(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
+        self.pass(now);
+        self.expire(now, out);
+        self.confirm(now, out);
         self.dispatch(now, rng, out);
+        self.hedge(now, rng, out);
+    }
+
+    /// The latest moment for the next `tick`, as seen from `now`.
+    #[must_use]
+    pub fn next_tick(&self, now: Instant) -> Option<Instant> {
+        let unconfirmed = |(_, target): (_, &target::Target)| {
+            target.standing == Standing::Unconfirmed || target.probe.is_some()
+        };
+        if self.queue.len() > 0 {
+            Some(now + TICK_WAITING)
+        } else if !self.flights.is_empty() || self.targets.iter().any(unconfirmed) {
+            Some(now + TICK_RUNNING)
+        } else {
+            None
+        }
     }
 
-    fn dispatch(&mut self, now: Instant, _rng: &mut SmallRng, out: &mut Vec<Action>) {
-        while let Some(ask) = self.queue.pop_front() {
-            if now >= ask.deadline {
-                out.push(Action::Refuse {
-                    call: ask.call,
-                    reason: Refusal::Deadline,
-                });
-                continue;
+    /// Accounts for the time since the last event.
+    fn pass(&mut self, now: Instant) {
+        let paused = now.since(self.last) > PAUSE;
+        self.last = self.last.max(now);
+        for (_, target) in self.targets.iter_mut() {
+            if paused {
+                target.estimate.skip(now);
             }
-            let least = self
-                .targets
-                .iter()
-                .min_by_key(|(_, target)| target.in_flight);
-            let Some((key, _)) = least else {
-                out.push(Action::Refuse {
-                    call: ask.call,
-                    reason: Refusal::NoTarget,
-                });
-                continue;
-            };
-            if let Some(target) = self.targets.get_mut(key) {
-                target.in_flight += 1;
+            target.estimate.accrue(now, target.in_flight);
+        }
+    }
+
+    /// Ends an attempt in the counts without a result.
+    pub(crate) fn release(&mut self, entry: u32, attempt: &Attempt) {
+        self.chooser.left(entry);
+        self.measuring.give(attempt.reserved + attempt.report);
+        if let Some(target) = self.targets.get_mut(attempt.target) {
+            target.in_flight = target.in_flight.saturating_sub(1);
+        }
+    }
+
+    fn confirm(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let measuring = &mut self.measuring;
+        for (key, target) in self.targets.iter_mut() {
+            let waits = target
+                .probe
+                .is_some_and(|sent| now.since(sent) < PROBE_AGAIN);
+            if target.standing == Standing::Unconfirmed && !waits {
+                let price = if target.remote { 2 } else { 1 } * PROBE_BYTES;
+                if measuring.take(now, price, 0) {
+                    target.probe = Some(now);
+                    out.push(Action::Probe { target: key });
+                }
             }
-            out.push(Action::Assign {
-                call: ask.call,
-                target: key,
-                queue: Span::ZERO,
-            });
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/choose.rs
@@ -0,0 +1,251 @@
+//! Which target a call gets.
+
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+use crate::balance::Ask;
+use crate::entry::Class;
+use crate::estimate::number;
+use crate::estimate::seconds;
+use crate::map::Map;
+use crate::target::Key;
+use crate::target::Table;
+use crate::target::Target;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// Typical latency that is assumed until one is known.
+const ASSUMED_LATENCY_S: f64 = 0.020;
+/// Weight of a new latency in the running mean.
+const LATENCY_WEIGHT: f64 = 1.0 / 64.0;
+/// After this multiple of the typical latency a report weighs as much as the usual load.
+const REPORT_HALF: f64 = 4.0;
+/// Requests by which an estimate of the load may be off; smooths the wait around a full target.
+const LOAD_ERROR: f64 = 1.5;
+/// A target this many times slower than typical counts as slow.
+const SLOW: f64 = 1.6;
+/// Calls that may wait in a target: for each slot, and in all for calls that have to yield.
+const DEPTH_PER_SLOT: f64 = 2.0;
+const DEPTH_YIELDING: f64 = 1.0;
+/// Work goes to other regions once the wait at home exceeds the longer way by the first factor,
+/// until it falls below the second.
+const SPILL_START: f64 = 1.25;
+const SPILL_STOP: f64 = 0.75;
+/// An entry without a call for this long takes no part in fair sharing.
+const ACTIVE: Span = Span::from_millis(1_000);
+
+/// What one entry of the service is using.
+#[derive(Clone, Copy, Debug)]
+struct Usage {
+    in_flight: u64,
+    seen: Instant,
+}
+
+/// State of the choice that is common to all targets.
+#[derive(Debug, Default)]
+pub(crate) struct Chooser {
+    latency: Option<f64>,
+    median: Option<f64>,
+    usual: f64,
+    spilling: bool,
+    usage: Map<u32, Usage>,
+}
+
+/// A target with what a call is expected to lose there.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Choice {
+    pub(crate) target: Key,
+    /// Expected seconds on top of the typical latency.
+    pub(crate) cost: f64,
+    pub(crate) remote: bool,
+}
+
+impl Chooser {
+    /// Adds the latency of an answer.
+    pub(crate) fn answered(&mut self, latency: Span) {
+        let latency = seconds(latency);
+        let mean = self.latency.get_or_insert(latency);
+        *mean += (latency - *mean) * LATENCY_WEIGHT;
+    }
+
+    /// Latency of a typical target in seconds.
+    pub(crate) fn typical(&self) -> f64 {
+        self.median.or(self.latency).unwrap_or(ASSUMED_LATENCY_S)
+    }
+
+    /// A call of `entry` arrived.
+    pub(crate) fn seen(&mut self, now: Instant, entry: u32) {
+        let usage = self.usage.entry(entry).or_insert(Usage {
+            in_flight: 0,
+            seen: now,
+        });
+        usage.seen = now;
+    }
+
+    /// A copy of a call of `entry` was sent.
+    pub(crate) fn sent(&mut self, entry: u32) {
+        if let Some(usage) = self.usage.get_mut(&entry) {
+            usage.in_flight += 1;
+        }
+    }
+
+    /// A copy of a call of `entry` ended.
+    pub(crate) fn left(&mut self, entry: u32) {
+        if let Some(usage) = self.usage.get_mut(&entry) {
+            usage.in_flight = usage.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Whether calls of `ask`'s kind leave room in the targets for those of others.
+    fn yields(&self, now: Instant, ask: &Ask) -> bool {
+        if ask.class == Class::Batch {
+            return true;
+        }
+        let active = |usage: &&Usage| now.since(usage.seen) < ACTIVE;
+        let (mut entries, mut all) = (0, 0);
+        for usage in self.usage.values().filter(active) {
+            entries += 1;
+            all += usage.in_flight;
+        }
+        let own = self
+            .usage
+            .get(&ask.entry)
+            .map_or(0, |usage| usage.in_flight);
+        entries > 1 && own * entries > all
+    }
+
+    /// Renews what is derived from all targets: typical speed, usual load and ejections.
+    pub(crate) fn refresh(&mut self, now: Instant, targets: &mut Table) {
+        let mut means: Vec<f64> = targets
+            .iter()
+            .filter_map(|(_, target)| target.estimate.mean())
+            .collect();
+        means.sort_by(f64::total_cmp);
+        self.median = means.get(means.len() / 2).copied();
+        let typical = self.typical();
+        for (_, target) in targets.iter_mut() {
+            target.estimate.compare(typical);
+        }
+        self.usual = usual(targets);
+        eject(now, targets, typical);
+    }
+
+    /// Expected seconds that a call loses at `target`.
+    fn cost(&self, now: Instant, target: &Target) -> f64 {
+        let typical = self.typical();
+        let slowness = target.estimate.slowness(typical);
+        let wait = queueing(self.load(now, target) + 1.0 - target.estimate.slots());
+        let wait = wait * typical / target.estimate.slots();
+        target.round_trip + wait * slowness.max(1.0) + typical * (slowness - SLOW).max(0.0)
+    }
+
+    /// Requests at `target`, as far as this VM can tell.
+    fn load(&self, now: Instant, target: &Target) -> f64 {
+        let usual = self.usual * number(target.spec.slots);
+        let half = REPORT_HALF * self.typical();
+        number(target.in_flight) + target.estimate.others_at(now, usual, half)
+    }
+
+    fn has_room(&self, now: Instant, target: &Target, yields: bool) -> bool {
+        let slots = target.estimate.slots();
+        let depth = if yields {
+            DEPTH_YIELDING
+        } else {
+            DEPTH_PER_SLOT * number(target.spec.slots)
+        };
+        self.load(now, target) < slots + depth
+    }
+
+    /// The best target for `ask`, if one has room; `skip` is left out.
+    pub(crate) fn choose(
+        &mut self,
+        now: Instant,
+        targets: &Table,
+        ask: &Ask,
+        skip: Option<Key>,
+        rng: &mut SmallRng,
+    ) -> Option<Choice> {
+        let yields = self.yields(now, ask);
+        let idle = targets.iter().all(|(_, target)| target.in_flight == 0);
+        let jitter = self.typical() * 0.02;
+        let mut near: Option<Choice> = None;
+        let mut far: Option<Choice> = None;
+        for (key, target) in targets.iter() {
+            if !target.is_open() || Some(key) == skip {
+                continue;
+            }
+            if !idle && !self.has_room(now, target, yields) {
+                continue;
+            }
+            let choice = Choice {
+                target: key,
+                cost: self.cost(now, target) + jitter * rng.random::<f64>(),
+                remote: target.remote,
+            };
+            let best = if target.remote { &mut far } else { &mut near };
+            if best.is_none_or(|best| choice.cost < best.cost) {
+                *best = Some(choice);
+            }
+        }
+        self.spill(near, far)
+    }
+
+    fn spill(&mut self, near: Option<Choice>, far: Option<Choice>) -> Option<Choice> {
+        let (Some(home), Some(away)) = (near, far) else {
+            return near.or(far);
+        };
+        let factor = if self.spilling {
+            SPILL_STOP
+        } else {
+            SPILL_START
+        };
+        self.spilling = home.cost > away.cost * factor;
+        if self.spilling { far } else { near }
+    }
+}
+
+/// Expected calls ahead in the queue of a target that has `excess` more requests than slots. The
+/// estimate of the load is uncertain, so the expectation is positive just below zero, too.
+fn queueing(excess: f64) -> f64 {
+    if excess <= -LOAD_ERROR {
+        0.0
+    } else if excess >= LOAD_ERROR {
+        excess
+    } else {
+        (excess + LOAD_ERROR).powi(2) / (4.0 * LOAD_ERROR)
+    }
+}
+
+/// Other VMs' requests for each slot, over the targets that reported.
+fn usual(targets: &Table) -> f64 {
+    let (mut others, mut slots) = (0.0, 0.0);
+    for (_, target) in targets.iter() {
+        if let Some(reported) = target.estimate.others() {
+            others += reported;
+            slots += number(target.spec.slots);
+        }
+    }
+    if slots > 0.0 { others / slots } else { 0.0 }
+}
+
+/// Ejects the targets that look worst, up to a third of the slots; none if all look bad.
+fn eject(now: Instant, targets: &mut Table, typical: f64) {
+    let all: u64 = targets.iter().map(|(_, target)| target.spec.slots).sum();
+    let mut bad: Vec<(Key, f64, u64)> = targets
+        .iter()
+        .filter_map(|(key, target)| Some((key, target.badness(typical)?, target.spec.slots)))
+        .collect();
+    if bad.len() == targets.iter().count() {
+        bad.clear();
+    }
+    bad.sort_by(|left, right| right.1.total_cmp(&left.1));
+    let mut left = all / 3;
+    bad.retain(|(_, _, slots)| {
+        let fits = *slots <= left;
+        left -= if fits { *slots } else { 0 };
+        fits
+    });
+    for (key, target) in targets.iter_mut() {
+        target.eject(now, bad.iter().any(|(bad, _, _)| *bad == key));
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,8 +7,15 @@
 
 pub mod balance;
 pub mod catalogue;
+mod choose;
+mod dispatch;
 pub mod entry;
+pub mod estimate;
+mod flight;
+pub mod hedge;
 pub mod map;
+pub mod purse;
+mod queue;
 pub mod read;
 pub mod request;
 pub mod route;
--- /dev/null
+++ b/crates/core/tests/balance.rs
@@ -0,0 +1,191 @@
+//! Single rules of the balancer.
+
+use oriolecleat_core::balance::Action;
+use oriolecleat_core::balance::Ask;
+use oriolecleat_core::balance::Balancer;
+use oriolecleat_core::balance::Call;
+use oriolecleat_core::balance::Ending;
+use oriolecleat_core::balance::Fate;
+use oriolecleat_core::balance::Limits;
+use oriolecleat_core::balance::Refusal;
+use oriolecleat_core::entry::Class;
+use oriolecleat_core::entry::Target;
+use oriolecleat_core::target::Place;
+use oriolecleat_core::target::Standing;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+fn target(name: &str, port: u16) -> Target {
+    Target {
+        name: name.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        vm: name.into(),
+        region: "cai".into(),
+        data_center: "cai-1".into(),
+        slots: 1,
+    }
+}
+
+fn ask(call: u64, class: Class, deadline: u64) -> Ask {
+    Ask {
+        call: Call(call),
+        class,
+        deadline: at(deadline),
+        entry: 0,
+        hedge_percent: 0,
+    }
+}
+
+struct Bench {
+    balancer: Balancer,
+    rng: SmallRng,
+    out: Vec<Action>,
+}
+
+impl Bench {
+    fn new(names: &[&str], queue: usize) -> Self {
+        let place = Place {
+            region: "cai".into(),
+            data_center: "cai-1".into(),
+        };
+        let limits = Limits {
+            queue,
+            measuring_rate: 4_000,
+            measuring_burst: 4_000,
+            remote_rate: 0,
+            remote_burst: 0,
+            exchange: 2_000,
+        };
+        let mut balancer = Balancer::new(place, limits);
+        let specs: Vec<Target> = names.iter().zip(1..).map(|(n, p)| target(n, p)).collect();
+        balancer.update(at(0), &specs);
+        let rng = SmallRng::seed_from_u64(1);
+        let out = Vec::new();
+        Self { balancer, rng, out }
+    }
+
+    fn arrive(&mut self, now: u64, ask: Ask) {
+        self.balancer
+            .arrive(at(now), ask, &mut self.rng, &mut self.out);
+    }
+
+    fn tick(&mut self, now: u64) {
+        self.balancer.tick(at(now), &mut self.rng, &mut self.out);
+    }
+
+    fn assigned(&self) -> Vec<u64> {
+        let call = |action: &Action| match action {
+            Action::Assign { call, .. } => Some(call.0),
+            _ => None,
+        };
+        self.out.iter().filter_map(call).collect()
+    }
+
+    fn refused(&self) -> Vec<(u64, Refusal)> {
+        let call = |action: &Action| match action {
+            Action::Refuse { call, reason } => Some((call.0, *reason)),
+            _ => None,
+        };
+        self.out.iter().filter_map(call).collect()
+    }
+}
+
+/// Guards against a call that is lost or answered as run after its target shed it.
+#[test]
+fn shed_call_goes_to_another_attempt() {
+    let mut bench = Bench::new(&["a", "b"], 10);
+    bench.arrive(1, ask(1, Class::Once, 10_000));
+    let Some(Action::Assign { call, target, .. }) = bench.out.pop() else {
+        panic!("no assignment");
+    };
+    let fate = bench.balancer.finish(
+        at(2),
+        call,
+        target,
+        Ending::Shed,
+        &mut bench.rng,
+        &mut bench.out,
+    );
+    assert_eq!(fate, Fate::Pending);
+    assert_eq!(bench.assigned(), [1]);
+}
+
+/// Guards against a refusal later than half of the deadline.
+#[test]
+fn waiting_call_is_refused_at_half_of_its_deadline() {
+    let mut bench = Bench::new(&["a"], 100);
+    for call in 0..20 {
+        bench.arrive(0, ask(call, Class::Interactive, 1_000));
+    }
+    let waiting = bench.balancer.waiting();
+    assert!(waiting > 0);
+    bench.tick(499);
+    assert_eq!(bench.refused(), []);
+    bench.tick(500);
+    assert_eq!(bench.refused().len(), waiting);
+}
+
+/// Guards against batch work that displaces other classes when the queue is full.
+#[test]
+fn full_queue_sheds_batch_first_and_once_last() {
+    let mut bench = Bench::new(&["a"], 1);
+    for call in 0..10 {
+        bench.arrive(0, ask(call, Class::Batch, 60_000));
+    }
+    bench.out.clear();
+    bench.arrive(0, ask(20, Class::Interactive, 60_000));
+    bench.arrive(0, ask(21, Class::Interactive, 60_000));
+    bench.arrive(0, ask(22, Class::Interactive, 60_000));
+    bench.arrive(0, ask(23, Class::Interactive, 60_000));
+    bench.out.clear();
+    bench.arrive(0, ask(30, Class::Batch, 60_000));
+    assert_eq!(bench.refused(), [(30, Refusal::Overloaded)]);
+    bench.out.clear();
+    bench.arrive(0, ask(40, Class::Once, 60_000));
+    let shed = bench.refused();
+    assert!(shed.iter().all(|(call, _)| *call < 40), "{shed:?}");
+}
+
+/// Guards against new work for a leaving target, even when no other is left.
+#[test]
+fn leaving_target_gets_no_work() {
+    let mut bench = Bench::new(&["a"], 10);
+    let key = bench
+        .balancer
+        .targets()
+        .find("a")
+        .expect("target a is known");
+    bench.balancer.stand(key, Standing::Leaving);
+    bench.arrive(0, ask(1, Class::Interactive, 1_000));
+    assert_eq!(bench.assigned(), [0_u64; 0]);
+    assert_eq!(bench.refused(), [(1, Refusal::NoTarget)]);
+}
+
+/// Guards against measuring that starts before its budget was earned.
+#[test]
+fn probe_waits_for_the_measuring_budget() {
+    let mut bench = Bench::new(&["a"], 10);
+    let key = bench
+        .balancer
+        .targets()
+        .find("a")
+        .expect("target a is known");
+    bench.balancer.stand(key, Standing::Unconfirmed);
+    bench.tick(0);
+    assert_eq!(bench.out, []);
+    bench.tick(100);
+    assert_eq!(bench.out, [Action::Probe { target: key }]);
+    bench.balancer.probed(key, true);
+    bench.arrive(101, ask(1, Class::Interactive, 1_000));
+    assert_eq!(bench.assigned(), [1]);
+    assert_eq!(
+        bench.balancer.next_tick(at(101)),
+        Some(at(101) + Span::from_millis(20))
+    );
+}
