Serve requests end to end through separate processes

Cause: the whole path has to work before any part is made fine. Change: the daemon reads the catalogue from the configuration service through the etcd v3 JSON gateway, answers which addresses to use, and streams requests to targets and answers back; tickets let a non-idempotent request run once. Fakes of the platform and of targets, and a demonstration, live in bench. A planned stop does not drain yet.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Fakes of the outside systems, load and experiments; not shipped.
+
+pub mod client;
+pub mod fake;
+pub mod process;
--- /dev/null
+++ b/crates/daemon/src/start.rs
@@ -0,0 +1,101 @@
+//! Starts the tasks of the daemon on one thread.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use oriolecleat_core::settings::Settings;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use salvo::Router;
+use salvo::Server;
+use salvo::conn::Acceptor;
+use salvo::conn::Listener;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+use crate::caller;
+use crate::clock::Clock;
+use crate::directory;
+use crate::node::Node;
+use crate::node::Shared;
+use crate::operator;
+use crate::platform;
+use crate::query::Client;
+use crate::query::Query;
+
+const QUERY_QUEUE: usize = 256;
+
+/// Why the daemon could not start.
+#[derive(Debug)]
+pub struct Failure(&'static str);
+
+impl fmt::Display for Failure {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.0)
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Returns why the daemon could not start.
+pub fn run(settings: Settings) -> Result<(), Report<Failure>> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(Failure("the event loop could not be created"))?;
+    LocalSet::new().block_on(&runtime, serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), Report<Failure>> {
+    let listen = settings.listen.clone();
+    let callers = TcpListener::bind(listen.caller)
+        .await
+        .change_context(Failure("the caller port could not be opened"))?;
+    let directory = salvo::conn::TcpListener::new(listen.directory)
+        .try_bind()
+        .await
+        .change_context(Failure("the directory port could not be opened"))?;
+    let operators = salvo::conn::TcpListener::new(listen.operator)
+        .try_bind()
+        .await
+        .change_context(Failure("the operator port could not be opened"))?;
+    let vm = settings.vm.clone();
+    let node = Node::new(
+        settings,
+        Clock::start(),
+        SmallRng::from_rng(&mut rand::rng()),
+    );
+    let node: Shared = Rc::new(RefCell::new(node));
+    let (sender, queries) = mpsc::channel(QUERY_QUEUE);
+    let client = Client::new(sender);
+    spawn_pages(directory, directory::router(client.clone()));
+    spawn_pages(operators, operator::router(client));
+    tokio::task::spawn_local(answer(node.clone(), queries));
+    tokio::task::spawn_local(platform::follow(node.clone()));
+    log::info!(vm:% = vm, caller:% = listen.caller, directory:% = listen.directory; "serving");
+    caller::serve(node, callers).await;
+    Ok(())
+}
+
+fn spawn_pages<A>(acceptor: A, router: Router)
+where
+    A: Acceptor + Send + 'static,
+{
+    tokio::spawn(Server::new(acceptor).serve(router));
+}
+
+async fn answer(node: Shared, mut queries: mpsc::Receiver<Query>) {
+    while let Some(query) = queries.recv().await {
+        let answer = node.borrow_mut().answer(query.question);
+        // A handler whose client left does not wait for the answer.
+        let _ = query.reply.send(answer);
+    }
+}
