Adapt the daemon to the balancer's events

Cause: the balancer's events carry the time, the call and the fate of a call.

Change: the node passes them on; hedges, probes and sending again are left out until the request path drives them.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -160,7 +160,7 @@
             return Err((Code::UnknownService, Outcome::NotRun));
         }
     };
-    let mut attempt = Attempt::new(node, service, grant.target);
+    let mut attempt = Attempt::new(node, service, call, grant.target);
     let pooled = node.borrow_mut().pool.take(grant.address);
     let opened = match pooled {
         Some(connection) => Ok(connection),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -9,6 +9,8 @@
 use oriolecleat_core::balance::Balancer;
 use oriolecleat_core::balance::Call;
 use oriolecleat_core::balance::Ending;
+use oriolecleat_core::balance::Fate;
+use oriolecleat_core::balance::Limits;
 use oriolecleat_core::balance::Refusal;
 use oriolecleat_core::catalogue::Catalogue;
 use oriolecleat_core::catalogue::Verdict;
@@ -49,12 +51,34 @@
 
 type Decision = Result<Grant, Refusal>;
 
-#[derive(Default)]
 struct Service {
     balancer: Balancer,
     waiting: Map<Call, oneshot::Sender<Decision>>,
 }
 
+/// Limits of a service until those of its entries are applied.
+const LIMITS: Limits = Limits {
+    queue: 1_000,
+    measuring_rate: 3_640,
+    measuring_burst: 3_640,
+    remote_rate: 0,
+    remote_burst: 0,
+    exchange: 2_000,
+};
+
+impl Service {
+    fn new(settings: &Settings) -> Self {
+        let place = target::Place {
+            region: settings.region.clone(),
+            data_center: settings.data_center.clone(),
+        };
+        Self {
+            balancer: Balancer::new(place, LIMITS),
+            waiting: Map::default(),
+        }
+    }
+}
+
 /// State of the daemon.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -124,17 +148,16 @@
                 targets.extend(new);
             }
         }
+        let now = self.clock.now();
         for (name, service) in &mut self.services {
-            service
-                .balancer
-                .update(specs.get(name).map_or(&[], Vec::as_slice));
+            let targets = specs.get(name).map_or(&[][..], Vec::as_slice);
+            service.balancer.update(now, targets);
         }
         for (name, targets) in &specs {
-            self.services
-                .entry(name.clone())
-                .or_default()
-                .balancer
-                .update(targets);
+            let settings = &self.settings;
+            let service = self.services.entry(name.clone());
+            let service = service.or_insert_with(|| Service::new(settings));
+            service.balancer.update(now, targets);
         }
     }
 
@@ -156,6 +179,8 @@
                 call,
                 class,
                 deadline,
+                entry: 0,
+                hedge_percent: 0,
             };
             found.balancer.arrive(now, ask, &mut self.rng, &mut actions);
         }
@@ -164,13 +189,22 @@
     }
 
     /// Tells how an attempt ended.
-    pub(crate) fn finish(&mut self, service: &str, target: target::Key, ending: Ending) {
+    pub(crate) fn finish(
+        &mut self,
+        service: &str,
+        call: Call,
+        target: target::Key,
+        ending: Ending,
+    ) {
         let now = self.clock.now();
         let mut actions = Vec::new();
         if let Some(found) = self.services.get_mut(service) {
-            found
-                .balancer
-                .finish(now, target, ending, &mut self.rng, &mut actions);
+            let balancer = &mut found.balancer;
+            let fate = balancer.finish(now, call, target, ending, &mut self.rng, &mut actions);
+            // The caller was answered, so a call that did not run is not sent again.
+            if fate == Fate::Pending {
+                balancer.withdraw(now, call, &mut actions);
+            }
         }
         self.act(service, actions);
     }
@@ -179,7 +213,8 @@
     pub(crate) fn withdraw(&mut self, service: &str, call: Call) {
         if let Some(found) = self.services.get_mut(service) {
             found.waiting.remove(&call);
-            found.balancer.withdraw(call);
+            let now = self.clock.now();
+            found.balancer.withdraw(now, call, &mut Vec::new());
         }
     }
 
@@ -193,6 +228,7 @@
                     call,
                     target,
                     queue,
+                    ..
                 } => {
                     let Some(spec) = found.balancer.targets().get(target) else {
                         continue;
@@ -207,6 +243,7 @@
                     )
                 }
                 Action::Refuse { call, reason } => (call, Err(reason)),
+                Action::Hedge { .. } | Action::Cancel { .. } | Action::Probe { .. } => continue,
             };
             if let Some(sender) = found.waiting.remove(&call) {
                 // The receiver withdraws the call when it goes away, so it is still there.
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -8,6 +8,7 @@
 use http_body::Body;
 use http_body::Frame;
 use hyper::body::Incoming;
+use oriolecleat_core::balance::Call;
 use oriolecleat_core::balance::Ending;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
@@ -22,6 +23,7 @@
 pub(crate) struct Attempt {
     node: Shared,
     service: Box<str>,
+    call: Call,
     target: target::Key,
     started: Instant,
     connection: Option<Connection>,
@@ -29,12 +31,13 @@
 }
 
 impl Attempt {
-    pub(crate) fn new(node: &Shared, service: &str, target: target::Key) -> Self {
+    pub(crate) fn new(node: &Shared, service: &str, call: Call, target: target::Key) -> Self {
         let started = node.borrow().clock.now();
         let node = node.clone();
         Self {
             node,
             service: service.into(),
+            call,
             target,
             started,
             connection: None,
@@ -66,7 +69,7 @@
         if std::mem::replace(&mut self.open, false) {
             self.node
                 .borrow_mut()
-                .finish(&self.service, self.target, ending);
+                .finish(&self.service, self.call, self.target, ending);
         }
     }
 }
