--- /dev/null
+++ b/crates/bench/src/model/drive.rs
@@ -0,0 +1,271 @@
+//! Connects the model's VMs to the policies, the product's balancer among them.
+
+use oriolecleat_core::balance::Action;
+use oriolecleat_core::balance::Ask;
+use oriolecleat_core::balance::Call;
+use oriolecleat_core::balance::Ending;
+use oriolecleat_core::balance::Fate;
+use oriolecleat_core::balance::PROBE_BYTES;
+use oriolecleat_core::balance::REFUSED_BYTES;
+use oriolecleat_core::balance::REPORT_BYTES;
+use oriolecleat_core::target;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+
+use super::run::ATTEMPTS;
+use super::run::Answer;
+use super::run::Attempt;
+use super::run::Event;
+use super::run::Model;
+use super::scenario::WARM_UP;
+
+fn call(request: usize) -> Call {
+    Call(u64::try_from(request).unwrap_or(u64::MAX))
+}
+
+fn request(call: Call) -> usize {
+    usize::try_from(call.0).unwrap_or(usize::MAX)
+}
+
+impl Model<'_> {
+    /// Offers a call to its VM's balancer.
+    pub(super) fn ask(&mut self, now: u64, request: usize) {
+        let details = self.requests[request];
+        let ask = Ask {
+            call: call(request),
+            class: details.class,
+            deadline: Instant::from_micros(details.at + self.plan.deadline),
+            entry: details.entry,
+            hedge_percent: self.plan.hedge_percent,
+        };
+        let vm = &mut self.vms[details.vm];
+        if let Some(balancer) = &mut vm.balancer {
+            balancer.arrive(Instant::from_micros(now), ask, &mut vm.rng, &mut vm.actions);
+        }
+        self.act(now, details.vm);
+    }
+
+    pub(super) fn tick(&mut self, now: u64, index: usize) {
+        let vm = &mut self.vms[index];
+        if vm.tick.is_none_or(|due| due > now) {
+            return;
+        }
+        vm.tick = None;
+        if let Some(balancer) = &mut vm.balancer {
+            balancer.tick(Instant::from_micros(now), &mut vm.rng, &mut vm.actions);
+        }
+        self.act(now, index);
+    }
+
+    /// Carries out what the balancer of a VM decided.
+    fn act(&mut self, now: u64, index: usize) {
+        let actions = std::mem::take(&mut self.vms[index].actions);
+        for action in actions {
+            match action {
+                Action::Assign {
+                    call,
+                    target,
+                    queue,
+                    report,
+                } => self.forward(now, index, call, target, queue, report),
+                Action::Hedge {
+                    call,
+                    target,
+                    queue,
+                    report,
+                } => {
+                    self.summary.hedges += 1;
+                    self.forward(now, index, call, target, queue, report);
+                }
+                Action::Cancel { call, target } => {
+                    let open = |attempt: &Attempt| {
+                        attempt.open
+                            && attempt.request == request(call)
+                            && attempt.key == Some(target)
+                    };
+                    if let Some(attempt) = self.attempts.iter().rposition(open) {
+                        self.close(now, attempt);
+                    }
+                }
+                Action::Probe { target } => self.probe(now, index, target),
+                Action::Refuse { call, .. } => self.refuse(now, request(call)),
+            }
+        }
+        let vm = &mut self.vms[index];
+        let Some(balancer) = &vm.balancer else {
+            return;
+        };
+        let next = balancer.next_tick(Instant::from_micros(now));
+        let next = next.map(Instant::as_micros);
+        if let Some(next) = next
+            && vm.tick.is_none_or(|due| due > next)
+        {
+            vm.tick = Some(next);
+            self.at(next, Event::Tick(index));
+        }
+    }
+
+    fn forward(
+        &mut self,
+        now: u64,
+        vm: usize,
+        call: Call,
+        key: target::Key,
+        queue: Span,
+        report: bool,
+    ) {
+        let Some(balancer) = &self.vms[vm].balancer else {
+            return;
+        };
+        let Some(target) = balancer.targets().get(key) else {
+            return;
+        };
+        let target = Self::index(&target.spec.name);
+        let queue = queue.as_micros();
+        self.send(now, request(call), target, Some(key), queue, report);
+    }
+
+    fn probe(&mut self, now: u64, vm: usize, key: target::Key) {
+        let Some(balancer) = &self.vms[vm].balancer else {
+            return;
+        };
+        let Some(target) = balancer.targets().get(key) else {
+            return;
+        };
+        let target = Self::index(&target.spec.name);
+        let delay = self
+            .world
+            .delay(self.world.vms[vm], self.world.targets[target]);
+        self.spend(
+            now,
+            PROBE_BYTES,
+            self.world.vms[vm].region != self.world.targets[target].region,
+        );
+        self.at(
+            now + 2 * delay + self.world.probe,
+            Event::Probed(vm, target),
+        );
+    }
+
+    pub(super) fn probed(&mut self, vm: usize, target: usize) {
+        if let Some(balancer) = &mut self.vms[vm].balancer {
+            let named = |(_, known): &(target::Key, &target::Target)| {
+                Self::index(&known.spec.name) == target
+            };
+            let found = balancer.targets().iter().find(named).map(|(key, _)| key);
+            if let Some(key) = found {
+                balancer.probed(key, true);
+            }
+        }
+    }
+
+    fn refuse(&mut self, now: u64, request: usize) {
+        if std::mem::replace(&mut self.progress[request].over, true) {
+            return;
+        }
+        let details = self.requests[request];
+        if details.came >= WARM_UP {
+            let entry = usize::try_from(details.entry).unwrap_or(0);
+            self.summary.refused(now - details.at);
+            self.entries[entry].refused(now - details.at);
+        }
+    }
+
+    /// Counts measuring bytes, twice between regions.
+    fn spend(&mut self, now: u64, bytes: u64, remote: bool) {
+        if now >= WARM_UP {
+            self.summary.measuring += if remote { 2 * bytes } else { bytes };
+            self.summary.cross_region += if remote { bytes } else { 0 };
+        }
+    }
+
+    /// The answer of an attempt arrives at its VM.
+    pub(super) fn replied(&mut self, now: u64, attempt: usize, answer: Answer) {
+        let Attempt {
+            request,
+            target,
+            key,
+            reports,
+            report,
+            open,
+            sent,
+            ..
+        } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        self.attempts[attempt].open = false;
+        let remote = self.is_remote(attempt);
+        let index = self.requests[request].vm;
+        self.vms[index].own[target] = self.vms[index].own[target].saturating_sub(1);
+        if answer == Answer::Shed {
+            self.summary.refused += 1;
+            self.spend(now, REFUSED_BYTES, remote);
+        } else if reports {
+            self.spend(now, REPORT_BYTES, remote);
+        }
+        let time = Instant::from_micros(now);
+        let latency = Span::from_micros(now - sent);
+        let ending = match answer {
+            Answer::Good => Ending::Answered {
+                latency,
+                failed: false,
+            },
+            Answer::Failed => Ending::Answered {
+                latency,
+                failed: true,
+            },
+            Answer::Shed => Ending::Shed,
+        };
+        let vm = &mut self.vms[index];
+        let mut fate = Fate::Over;
+        if let (Some(balancer), Some(key)) = (&mut vm.balancer, key) {
+            if reports || answer == Answer::Shed {
+                let age = balancer
+                    .targets()
+                    .get(key)
+                    .map_or(Span::ZERO, |_| Span::ZERO);
+                balancer.report(time, key, report, age);
+            }
+            let (rng, actions) = (&mut vm.rng, &mut vm.actions);
+            fate = balancer.finish(time, call(request), key, ending, rng, actions);
+        }
+        if fate == Fate::Over {
+            self.settle(now, request, answer);
+        }
+        self.act(now, index);
+    }
+
+    fn settle(&mut self, now: u64, request: usize, answer: Answer) {
+        let progress = self.progress[request];
+        if progress.over {
+            return;
+        }
+        if answer == Answer::Failed && progress.attempts < ATTEMPTS {
+            self.offer(now, request);
+        } else {
+            self.conclude(now, request, answer == Answer::Good);
+        }
+    }
+
+    /// The caller gives up.
+    pub(super) fn deadline(&mut self, now: u64, request: usize) {
+        if self.progress[request].over {
+            return;
+        }
+        let index = self.requests[request].vm;
+        let vm = &mut self.vms[index];
+        if let Some(balancer) = &mut vm.balancer {
+            balancer.withdraw(Instant::from_micros(now), call(request), &mut vm.actions);
+        } else {
+            let mine =
+                |(_, attempt): &(usize, &Attempt)| attempt.open && attempt.request == request;
+            let found = self.attempts.iter().enumerate().rev().find(mine);
+            if let Some((attempt, _)) = found {
+                self.close(now, attempt);
+            }
+        }
+        self.conclude(now, request, false);
+        self.act(now, index);
+    }
+}
--- /dev/null
+++ b/crates/bench/src/model/policy.rs
@@ -0,0 +1,106 @@
+//! Ways to choose a target that the load table compares.
+
+use std::collections::VecDeque;
+
+use oriolecleat_core::balance::Balancer;
+use oriolecleat_core::balance::Limits;
+use oriolecleat_core::estimate::Report;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+use super::work::Plan;
+use super::world::World;
+
+/// A policy of the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Any target of the own region.
+    Random,
+    /// The one with fewer own requests in flight of two.
+    TwoChoices,
+    /// The one with the fewest own requests in flight.
+    LeastOwn,
+    /// The one with the least load in reports that all VMs share.
+    Stale,
+    /// The product's balancer.
+    Ours,
+}
+
+/// Age of the shared reports of [`Policy::Stale`] in microseconds, from none to this.
+pub const STALE_REFRESH: u64 = 250_000;
+/// Bytes of a request and its answer.
+pub const EXCHANGE_BYTES: u64 = 2_000;
+
+/// All policies in the order of the table.
+pub const ALL: [Policy; 5] = [
+    Policy::Random,
+    Policy::TwoChoices,
+    Policy::LeastOwn,
+    Policy::Stale,
+    Policy::Ours,
+];
+
+impl Policy {
+    /// Name in the output.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Random => "random",
+            Self::TwoChoices => "two_choices",
+            Self::LeastOwn => "least_own",
+            Self::Stale => "stale_reports",
+            Self::Ours => "ours",
+        }
+    }
+
+    /// The target of a request at `vm` among those of its region.
+    pub fn pick(
+        self,
+        world: &World,
+        vm: usize,
+        own: &[u32],
+        shared: &[Report],
+        rng: &mut SmallRng,
+    ) -> usize {
+        let region = world.vms[vm].region;
+        let near = |target: &usize| world.targets[*target].region == region;
+        let near: VecDeque<usize> = (0..world.targets.len()).filter(near).collect();
+        let any = |rng: &mut SmallRng| near[rng.random_range(0..near.len())];
+        match self {
+            Self::TwoChoices => {
+                let (first, second) = (any(rng), any(rng));
+                if own[second] < own[first] {
+                    second
+                } else {
+                    first
+                }
+            }
+            Self::LeastOwn => least(&near, |target| u64::from(own[target]), rng),
+            Self::Stale => {
+                let load = |target: usize| shared[target].running + shared[target].queued;
+                least(&near, load, rng)
+            }
+            Self::Random | Self::Ours => any(rng),
+        }
+    }
+}
+
+fn least(near: &VecDeque<usize>, load: impl Fn(usize) -> u64, rng: &mut SmallRng) -> usize {
+    let key = |target: &&usize| (load(**target), rng.random::<u32>());
+    near.iter().min_by_key(key).copied().unwrap_or(0)
+}
+
+/// The product's balancer of one VM under the plan's budgets.
+#[must_use]
+pub fn balancer(world: &World, plan: &Plan, vm: usize) -> Balancer {
+    let vms = u64::try_from(world.vms.len()).unwrap_or(1);
+    let limits = Limits {
+        queue: 1_000,
+        measuring_rate: plan.measuring / vms,
+        measuring_burst: plan.measuring / vms,
+        remote_rate: plan.cross_region / vms,
+        remote_burst: plan.cross_region / vms,
+        exchange: EXCHANGE_BYTES,
+    };
+    Balancer::new(world.place(vm), limits)
+}
