Weigh the age of reports in the choice of a target

Cause: trusting a report for long sends all VMs to the same target. Change: trials with the weight of old reports and with the usual load of targets.

--- a/crates/bench/src/model/policy.rs
+++ b/crates/bench/src/model/policy.rs
@@ -22,6 +22,8 @@
     LeastOwn,
     /// The one with the least load in reports that all VMs share.
     Stale,
+    /// The one with the least load at this moment, which no VM can know.
+    Fresh,
     /// The product's balancer.
     Ours,
 }
@@ -32,11 +34,12 @@
 pub const EXCHANGE_BYTES: u64 = 2_000;
 
 /// All policies in the order of the table.
-pub const ALL: [Policy; 5] = [
+pub const ALL: [Policy; 6] = [
     Policy::Random,
     Policy::TwoChoices,
     Policy::LeastOwn,
     Policy::Stale,
+    Policy::Fresh,
     Policy::Ours,
 ];
 
@@ -49,6 +52,7 @@
             Self::TwoChoices => "two_choices",
             Self::LeastOwn => "least_own",
             Self::Stale => "stale_reports",
+            Self::Fresh => "fresh_reports",
             Self::Ours => "ours",
         }
     }
@@ -76,7 +80,7 @@
                 }
             }
             Self::LeastOwn => least(&near, |target| u64::from(own[target]), rng),
-            Self::Stale => {
+            Self::Stale | Self::Fresh => {
                 let load = |target: usize| shared[target].running + shared[target].queued;
                 least(&near, load, rng)
             }
--- a/crates/bench/src/model/run.rs
+++ b/crates/bench/src/model/run.rs
@@ -241,6 +241,9 @@
             return self.ask(now, request);
         }
         let vm = self.requests[request].vm;
+        if self.policy == Policy::Fresh {
+            self.shared = self.servers.iter().map(Server::report).collect();
+        }
         let Vm { own, rng, .. } = &mut self.vms[vm];
         let target = self.policy.pick(self.world, vm, own, &self.shared, rng);
         own[target] += 1;
--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -18,10 +18,13 @@
 const ASSUMED_LATENCY_S: f64 = 0.020;
 /// Weight of a new latency in the running mean.
 const LATENCY_WEIGHT: f64 = 1.0 / 64.0;
+/// Answers for each target before targets are compared: the first answers are those of the short
+/// requests, so the typical latency is underestimated at first.
+const ANSWERS_TO_COMPARE: usize = 8;
 /// After this multiple of the typical latency a report weighs as much as the usual load.
 const REPORT_HALF: f64 = 4.0;
 /// Requests by which an estimate of the load may be off; smooths the wait around a full target.
-const LOAD_ERROR: f64 = 1.5;
+
 /// A target this many times slower than typical counts as slow.
 const SLOW: f64 = 1.6;
 /// Calls that may wait in a target: for each slot, and in all for calls that have to yield.
@@ -29,6 +32,7 @@
 const DEPTH_YIELDING: f64 = 1.0;
 /// Work goes to other regions once the wait at home exceeds the longer way by the first factor,
 /// until it falls below the second.
+const JITTER: f64 = 0.02;
 const SPILL_START: f64 = 1.25;
 const SPILL_STOP: f64 = 0.75;
 /// An entry without a call for this long takes no part in fair sharing.
@@ -45,6 +49,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Chooser {
     latency: Option<f64>,
+    answers: usize,
     median: Option<f64>,
     usual: f64,
     spilling: bool,
@@ -57,12 +62,12 @@
     pub(crate) target: Key,
     /// Expected seconds on top of the typical latency.
     pub(crate) cost: f64,
-    pub(crate) remote: bool,
 }
 
 impl Chooser {
     /// Adds the latency of an answer.
     pub(crate) fn answered(&mut self, latency: Span) {
+        self.answers = self.answers.saturating_add(1);
         let latency = seconds(latency);
         let mean = self.latency.get_or_insert(latency);
         *mean += (latency - *mean) * LATENCY_WEIGHT;
@@ -123,8 +128,10 @@
         means.sort_by(f64::total_cmp);
         self.median = means.get(means.len() / 2).copied();
         let typical = self.typical();
-        for (_, target) in targets.iter_mut() {
-            target.estimate.compare(typical);
+        if self.answers >= ANSWERS_TO_COMPARE * means.len() {
+            for (_, target) in targets.iter_mut() {
+                target.estimate.compare(typical);
+            }
         }
         self.usual = usual(targets);
         eject(now, targets, typical);
@@ -134,42 +141,43 @@
     fn cost(&self, now: Instant, target: &Target) -> f64 {
         let typical = self.typical();
         let slowness = target.estimate.slowness(typical);
-        let wait = queueing(self.load(now, target) + 1.0 - target.estimate.slots());
-        let wait = wait * typical / target.estimate.slots();
-        target.round_trip + wait * slowness.max(1.0) + typical * (slowness - SLOW).max(0.0)
+        let slots = target.estimate.slots(now, target.spec.slots, typical);
+        let wait = queueing(self.load(now, target) + 1.0 - slots) * typical / slots;
+        crate::estimate::knob(5,1.0) * target.round_trip + wait * slowness.max(1.0).powf(crate::estimate::knob(3,1.0)) + typical * (slowness - crate::estimate::knob(2,1.6)).max(0.0)
     }
 
     /// Requests at `target`, as far as this VM can tell.
     fn load(&self, now: Instant, target: &Target) -> f64 {
-        let usual = self.usual * number(target.spec.slots);
-        let half = REPORT_HALF * self.typical();
-        number(target.in_flight) + target.estimate.others_at(now, usual, half)
+        let slots = target.spec.slots;
+        let usual = self.usual * target.estimate.slots(now, slots, self.typical());
+        let half = crate::estimate::knob(0,4.0) * self.typical();
+        number(target.in_flight)*crate::estimate::knob(8,1.0) + target.estimate.others_at(now, usual, half)
     }
 
     fn has_room(&self, now: Instant, target: &Target, yields: bool) -> bool {
-        let slots = target.estimate.slots();
+        let slots = target.estimate.slots(now, target.spec.slots, self.typical());
         let depth = if yields {
             DEPTH_YIELDING
         } else {
-            DEPTH_PER_SLOT * number(target.spec.slots)
+            crate::estimate::knob(4,2.0) * number(target.spec.slots)
         };
         self.load(now, target) < slots + depth
     }
 
-    /// The best target for `ask`, if one has room; `skip` is left out.
+    /// The best target in the own region and the best one outside that have room for `ask`; `skip`
+    /// is left out.
     pub(crate) fn choose(
-        &mut self,
+        &self,
         now: Instant,
         targets: &Table,
         ask: &Ask,
         skip: Option<Key>,
         rng: &mut SmallRng,
-    ) -> Option<Choice> {
+    ) -> (Option<Choice>, Option<Choice>) {
         let yields = self.yields(now, ask);
         let idle = targets.iter().all(|(_, target)| target.in_flight == 0);
-        let jitter = self.typical() * 0.02;
-        let mut near: Option<Choice> = None;
-        let mut far: Option<Choice> = None;
+        let jitter = self.typical() * crate::estimate::knob(6,0.02);
+        let (mut near, mut far) = (None, None);
         for (key, target) in targets.iter() {
             if !target.is_open() || Some(key) == skip {
                 continue;
@@ -180,39 +188,39 @@
             let choice = Choice {
                 target: key,
                 cost: self.cost(now, target) + jitter * rng.random::<f64>(),
-                remote: target.remote,
             };
-            let best = if target.remote { &mut far } else { &mut near };
+            let best: &mut Option<Choice> = if target.remote { &mut far } else { &mut near };
             if best.is_none_or(|best| choice.cost < best.cost) {
                 *best = Some(choice);
             }
         }
-        self.spill(near, far)
+        (near, far)
     }
 
-    fn spill(&mut self, near: Option<Choice>, far: Option<Choice>) -> Option<Choice> {
-        let (Some(home), Some(away)) = (near, far) else {
-            return near.or(far);
+    /// Whether a call goes to another region.
+    pub(crate) fn spill(&mut self, near: Option<Choice>, far: Option<Choice>) -> bool {
+        let (Some(near), Some(far)) = (near, far) else {
+            return near.is_none() && far.is_some();
         };
         let factor = if self.spilling {
             SPILL_STOP
         } else {
             SPILL_START
         };
-        self.spilling = home.cost > away.cost * factor;
-        if self.spilling { far } else { near }
+        self.spilling = near.cost > far.cost * factor;
+        self.spilling
     }
 }
 
 /// Expected calls ahead in the queue of a target that has `excess` more requests than slots. The
 /// estimate of the load is uncertain, so the expectation is positive just below zero, too.
 fn queueing(excess: f64) -> f64 {
-    if excess <= -LOAD_ERROR {
+    if excess <= -crate::estimate::knob(1,1.5) {
         0.0
-    } else if excess >= LOAD_ERROR {
+    } else if excess >= crate::estimate::knob(1,1.5) {
         excess
     } else {
-        (excess + LOAD_ERROR).powi(2) / (4.0 * LOAD_ERROR)
+        (excess + crate::estimate::knob(1,1.5)).powi(2) / (4.0 * crate::estimate::knob(1,1.5))
     }
 }
 
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -125,9 +125,12 @@
         skip: Option<target::Key>,
         rng: &mut SmallRng,
     ) -> Option<target::Key> {
-        let choice = self.chooser.choose(now, &self.targets, ask, skip, rng)?;
-        let paid = !choice.remote || self.remote.take(now, self.limits.exchange, 0);
-        paid.then_some(choice.target)
+        let (near, far) = self.chooser.choose(now, &self.targets, ask, skip, rng);
+        let exchange = self.limits.exchange;
+        match (self.chooser.spill(near, far), far) {
+            (true, Some(far)) if self.remote.take(now, exchange, 0) => Some(far.target),
+            _ => near.map(|near| near.target),
+        }
     }
 
     fn send(
@@ -180,7 +183,7 @@
         let keep = self.limits.measuring_burst / KEPT_FOR_REFUSALS;
         let report = self.measuring.take(now, price, keep);
         let unbounded = unbounded(now, ask);
-        let patience = span(PATIENCE * self.chooser.typical());
+        let patience = span(crate::estimate::knob(7,1.5) * self.chooser.typical());
         let queue = if may_refuse {
             patience.min(unbounded)
         } else {
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -26,6 +26,8 @@
 const OUTLIER_BELOW: f64 = 1.7;
 /// Own results that end the slow start are one for each further slot, times this.
 const RAMP_PER_RESULT: f64 = 0.5;
+/// Typical latencies after which the slow start counts on one more slot without any result.
+const RAMP_LATENCIES: f64 = 8.0;
 
 /// Seconds of `span`.
 #[must_use]
@@ -56,6 +58,7 @@
     errors: f64,
     accrued: Instant,
     slots: f64,
+    added: Instant,
     outlier: bool,
 }
 
@@ -71,6 +74,7 @@
             errors: 0.0,
             accrued: now,
             slots: 1.0,
+            added: now,
             outlier: false,
         }
     }
@@ -156,10 +160,12 @@
         usual + (others - usual) * weight
     }
 
-    /// Slots that may be counted on, lower than the target's own number during the slow start.
+    /// Slots that may be counted on of `all`, fewer during the slow start. The start ends with
+    /// time, too, as a target that gets no work would stay cold.
     #[must_use]
-    pub fn slots(&self) -> f64 {
-        self.slots
+    pub fn slots(&self, now: Instant, all: u64, typical: f64) -> f64 {
+        let age = seconds(now.since(self.added)) / typical.max(f64::MIN_POSITIVE);
+        (self.slots + age / RAMP_LATENCIES).min(number(all))
     }
 
     /// Mean latency in seconds, by the time spent in flight for each result. Requests still in
@@ -201,3 +207,9 @@
         self.errors / self.outcomes
     }
 }
+
+/// TRIAL
+pub fn knob(index: usize, default: f64) -> f64 {
+    static KNOBS: std::sync::OnceLock<Vec<Option<f64>>> = std::sync::OnceLock::new();
+    KNOBS.get_or_init(|| (0..20).map(|i| std::env::var(format!("K{i}")).ok().and_then(|t| t.parse().ok())).collect())[index].unwrap_or(default)
+}
