--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -110,6 +110,7 @@
         };
         for (key, target) in self.targets.iter_mut() {
             let open = target.standing == Standing::Open && !target.remote;
+            let open = open && target.in_flight < target.spec.slots;
             if let Some(trial) = &mut target.ejected
                 && open
                 && now >= trial.due + after
