Keep a storm on one entry from the calls of the others

Cause: calls of an entry with a backlog filled the targets' queues, so the other entries of the service waited behind them.

Change: an entry with a backlog and at least its share of the calls in flight, and batch calls beside other entries, are held to a window that grows when an answer left a slot free and declines when calls still waited in the target. While calls wait, each answer carries a report if the budget permits.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -246,6 +246,13 @@
         if let Some(target) = self.targets.get_mut(target) {
             let own = target.in_flight.saturating_sub(1);
             target.estimate.report(now - age, report, own);
+            let slots = target.spec.slots;
+            let all: u64 = self
+                .targets
+                .iter()
+                .map(|(_, target)| target.in_flight)
+                .sum();
+            self.chooser.adapt(report, slots, all.saturating_sub(1));
         }
     }
 
@@ -280,7 +287,7 @@
         self.queue.extract(|waiting| waiting.ask.call == call);
         if let Some(flight) = self.flights.remove(&call) {
             for attempt in flight.attempts() {
-                self.release(flight.ask.entry, attempt);
+                self.release(attempt);
                 let target = attempt.target;
                 out.push(Action::Cancel { call, target });
             }
@@ -317,8 +324,8 @@
         let unconfirmed = |(_, target): (_, &target::Target)| {
             target.standing == Standing::Unconfirmed || target.probe.is_some()
         };
-        if self.queue.len() > 0 {
-            Some(now + TICK_WAITING)
+        if let Some(latest) = self.queue.latest() {
+            Some(latest.max(now).min(now + TICK_WAITING))
         } else if !self.flights.is_empty() || self.targets.iter().any(unconfirmed) {
             Some(now + TICK_RUNNING)
         } else {
@@ -339,8 +346,7 @@
     }
 
     /// Ends an attempt in the counts without a result.
-    pub(crate) fn release(&mut self, entry: u32, attempt: &Attempt) {
-        self.chooser.left(entry);
+    pub(crate) fn release(&mut self, attempt: &Attempt) {
         self.measuring.give(attempt.reserved + attempt.report);
         if let Some(target) = self.targets.get_mut(attempt.target) {
             target.in_flight = target.in_flight.saturating_sub(1);
--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -5,6 +5,7 @@
 
 use crate::balance::Ask;
 use crate::entry::Class;
+use crate::estimate::Report;
 use crate::estimate::number;
 use crate::estimate::seconds;
 use crate::map::Map;
@@ -25,6 +26,8 @@
 /// fill a free slot within a fraction of a request's work, so a longer trust sends all VMs to the
 /// same target: in the load table p99 at 90 % rises from 1.10 to 1.18 times the ideal with 4.
 const REPORT_HALF: f64 = 0.2;
+/// Up to this multiple of the typical latency the newest report tells how full the targets are.
+const FRESH: f64 = 4.0;
 /// Weight of an own request in flight against one of another VM. Above 1, a VM's own requests are
 /// spread more evenly and work leaves the region sooner.
 const OWN_WEIGHT: f64 = 1.25;
@@ -32,9 +35,13 @@
 const LOAD_ERROR: f64 = 1.5;
 /// A target this many times slower than typical counts as slow.
 const SLOW: f64 = 1.6;
-/// Calls that may wait in a target: for each slot, and in all for calls that have to yield.
+/// Calls that may wait in a target for each slot.
 const DEPTH_PER_SLOT: f64 = 2.0;
-const DEPTH_YIELDING: f64 = 1.0;
+/// Growth of the window of calls that yield when an answer left a slot free, its decline when
+/// calls still waited in the target, and its bound as a multiple of the calls in flight.
+const WINDOW_STEP: f64 = 0.5;
+const WINDOW_DECLINE: f64 = 0.9;
+const WINDOW_SPARE: f64 = 2.0;
 /// Share of the typical latency by which equal targets are told apart at random.
 const JITTER: f64 = 0.02;
 /// Work goes to other regions once the wait at home exceeds the longer way by the first factor,
@@ -44,11 +51,15 @@
 /// An entry without a call for this long takes no part in fair sharing.
 const ACTIVE: Span = Span::from_millis(1_000);
 
-/// What one entry of the service is using.
+/// What the entry of a call is using, and the service in all.
 #[derive(Clone, Copy, Debug)]
-struct Usage {
-    in_flight: u64,
-    seen: Instant,
+pub(crate) struct Usage {
+    /// Calls of the entry that wait.
+    pub(crate) backlog: usize,
+    /// Calls of the entry in flight.
+    pub(crate) own: usize,
+    /// Calls of all entries in flight.
+    pub(crate) all: usize,
 }
 
 /// State of the choice that is common to all targets.
@@ -59,7 +70,10 @@
     median: Option<f64>,
     usual: f64,
     spilling: bool,
-    usage: Map<u32, Usage>,
+    /// Calls of this VM in flight up to which calls that yield may be sent.
+    window: f64,
+    seen: Map<u32, Instant>,
+    reported: Option<Instant>,
 }
 
 /// A target with what a call is expected to lose there.
@@ -86,43 +100,17 @@
 
     /// A call of `entry` arrived.
     pub(crate) fn seen(&mut self, now: Instant, entry: u32) {
-        let usage = self.usage.entry(entry).or_insert(Usage {
-            in_flight: 0,
-            seen: now,
-        });
-        usage.seen = now;
+        self.seen.insert(entry, now);
     }
 
-    /// A copy of a call of `entry` was sent.
-    pub(crate) fn sent(&mut self, entry: u32) {
-        if let Some(usage) = self.usage.get_mut(&entry) {
-            usage.in_flight += 1;
-        }
-    }
-
-    /// A copy of a call of `entry` ended.
-    pub(crate) fn left(&mut self, entry: u32) {
-        if let Some(usage) = self.usage.get_mut(&entry) {
-            usage.in_flight = usage.in_flight.saturating_sub(1);
-        }
-    }
-
-    /// Whether calls of `ask`'s kind leave room in the targets for those of others.
-    fn yields(&self, now: Instant, ask: &Ask) -> bool {
-        if ask.class == Class::Batch {
-            return true;
-        }
-        let active = |usage: &&Usage| now.since(usage.seen) < ACTIVE;
-        let (mut entries, mut all) = (0, 0);
-        for usage in self.usage.values().filter(active) {
-            entries += 1;
-            all += usage.in_flight;
-        }
-        let own = self
-            .usage
-            .get(&ask.entry)
-            .map_or(0, |usage| usage.in_flight);
-        entries > 1 && own * entries > all
+    /// Whether calls like `ask` leave room in the targets for those of other entries: batch calls
+    /// do, and calls of an entry that has a backlog and at least its share of what is in flight.
+    fn yields(&self, now: Instant, ask: &Ask, usage: Usage) -> bool {
+        let active =
+            |(entry, seen): &(&u32, &Instant)| **entry != ask.entry && now.since(**seen) < ACTIVE;
+        let rivals = self.seen.iter().filter(active).count();
+        let ample = usage.backlog > 1 && usage.own * (rivals + 1) >= usage.all;
+        rivals > 0 && (ample || ask.class == Class::Batch)
     }
 
     /// Renews what is derived from all targets: typical speed, usual load and ejections.
@@ -139,7 +127,12 @@
                 target.estimate.compare(typical);
             }
         }
-        self.usual = usual(targets);
+        self.usual = usual(now, targets, typical);
+        self.reported = targets
+            .iter()
+            .filter_map(|(_, target)| target.estimate.others())
+            .map(|(at, _)| at)
+            .max();
         eject(now, targets, typical);
     }
 
@@ -164,17 +157,31 @@
         number(target.in_flight) * weight + target.estimate.others_at(now, usual, half)
     }
 
-    fn has_room(&self, now: Instant, target: &Target, yields: bool) -> bool {
+    /// Adapts the window to a report on an answer, with `in_flight` requests left of this VM.
+    /// Growth by steps and decline by a share make the windows of all VMs alike.
+    pub(crate) fn adapt(&mut self, report: Report, slots: u64, in_flight: u64) {
+        if report.running + report.queued < slots {
+            self.window += WINDOW_STEP;
+        } else if report.queued > 0 {
+            self.window *= WINDOW_DECLINE;
+        }
+        let most = WINDOW_SPARE * (number(in_flight) + 1.0);
+        self.window = self.window.min(most).max(1.0);
+    }
+
+    fn has_room(&self, now: Instant, target: &Target) -> bool {
         let slots = target
             .estimate
             .slots(now, target.spec.slots, self.typical());
-        let depth = if yields {
-            DEPTH_YIELDING
+        let depth = DEPTH_PER_SLOT * number(target.spec.slots);
+        // Old reports must not keep work back for long, as only work renews them.
+        let fresh = |at| seconds(now.since(at)) < FRESH * self.typical();
+        let usual = if self.reported.is_some_and(fresh) {
+            self.usual
         } else {
-            DEPTH_PER_SLOT * number(target.spec.slots)
+            self.usual.min(1.0)
         };
-        // Reports from a busy moment must not keep work back for long, as only work renews them.
-        self.load(now, target, self.usual.min(1.0), 1.0) < slots + depth
+        self.load(now, target, usual, 1.0) < slots + depth
     }
 
     /// The best target in the own region and the best one outside that have room for `ask`; `skip`
@@ -184,18 +191,23 @@
         now: Instant,
         targets: &Table,
         ask: &Ask,
+        usage: Usage,
         skip: Option<Key>,
         rng: &mut SmallRng,
     ) -> (Option<Choice>, Option<Choice>) {
-        let yields = self.yields(now, ask);
-        let idle = targets.iter().all(|(_, target)| target.in_flight == 0);
+        let yields = self.yields(now, ask, usage);
+        let in_flight: u64 = targets.iter().map(|(_, target)| target.in_flight).sum();
+        if yields && number(in_flight) + 1.0 > self.window.max(1.0) {
+            return (None, None);
+        }
+        let idle = in_flight == 0;
         let jitter = self.typical() * JITTER;
         let (mut near, mut far) = (None, None);
         for (key, target) in targets.iter() {
             if !target.is_open() || Some(key) == skip {
                 continue;
             }
-            if !idle && !self.has_room(now, target, yields) {
+            if !idle && !self.has_room(now, target) {
                 continue;
             }
             let choice = Choice {
@@ -237,13 +249,14 @@
     }
 }
 
-/// Other VMs' requests for each slot, over the targets that reported.
-fn usual(targets: &Table) -> f64 {
+/// Other VMs' requests for each slot, over the targets that reported; old reports count less.
+fn usual(now: Instant, targets: &Table, typical: f64) -> f64 {
     let (mut others, mut slots) = (0.0, 0.0);
     for (_, target) in targets.iter() {
-        if let Some(reported) = target.estimate.others() {
-            others += reported;
-            slots += number(target.spec.slots);
+        if let Some((at, reported)) = target.estimate.others() {
+            let weight = 1.0 / (1.0 + seconds(now.since(at)) / (FRESH * typical));
+            others += weight * reported;
+            slots += weight * number(target.spec.slots);
         }
     }
     if slots > 0.0 { others / slots } else { 0.0 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::balance::REFUSED_BYTES;
 use crate::balance::REPORT_BYTES;
 use crate::balance::Refusal;
+use crate::choose::Usage;
 use crate::entry::Class;
 use crate::estimate::number;
 use crate::estimate::seconds;
@@ -25,7 +26,8 @@
 /// Longest wait in a target before it sheds a call, as a multiple of the typical latency.
 const PATIENCE: f64 = 3.0;
 /// A target is asked for a report once the newest one is older than this multiple of the typical
-/// latency; more frequent reports did not lower p99 in the load table.
+/// latency; more frequent reports did not lower p99 in the load table. While calls wait, each answer
+/// has to carry a report, as the room in the targets is shared by them.
 const REPORT_EVERY: f64 = 8.0;
 /// Share of the measuring burst that reports leave for refusals: one of this many.
 const KEPT_FOR_REFUSALS: u64 = 4;
@@ -129,7 +131,17 @@
         skip: Option<target::Key>,
         rng: &mut SmallRng,
     ) -> Option<target::Key> {
-        let (near, far) = self.chooser.choose(now, &self.targets, ask, skip, rng);
+        let flights = self.flights.values();
+        let usage = Usage {
+            backlog: self.queue.backlog(ask),
+            own: flights
+                .filter(|flight| flight.ask.entry == ask.entry)
+                .count(),
+            all: self.flights.len(),
+        };
+        let (near, far) = self
+            .chooser
+            .choose(now, &self.targets, ask, usage, skip, rng);
         let exchange = self.limits.exchange;
         match (self.chooser.spill(near, far), far) {
             (true, Some(far)) if self.remote.take(now, exchange, 0) => Some(far.target),
@@ -174,13 +186,13 @@
         target: target::Key,
         trial: bool,
     ) -> (Attempt, Span) {
-        self.chooser.sent(ask.entry);
         let typical = self.chooser.typical();
         let mut factor = 1;
+        let crowded = self.queue.len() > 0;
         let mut due = false;
         if let Some(target) = self.targets.get_mut(target) {
             target.in_flight += 1;
-            due = target.estimate.report_due(now, REPORT_EVERY * typical);
+            due = crowded || target.estimate.report_due(now, REPORT_EVERY * typical);
             factor = if target.remote { 2 } else { 1 };
         }
         let refusal = factor * REFUSED_BYTES;
@@ -222,7 +234,8 @@
                 && flight.copy.is_none()
                 && hedge::wanted(flight.first.sent, now, quantile, slow)
         };
-        let late: Vec<Flight> = self.flights.values().filter(late).cloned().collect();
+        let mut late: Vec<Flight> = self.flights.values().filter(late).cloned().collect();
+        late.sort_by_key(|flight| flight.first.sent);
         for flight in late {
             self.copy(now, &flight, rng, out);
         }
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -139,10 +139,10 @@
         }
     }
 
-    /// The newest count of other VMs' requests.
+    /// The newest count of other VMs' requests, with the time when it was true.
     #[must_use]
-    pub fn others(&self) -> Option<f64> {
-        self.others.map(|(_, others)| others)
+    pub fn others(&self) -> Option<(Instant, f64)> {
+        self.others
     }
 
     /// Whether the newest report was asked for more than `age` seconds ago.
--- a/crates/core/src/flight.rs
+++ b/crates/core/src/flight.rs
@@ -82,11 +82,10 @@
             return Fate::Pending;
         };
         self.learn(now, &ended, ending);
-        self.chooser.left(ask.entry);
         match (ending, rest) {
             (Ending::Answered { failed: false, .. }, rest) => {
                 for attempt in rest.iter().flat_map(Flight::attempts) {
-                    self.release(ask.entry, attempt);
+                    self.release(attempt);
                     let target = attempt.target;
                     out.push(Action::Cancel { call, target });
                 }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -97,6 +97,21 @@
         self.lanes.get(lead.0)?.calls.front()
     }
 
+    /// Calls that wait in the lane of `ask`.
+    pub(crate) fn backlog(&self, ask: &Ask) -> usize {
+        let own = |lane: &&Lane| lane.class == ask.class && lane.entry == ask.entry;
+        self.lanes
+            .iter()
+            .find(own)
+            .map_or(0, |lane| lane.calls.len())
+    }
+
+    /// When the first of the oldest calls has waited for half of its time.
+    pub(crate) fn latest(&self) -> Option<Instant> {
+        let fronts = self.lanes.iter().filter_map(|lane| lane.calls.front());
+        fronts.map(Waiting::latest).min()
+    }
+
     /// Takes the oldest call of a lane, which then yields to the other lanes of its class.
     pub(crate) fn pop(&mut self, lead: Lead) -> Option<Waiting> {
         let lane = self.lanes.get_mut(lead.0)?;
