Check settings, entries, constants and the VM list whole

Cause: settings and entries accepted fields that contradict each other, repeated JSON fields went unnoticed, the key fleet and the VM list had no parser, and no page listed the fields.

--- /dev/null
+++ b/crates/core/src/constants.rs
@@ -0,0 +1,38 @@
+//! The deployment's constants: the catalogue key `fleet`.
+
+use crate::read;
+use crate::read::Fault;
+use crate::read::Reader;
+
+data! {
+    /// Constants that every VM of the fleet shares.
+    #[derive(Copy)]
+    pub struct Constants {
+        /// Outranks every revision of a lower generation.
+        pub generation: u64,
+        /// Largest number of entry VM processes alive at once, replacements included.
+        pub vm_ceiling: u64,
+        /// Calls a second that all VMs together may make to the configuration service.
+        pub configuration_calls_per_s: u64,
+    }
+}
+
+/// Checks the text of the key `fleet`.
+///
+/// # Errors
+///
+/// Returns every fault found.
+pub fn parse(text: &str) -> Result<Constants, Vec<Fault>> {
+    read::object(text, constants)
+}
+
+fn constants(reader: &mut Reader) -> Option<Constants> {
+    let generation = reader.integer("generation", 0..=u64::MAX, Some(0));
+    let vm_ceiling = reader.integer("vm_ceiling", 1..=1_024, None);
+    let calls = reader.integer("configuration_calls_per_s", 1..=1_000_000, None);
+    Some(Constants {
+        generation: generation?,
+        vm_ceiling: vm_ceiling?,
+        configuration_calls_per_s: calls?,
+    })
+}
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -2,12 +2,20 @@
 
 use std::net::SocketAddr;
 
+use serde_json::Value;
+use serde_json::json;
+
+use crate::map::Map;
 use crate::map::Set;
 use crate::read;
 use crate::read::Fault;
 use crate::read::Reader;
 use crate::time::Span;
 
+mod builder;
+
+pub use builder::Builder;
+
 key! {
     /// How the requests of an entry may be treated.
     #[derive(serde::Serialize)]
@@ -103,6 +111,12 @@
 }
 
 const MAX_TARGETS: usize = 1_024;
+const MAX_BYTES: u64 = 1 << 40;
+const CLASSES: [(&str, Class); 3] = [
+    ("once", Class::Once),
+    ("interactive", Class::Interactive),
+    ("batch", Class::Batch),
+];
 
 /// Checks the text of an entry.
 ///
@@ -116,7 +130,7 @@
 fn entry(reader: &mut Reader) -> Option<Entry> {
     let service = reader.name("service");
     let owner = reader.text("owner");
-    let class = class(reader);
+    let class = reader.choice("class", &CLASSES);
     let methods = methods(reader);
     let generation = reader.integer("generation", 0..=u64::MAX, Some(0));
     let deleted = reader.flag("deleted", false);
@@ -125,8 +139,7 @@
     let once = class == Some(Class::Once);
     let retry = reader.nested("retry", |reader| retry(reader, once));
     let hedge = reader.nested("hedge", |reader| hedge(reader, once));
-    let targets = reader.nested_list("targets", target);
-    check_targets(reader, &targets);
+    let targets = targets(reader);
     Some(Entry {
         service: service?,
         owner: owner?,
@@ -142,26 +155,16 @@
     })
 }
 
-fn class(reader: &mut Reader) -> Option<Class> {
-    match &*reader.text("class")? {
-        "once" => Some(Class::Once),
-        "interactive" => Some(Class::Interactive),
-        "batch" => Some(Class::Batch),
-        _ => {
-            reader.refuse("class", "must be once, interactive or batch");
-            None
-        }
-    }
-}
-
 fn methods(reader: &mut Reader) -> Vec<Box<str>> {
     let methods = reader.texts("methods");
+    let mut known = Set::default();
     for (index, method) in methods.iter().enumerate() {
+        let path = format!("methods[{index}]");
         if method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()) {
-            reader.refuse(
-                &format!("methods[{index}]"),
-                "must be an HTTP method in upper case",
-            );
+            reader.refuse(&path, "must be an HTTP method in upper case");
+        }
+        if !known.insert(method) {
+            reader.refuse(&path, "must be unique within the entry");
         }
     }
     methods
@@ -172,30 +175,56 @@
     let rate_burst = reader.integer("rate_burst", 1..=10_000_000, Some(10_000));
     let concurrency = reader.integer("concurrency", 1..=1_000_000, Some(10_000));
     let queue = reader.integer("queue", 0..=1_000_000, Some(1_000));
-    let measuring_rate = reader.integer("measuring_bytes_per_s", 0..=1 << 40, Some(65_536));
-    let measuring_burst = reader.integer("measuring_burst_bytes", 0..=1 << 40, Some(65_536));
-    let cross_rate = reader.integer("cross_region_bytes_per_s", 0..=1 << 40, Some(0));
-    let cross_burst = reader.integer("cross_region_burst_bytes", 0..=1 << 40, Some(0));
+    let measuring = budget(
+        reader,
+        "measuring_bytes_per_s",
+        "measuring_burst_bytes",
+        65_536,
+    );
+    let cross_region = budget(
+        reader,
+        "cross_region_bytes_per_s",
+        "cross_region_burst_bytes",
+        0,
+    );
+    let (measuring_bytes_per_s, measuring_burst_bytes) = measuring?;
+    let (cross_region_bytes_per_s, cross_region_burst_bytes) = cross_region?;
     Some(Limits {
         rate_per_s: rate_per_s?,
         rate_burst: rate_burst?,
         concurrency: concurrency?,
         queue: queue?,
-        measuring_bytes_per_s: measuring_rate?,
-        measuring_burst_bytes: measuring_burst?,
-        cross_region_bytes_per_s: cross_rate?,
-        cross_region_burst_bytes: cross_burst?,
+        measuring_bytes_per_s,
+        measuring_burst_bytes,
+        cross_region_bytes_per_s,
+        cross_region_burst_bytes,
     })
 }
 
+/// A rate in bytes and its burst, which defaults to what the rate gives in a second.
+fn budget(reader: &mut Reader, rate: &str, burst: &str, default: u64) -> Option<(u64, u64)> {
+    let bytes_per_s = reader.integer(rate, 0..=MAX_BYTES, Some(default));
+    let burst_bytes = reader.integer(burst, 0..=MAX_BYTES, Some(bytes_per_s.unwrap_or(default)));
+    if bytes_per_s > Some(0) && burst_bytes == Some(0) {
+        reader.refuse(burst, &format!("must be above 0 while {rate} is above 0"));
+    }
+    Some((bytes_per_s?, burst_bytes?))
+}
+
 fn retry(reader: &mut Reader, once: bool) -> Option<Retry> {
-    let attempts = reader.integer("attempts", 1..=5, Some(if once { 1 } else { 2 }));
     let budget_percent = reader.integer("budget_percent", 0..=100, Some(10));
-    if once && attempts.is_some_and(|attempts| attempts > 1) {
+    let single = once || budget_percent == Some(0);
+    let attempts = reader.integer("attempts", 1..=5, Some(if single { 1 } else { 2 }));
+    if attempts > Some(1) && once {
         reader.refuse(
             "attempts",
             "must be 1 for class once: a non-idempotent request is never sent again",
         );
+    } else if attempts > Some(1) && budget_percent == Some(0) {
+        reader.refuse(
+            "budget_percent",
+            "must be above 0 while attempts is above 1",
+        );
     }
     Some(Retry {
         attempts: attempts?,
@@ -206,11 +235,13 @@
 fn hedge(reader: &mut Reader, once: bool) -> Option<Hedge> {
     let enabled = reader.flag("enabled", false);
     let budget_percent = reader.integer("budget_percent", 0..=20, Some(2));
-    if once && enabled {
+    if enabled && once {
         reader.refuse(
             "enabled",
             "must be false for class once: a non-idempotent request is never hedged",
         );
+    } else if enabled && budget_percent == Some(0) {
+        reader.refuse("budget_percent", "must be above 0 while enabled is true");
     }
     Some(Hedge {
         enabled,
@@ -218,13 +249,55 @@
     })
 }
 
-fn target(reader: &mut Reader) -> Option<Target> {
+/// What the targets of an entry must agree on.
+#[derive(Default)]
+struct Places {
+    names: Set<Box<str>>,
+    addresses: Set<SocketAddr>,
+    regions: Map<Box<str>, Box<str>>,
+    data_centers: Map<Box<str>, Box<str>>,
+}
+
+fn targets(reader: &mut Reader) -> Vec<Target> {
+    let mut places = Places::default();
+    let mut count = 0;
+    let targets = reader.nested_list("targets", |reader| {
+        count += 1;
+        target(reader, &mut places)
+    });
+    if count > MAX_TARGETS {
+        reader.refuse("targets", &format!("must be at most {MAX_TARGETS}"));
+    }
+    targets
+}
+
+fn target(reader: &mut Reader, places: &mut Places) -> Option<Target> {
     let name = reader.name("name");
     let address = reader.address("address");
     let vm = reader.name("vm");
     let region = reader.name("region");
     let data_center = reader.name("data_center");
     let slots = reader.integer("slots", 1..=1_024, Some(4));
+    if name.clone().is_some_and(|name| !places.names.insert(name)) {
+        reader.refuse("name", "must be unique within the entry");
+    }
+    if address.is_some_and(|address| !places.addresses.insert(address)) {
+        reader.refuse("address", "must be unique within the entry");
+    }
+    if contradicts(
+        &mut places.regions,
+        data_center.as_deref(),
+        region.as_deref(),
+    ) {
+        reader.refuse("region", "differs from another target of the data centre");
+    }
+    if contradicts(
+        &mut places.data_centers,
+        vm.as_deref(),
+        data_center.as_deref(),
+    ) {
+        reader.refuse("data_center", "differs from another target of the VM");
+    }
     Some(Target {
         name: name?,
         address: address?,
@@ -235,24 +308,63 @@
     })
 }
 
-fn check_targets(reader: &Reader, targets: &[Target]) {
-    if targets.len() > MAX_TARGETS {
-        reader.refuse("targets", &format!("must be at most {MAX_TARGETS}"));
+/// Whether `part` was seen within another whole than `whole`.
+fn contradicts(
+    known: &mut Map<Box<str>, Box<str>>,
+    part: Option<&str>,
+    whole: Option<&str>,
+) -> bool {
+    let (Some(part), Some(whole)) = (part, whole) else {
+        return false;
+    };
+    &**known.entry(part.into()).or_insert_with(|| whole.into()) != whole
+}
+
+impl Entry {
+    /// The entry as an operator writes it, with every field.
+    #[must_use]
+    pub fn to_json(&self) -> Value {
+        let targets: Vec<Value> = self.targets.iter().map(Target::to_json).collect();
+        json!({
+            "service": self.service,
+            "owner": self.owner,
+            "class": self.class,
+            "methods": self.methods,
+            "generation": self.generation,
+            "deleted": self.deleted,
+            "deadline_ms": self.deadline.as_millis(),
+            "limits": {
+                "rate_per_s": self.limits.rate_per_s,
+                "rate_burst": self.limits.rate_burst,
+                "concurrency": self.limits.concurrency,
+                "queue": self.limits.queue,
+                "measuring_bytes_per_s": self.limits.measuring_bytes_per_s,
+                "measuring_burst_bytes": self.limits.measuring_burst_bytes,
+                "cross_region_bytes_per_s": self.limits.cross_region_bytes_per_s,
+                "cross_region_burst_bytes": self.limits.cross_region_burst_bytes,
+            },
+            "retry": {
+                "attempts": self.retry.attempts,
+                "budget_percent": self.retry.budget_percent,
+            },
+            "hedge": {
+                "enabled": self.hedge.enabled,
+                "budget_percent": self.hedge.budget_percent,
+            },
+            "targets": targets,
+        })
     }
-    let mut names = Set::default();
-    let mut addresses = Set::default();
-    for (index, target) in targets.iter().enumerate() {
-        if !names.insert(&target.name) {
-            reader.refuse(
-                &format!("targets[{index}].name"),
-                "must be unique within the entry",
-            );
-        }
-        if !addresses.insert(target.address) {
-            reader.refuse(
-                &format!("targets[{index}].address"),
-                "must be unique within the entry",
-            );
-        }
+}
+
+impl Target {
+    fn to_json(&self) -> Value {
+        json!({
+            "name": self.name,
+            "address": self.address.to_string(),
+            "vm": self.vm,
+            "region": self.region,
+            "data_center": self.data_center,
+            "slots": self.slots,
+        })
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,9 @@
 
 pub mod balance;
 pub mod catalogue;
+pub mod constants;
 pub mod entry;
+mod json;
 pub mod map;
 pub mod read;
 pub mod request;
@@ -17,3 +19,5 @@
 pub mod ticket;
 pub mod time;
 pub mod version;
+pub mod view;
+pub mod vmlist;
--- a/crates/core/src/read.rs
+++ b/crates/core/src/read.rs
@@ -1,6 +1,7 @@
 //! Reads JSON objects field by field and collects every fault with its path.
 
 use std::cell::RefCell;
+use std::fmt;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
@@ -8,6 +9,8 @@
 use serde_json::Map;
 use serde_json::Value;
 
+use crate::json;
+
 data! {
     /// A field that does not hold, by path and reason.
     #[derive(serde::Serialize, serde::Deserialize)]
@@ -35,14 +38,16 @@
     text: &str,
     parse: impl FnOnce(&mut Reader) -> Option<T>,
 ) -> Result<T, Vec<Fault>> {
-    let value: Value = match serde_json::from_str(text) {
-        Ok(value) => value,
+    let document = match json::parse(text) {
+        Ok(document) => document,
         Err(error) => return Err(vec![fault("", &format!("not valid JSON: {error}"))]),
     };
-    let Value::Object(fields) = value else {
+    let Value::Object(fields) = document.value else {
         return Err(vec![fault("", "must be a JSON object")]);
     };
-    let faults = Rc::new(RefCell::new(Vec::new()));
+    let repeated = document.repeated.iter();
+    let repeated = repeated.map(|path| fault(path, "occurs more than once"));
+    let faults = Rc::new(RefCell::new(repeated.collect()));
     let mut reader = Reader {
         path: "".into(),
         fields,
@@ -64,48 +69,98 @@
     }
 }
 
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.path.is_empty() {
+            formatter.write_str(&self.reason)
+        } else {
+            write!(formatter, "{}: {}", self.path, self.reason)
+        }
+    }
+}
+
 impl Reader {
     /// Records a fault of the field `name`.
     pub fn refuse(&self, name: &str, reason: &str) {
         self.faults.borrow_mut().push(fault(&self.at(name), reason));
     }
 
-    /// A required text that is not empty.
+    /// A required text of 1 to 256 bytes without control characters.
     pub fn text(&mut self, name: &str) -> Option<Box<str>> {
         match self.fields.remove(name) {
-            Some(Value::String(text)) if !text.is_empty() => Some(text.into()),
-            Some(_) => self.none(name, "must be a text that is not empty"),
+            Some(Value::String(text)) if is_text(&text) => Some(text.into()),
+            Some(_) => self.none(name, TEXT_REASON),
             None => self.none(name, "is required"),
         }
     }
 
     /// A required name: 1 to 64 characters of `a-z`, `0-9`, `-` and `.`.
     pub fn name(&mut self, name: &str) -> Option<Box<str>> {
-        let text = self.text(name)?;
-        if is_name(&text) {
-            return Some(text);
+        match self.fields.remove(name) {
+            Some(Value::String(text)) if is_name(&text) => Some(text.into()),
+            Some(_) => self.none(name, NAME_REASON),
+            None => self.none(name, "is required"),
         }
-        self.none(name, "must be 1 to 64 characters of a-z, 0-9, - and .")
     }
 
-    /// A required IP address with a port.
+    /// One of the words `names`, as the value beside it.
+    pub fn choice<T: Copy>(&mut self, name: &str, names: &[(&str, T)]) -> Option<T> {
+        let Some(value) = self.fields.remove(name) else {
+            return self.none(name, "is required");
+        };
+        let found = names.iter().find(|(word, _)| value.as_str() == Some(word));
+        if let Some((_, choice)) = found {
+            return Some(*choice);
+        }
+        let words: Vec<&str> = names.iter().map(|(word, _)| *word).collect();
+        self.none(name, &format!("must be one of: {}", words.join(", ")))
+    }
+
+    /// A required IP address with a port that others can connect to.
     pub fn address(&mut self, name: &str) -> Option<SocketAddr> {
-        let text = self.text(name)?;
-        match text.parse() {
+        let address = self.listen_address(name)?;
+        if address.port() == 0 {
+            return self.none(name, "must have a port above 0");
+        }
+        Some(address)
+    }
+
+    /// A required IP address to listen on; port 0 lets the system choose one.
+    pub fn listen_address(&mut self, name: &str) -> Option<SocketAddr> {
+        let Some(value) = self.fields.remove(name) else {
+            return self.none(name, "is required");
+        };
+        match socket_address(&value) {
             Ok(address) => Some(address),
-            Err(_) => self.none(
-                name,
-                "must be an IP number with a port, such as 10.0.0.1:7000",
-            ),
+            Err(reason) => self.none(name, reason),
         }
     }
 
-    /// An address that may be left out.
+    /// An address that may be left out or null.
     pub fn optional_address(&mut self, name: &str) -> Option<SocketAddr> {
-        if self.fields.contains_key(name) {
-            return self.address(name);
+        match self.fields.get(name) {
+            Some(Value::Null) => {
+                self.fields.remove(name);
+                None
+            }
+            Some(_) => self.address(name),
+            None => None,
         }
-        None
+    }
+
+    /// A list of addresses that others can connect to.
+    pub fn addresses(&mut self, name: &str) -> Vec<SocketAddr> {
+        let mut addresses = Vec::new();
+        for (index, value) in self.list(name).into_iter().enumerate() {
+            match socket_address(&value) {
+                Ok(address) if address.port() == 0 => {
+                    self.refuse(&format!("{name}[{index}]"), "must have a port above 0");
+                }
+                Ok(address) => addresses.push(address),
+                Err(reason) => self.refuse(&format!("{name}[{index}]"), reason),
+            }
+        }
+        addresses
     }
 
     /// An integer within `range`; `default` stands in for a field left out.
@@ -230,12 +285,25 @@
     }
 
     fn at(&self, name: &str) -> String {
-        if self.path.is_empty() {
-            name.to_owned()
-        } else {
-            format!("{}.{name}", self.path)
-        }
+        json::join(&self.path, name)
+    }
+}
+
+const TEXT_REASON: &str = "must be a text of 1 to 256 bytes without control characters";
+const NAME_REASON: &str = "must be 1 to 64 characters of a-z, 0-9, - and .";
+const ADDRESS_REASON: &str = "must be an IP number with a port, such as 10.0.0.1:7000";
+
+fn socket_address(value: &Value) -> Result<SocketAddr, &'static str> {
+    let text = value.as_str().ok_or(ADDRESS_REASON)?;
+    let address: SocketAddr = text.parse().map_err(|_| ADDRESS_REASON)?;
+    if address.ip().is_unspecified() {
+        return Err("must not be the unspecified address");
     }
+    Ok(address)
+}
+
+fn is_text(text: &str) -> bool {
+    (1..=256).contains(&text.len()) && !text.chars().any(char::is_control)
 }
 
 /// Whether `text` is 1 to 64 characters of `a-z`, `0-9`, `-` and `.`.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -2,11 +2,18 @@
 
 use std::net::SocketAddr;
 
+use serde_json::Value;
+use serde_json::json;
+
 use crate::read;
 use crate::read::Fault;
 use crate::read::Reader;
 use crate::time::Span;
 
+mod builder;
+
+pub use builder::Builder;
+
 data! {
     /// Settings of one VM's daemon.
     pub struct Settings {
@@ -124,12 +131,15 @@
     let fleet_key = fleet_key(reader);
     let listen = reader.nested("listen", listen);
     let platform = reader.nested("platform", platform);
-    let seeds = seeds(reader);
+    let seeds = reader.addresses("seeds");
     let view = reader.nested("view", view);
     let stop = reader.nested("stop", stop);
     let http = reader.nested("http", http);
     let evidence = reader.nested("evidence", evidence);
     let statsd = reader.optional_address("statsd");
+    if let (Some(listen), Some(platform)) = (&listen, &platform) {
+        check_platform(reader, listen, platform);
+    }
     Some(Settings {
         vm: vm?,
         region: region?,
@@ -158,24 +168,18 @@
     Some(key)
 }
 
-fn seeds(reader: &mut Reader) -> Vec<SocketAddr> {
-    let mut seeds = Vec::new();
-    for (index, text) in reader.texts("seeds").iter().enumerate() {
-        if let Ok(address) = text.parse() {
-            seeds.push(address);
-        } else {
-            let reason = "must be an IP number with a port, such as 10.0.0.1:7000";
-            reader.refuse(&format!("seeds[{index}]"), reason);
-        }
-    }
-    seeds
-}
-
 fn listen(reader: &mut Reader) -> Option<Listen> {
-    let directory = reader.address("directory");
-    let caller = reader.address("caller");
-    let peer = reader.address("peer");
-    let operator = reader.address("operator");
+    let directory = reader.listen_address("directory");
+    let caller = reader.listen_address("caller");
+    let peer = reader.listen_address("peer");
+    let operator = reader.listen_address("operator");
+    let addresses = [
+        ("directory", directory),
+        ("caller", caller),
+        ("peer", peer),
+        ("operator", operator),
+    ];
+    check_listen(reader, &addresses);
     Some(Listen {
         directory: directory?,
         caller: caller?,
@@ -184,6 +188,38 @@
     })
 }
 
+/// Refuses a port that two purposes share; port 0 is a different port each time.
+fn check_listen(reader: &Reader, addresses: &[(&str, Option<SocketAddr>)]) {
+    for (index, (name, address)) in addresses.iter().enumerate() {
+        let same = addresses[..index]
+            .iter()
+            .find(|(_, other)| other == address);
+        let fixed = address.is_some_and(|address| address.port() != 0);
+        if let (true, Some((other, _))) = (fixed, same) {
+            reader.refuse(name, &format!("must differ from listen.{other}"));
+        }
+    }
+}
+
+fn check_platform(reader: &Reader, listen: &Listen, platform: &Platform) {
+    let own = [
+        ("directory", listen.directory),
+        ("caller", listen.caller),
+        ("peer", listen.peer),
+        ("operator", listen.operator),
+    ];
+    let others = [
+        ("configuration", platform.configuration),
+        ("vm_list", platform.vm_list),
+    ];
+    for (other, address) in others {
+        if let Some((name, _)) = own.iter().find(|(_, own)| *own == address) {
+            let path = format!("platform.{other}");
+            reader.refuse(&path, &format!("must differ from listen.{name}"));
+        }
+    }
+}
+
 fn platform(reader: &mut Reader) -> Option<Platform> {
     let configuration = reader.address("configuration");
     let vm_list = reader.address("vm_list");
@@ -197,6 +233,12 @@
     let stale_after = millis(reader, "stale_after_ms", 30_000);
     let takeover_after = millis(reader, "takeover_after_ms", 10_000);
     let peer_wait = millis(reader, "peer_wait_ms", 1_000);
+    if takeover_after > stale_after && stale_after.is_some() {
+        reader.refuse(
+            "takeover_after_ms",
+            "must not be longer than view.stale_after_ms",
+        );
+    }
     let readers = reader.integer("readers_per_data_center", 1..=16, Some(2));
     Some(View {
         stale_after: stale_after?,
@@ -209,6 +251,12 @@
 fn stop(reader: &mut Reader) -> Option<Stop> {
     let address_ttl = millis(reader, "address_ttl_ms", 10_000);
     let drain_limit = millis(reader, "drain_limit_ms", 60_000);
+    if address_ttl > drain_limit && drain_limit.is_some() {
+        reader.refuse(
+            "address_ttl_ms",
+            "must not be longer than stop.drain_limit_ms",
+        );
+    }
     Some(Stop {
         address_ttl: address_ttl?,
         drain_limit: drain_limit?,
@@ -248,3 +296,53 @@
         .integer(name, 1..=3_600_000, Some(default))
         .map(Span::from_millis)
 }
+
+impl Settings {
+    /// The settings as a file has them, with every field.
+    #[must_use]
+    pub fn to_json(&self) -> Value {
+        let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
+        json!({
+            "vm": self.vm,
+            "region": self.region,
+            "data_center": self.data_center,
+            "fleet": self.fleet,
+            "fleet_key": self.fleet_key,
+            "listen": {
+                "directory": self.listen.directory.to_string(),
+                "caller": self.listen.caller.to_string(),
+                "peer": self.listen.peer.to_string(),
+                "operator": self.listen.operator.to_string(),
+            },
+            "platform": {
+                "configuration": self.platform.configuration.to_string(),
+                "vm_list": self.platform.vm_list.to_string(),
+            },
+            "seeds": seeds,
+            "view": {
+                "stale_after_ms": self.view.stale_after.as_millis(),
+                "takeover_after_ms": self.view.takeover_after.as_millis(),
+                "peer_wait_ms": self.view.peer_wait.as_millis(),
+                "readers_per_data_center": self.view.readers_per_data_center,
+            },
+            "stop": {
+                "address_ttl_ms": self.stop.address_ttl.as_millis(),
+                "drain_limit_ms": self.stop.drain_limit.as_millis(),
+            },
+            "http": {
+                "head_bytes": self.http.head_bytes,
+                "head_timeout_ms": self.http.head_timeout.as_millis(),
+                "body_idle_ms": self.http.body_idle.as_millis(),
+                "connect_timeout_ms": self.http.connect_timeout.as_millis(),
+                "connections": self.http.connections,
+                "connections_per_target": self.http.connections_per_target,
+            },
+            "evidence": {
+                "confirm_after_ms": self.evidence.confirm_after.as_millis(),
+                "leaving_hold_ms": self.evidence.leaving_hold.as_millis(),
+                "probe_timeout_ms": self.evidence.probe_timeout.as_millis(),
+            },
+            "statsd": self.statsd.map(|address| address.to_string()),
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/vmlist.rs
@@ -0,0 +1,208 @@
+//! The last contents of the platform's VM list, with their age.
+
+use std::net::SocketAddr;
+
+use crate::map::Map;
+use crate::read;
+use crate::read::Fault;
+use crate::read::Reader;
+use crate::time::Instant;
+use crate::time::Span;
+
+key! {
+    /// Whether the platform keeps the VM or replaces it.
+    #[derive(serde::Serialize)]
+    #[serde(rename_all = "lowercase")]
+    pub enum State {
+        /// The VM is meant to run.
+        Live,
+        /// The VM is about to be stopped.
+        Leaving,
+    }
+
+    /// Addresses of an entry VM.
+    pub struct Addresses {
+        /// Callers ask here for addresses.
+        pub directory: SocketAddr,
+        /// Callers send requests here.
+        pub caller: SocketAddr,
+        /// Peers connect here.
+        pub peer: SocketAddr,
+        /// Operators read here.
+        pub operator: SocketAddr,
+    }
+
+    /// What a VM is for.
+    pub enum Role {
+        /// Runs the daemon.
+        Entry(Addresses),
+        /// Runs targets.
+        Target,
+    }
+}
+
+data! {
+    /// What the list holds of one VM.
+    pub struct Vm {
+        /// What the VM is for.
+        pub role: Role,
+        /// Whether the VM is about to be stopped.
+        pub state: State,
+        /// Region of the VM.
+        pub region: Box<str>,
+        /// Data centre of the VM.
+        pub data_center: Box<str>,
+    }
+}
+
+/// Prefix of the list's keys.
+pub const PREFIX: &str = "vms/";
+
+/// Checks the text of one VM.
+///
+/// # Errors
+///
+/// Returns every fault found.
+pub fn parse(text: &str) -> Result<Vm, Vec<Fault>> {
+    read::object(text, vm)
+}
+
+fn vm(reader: &mut Reader) -> Option<Vm> {
+    let is_entry = reader.choice("role", &[("entry", true), ("target", false)]);
+    let state = reader.choice(
+        "state",
+        &[("live", State::Live), ("leaving", State::Leaving)],
+    );
+    let region = reader.name("region");
+    let data_center = reader.name("data_center");
+    let role = match is_entry {
+        Some(true) => addresses(reader).map(Role::Entry),
+        Some(false) => Some(Role::Target),
+        None => {
+            // Whether the addresses belong here is not known; only wrong ones are faults.
+            for name in ["directory", "caller", "peer", "operator"] {
+                reader.optional_address(name);
+            }
+            None
+        }
+    };
+    Some(Vm {
+        role: role?,
+        state: state?,
+        region: region?,
+        data_center: data_center?,
+    })
+}
+
+fn addresses(reader: &mut Reader) -> Option<Addresses> {
+    let directory = reader.address("directory");
+    let caller = reader.address("caller");
+    let peer = reader.address("peer");
+    let operator = reader.address("operator");
+    Some(Addresses {
+        directory: directory?,
+        caller: caller?,
+        peer: peer?,
+        operator: operator?,
+    })
+}
+
+/// The VM list as last received.
+#[derive(Default)]
+pub struct List {
+    vms: Map<Box<str>, Vm>,
+    revision: u64,
+    confirmed: Option<Instant>,
+}
+
+impl List {
+    /// Takes over a read of the whole list at `revision`; names are without the prefix.
+    ///
+    /// VMs whose text does not hold keep their last valid record. Returns their faults.
+    pub fn replace(&mut self, now: Instant, revision: u64, vms: &[(&str, &str)]) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut kept = Map::default();
+        for (name, text) in vms {
+            match parse(text) {
+                Ok(vm) => {
+                    kept.insert((*name).into(), vm);
+                }
+                Err(found) => {
+                    faults.extend(found.into_iter().map(|fault| within(name, &fault)));
+                    if let Some(vm) = self.vms.remove(*name) {
+                        kept.insert((*name).into(), vm);
+                    }
+                }
+            }
+        }
+        self.vms = kept;
+        self.revision = revision;
+        self.confirmed = Some(now);
+        faults
+    }
+
+    /// Takes over a change of one VM at `revision`; `text` is none for a removal.
+    ///
+    /// A change that is older than the list is ignored, but still confirms the list.
+    ///
+    /// # Errors
+    ///
+    /// Returns the faults of a text that does not hold; the last valid record stays.
+    pub fn change(
+        &mut self,
+        now: Instant,
+        revision: u64,
+        name: &str,
+        text: Option<&str>,
+    ) -> Result<(), Vec<Fault>> {
+        self.confirmed = Some(now);
+        if revision < self.revision {
+            return Ok(());
+        }
+        self.revision = revision;
+        let Some(text) = text else {
+            self.vms.remove(name);
+            return Ok(());
+        };
+        let vm = parse(text).map_err(|found| {
+            let named = found.iter().map(|fault| within(name, fault));
+            named.collect::<Vec<Fault>>()
+        })?;
+        self.vms.insert(name.into(), vm);
+        Ok(())
+    }
+
+    /// Takes a progress message of the watch: nothing has changed until `revision`.
+    pub fn confirm(&mut self, now: Instant, revision: u64) {
+        self.confirmed = Some(now);
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Time since the list was last confirmed; none if it was never received.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Option<Span> {
+        Some(now.since(self.confirmed?))
+    }
+
+    /// The VM of that name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Vm> {
+        self.vms.get(name)
+    }
+
+    /// All VMs by name, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Vm)> {
+        self.vms.iter().map(|(name, vm)| (&**name, vm))
+    }
+}
+
+fn within(name: &str, fault: &Fault) -> Fault {
+    let path = match &*fault.path {
+        "" => format!("{PREFIX}{name}"),
+        path => format!("{PREFIX}{name}.{path}"),
+    };
+    Fault {
+        path: path.into(),
+        reason: fault.reason.clone(),
+    }
+}
