Keep the catalogue as registers that only rise

Cause: the catalogue forgot rejected contents, ignored deletions seen by reads, resolved equal versions by arrival and had no bounds, so two VMs could end in different states. Change: each key keeps the valid and a newer rejected content with the highest version and digest; version() gives contents of the service their generation,

Reads of a restored service delete nothing, and keys of a lower generation are not deleted. route reports entries that shadow each other.

--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -1,69 +1,339 @@
-//! The entries in force on this VM, each with the highest version accepted.
+//! The catalogue of this VM: each key with the highest version accepted.
+//!
+//! Two registers are kept per key: the valid content and the rejected content with the highest
+//! mark. A register only ever rises, so the state depends on the set of contents offered and not
+//! on their order or number.
 
-use crate::entry;
+mod check;
+mod exchange;
+mod record;
+
+pub use exchange::Content;
+pub use exchange::Stamp;
+pub use record::Mark;
+pub use record::Record;
+pub use record::Rejected;
+pub use record::Source;
+pub use record::Valid;
+pub use record::Value;
+
+use crate::constants::Constants;
 use crate::entry::Entry;
 use crate::map::Map;
+use crate::map::Set;
 use crate::read::Fault;
 use crate::version::Version;
 
+/// Prefix of the keys of entries.
+pub const ENTRY_PREFIX: &str = "entries/";
+/// Key of the deployment's constants.
+pub const FLEET_KEY: &str = "fleet";
+/// Most keys, tombstones included.
+pub const MAX_KEYS: usize = 4_096;
+/// Largest text of a key.
+pub const MAX_TEXT_BYTES: usize = 1 << 20;
+/// Largest sum of all texts.
+pub const MAX_TOTAL_BYTES: usize = 64 << 20;
+/// Buckets of the anti-entropy digest.
+pub const BUCKETS: usize = 64;
+
 data! {
-    /// What became of content that was offered.
+    /// What became of a content that was offered.
     pub enum Verdict {
-        /// The content is in force now.
+        /// The content is in effect now.
         Accepted,
         /// The content was known.
         Known,
-        /// A higher version was accepted before.
+        /// A higher version is known.
         Behind,
-        /// The content does not hold; the last valid one stays in force.
+        /// Another content has the same version; the one with the larger digest is kept.
+        Conflict {
+            /// Whether the offered content is the one kept.
+            kept: bool,
+        },
+        /// The content does not hold; the last valid one stays in effect.
         Rejected(Vec<Fault>),
+        /// The content was not taken into the catalogue, for this reason.
+        Refused(Box<str>),
     }
 
-    /// One key with the highest version accepted.
-    pub struct Record {
-        /// Version of the content.
+    /// A key that a read of the whole catalogue showed to be deleted.
+    pub struct Deletion {
+        /// The key.
+        pub key: Box<str>,
+        /// Version of the deletion.
         pub version: Version,
-        /// Text as published; none for a deletion.
-        pub text: Option<Box<str>>,
-        /// The last valid entry; none for a deletion.
-        pub entry: Option<Entry>,
+    }
+
+    /// A read that shows an older content of a key than the service had at that revision.
+    pub struct Restored {
+        /// The key that shows it.
+        pub key: Box<str>,
+    }
+}
+
+impl Verdict {
+    /// Whether the offer changed the catalogue, so that peers should get the content too.
+    #[must_use]
+    pub fn is_news(&self) -> bool {
+        matches!(
+            self,
+            Self::Accepted | Self::Rejected(_) | Self::Conflict { kept: true }
+        )
     }
 }
 
-/// The entries in force, by key.
-#[derive(Default)]
+/// The catalogue of this VM.
 pub struct Catalogue {
     records: Map<Box<str>, Record>,
+    bytes: usize,
+    digest: [u64; BUCKETS],
+}
+
+impl Default for Catalogue {
+    fn default() -> Self {
+        Self {
+            records: Map::default(),
+            bytes: 0,
+            digest: [0; BUCKETS],
+        }
+    }
 }
 
 impl Catalogue {
+    /// The version of a content that the configuration service delivered at `revision`.
+    ///
+    /// A deletion, and a text whose generation cannot be read, get the key's highest generation.
+    #[must_use]
+    pub fn version(&self, key: &str, revision: u64, text: Option<&str>) -> Version {
+        let newest = self.records.get(key).and_then(Record::newest);
+        let known = newest.map_or(0, |mark| mark.version.generation);
+        let generation = text.and_then(check::written_generation).unwrap_or(known);
+        Version {
+            generation,
+            revision,
+        }
+    }
+
     /// Offers the content of `key` at `version`; `text` is none for a deletion.
-    pub fn offer(&mut self, key: &str, version: Version, text: Option<&str>) -> Verdict {
-        if let Some(record) = self.records.get(key) {
-            if record.version == version {
-                return Verdict::Known;
+    pub fn offer(
+        &mut self,
+        key: &str,
+        version: Version,
+        text: Option<&str>,
+        source: Source,
+    ) -> Verdict {
+        if let Err(reason) = check::check_offer(key, text) {
+            return Verdict::Refused(reason.into());
+        }
+        let mark = record::mark(version, text);
+        let record = self.records.get(key);
+        if let Some(verdict) = record.and_then(|record| check::settled(record, mark)) {
+            return verdict;
+        }
+        match check::check_text(key, text) {
+            Ok((stated, _)) if stated.is_some_and(|stated| stated != version.generation) => {
+                Verdict::Refused("the text's generation is not the version's".into())
             }
-            if record.version > version {
-                return Verdict::Behind;
+            Ok((_, value)) => self.accept(key, mark, text, source, value),
+            Err(faults) => self.reject(key, mark, text.unwrap_or_default(), source, faults),
+        }
+    }
+
+    /// Takes a read of the whole catalogue at `revision`: each key present with its
+    /// `mod_revision`. Keys that it lacks and that are older than `revision` are deleted.
+    ///
+    /// Call it after each key present was offered. A reader that holds a watch may call it again
+    /// with the keys and the revision that the watch has reached, after peers delivered keys.
+    ///
+    /// Keys whose generation is below the highest one are not deleted: a generation is raised after
+    /// a restore, and a key that was not published again since may be newer than the backup.
+    ///
+    /// # Errors
+    ///
+    /// Deletes nothing if the read shows an older content of a key than the service had at that
+    /// revision, which proves that the service was restored from a backup.
+    pub fn snapshot(
+        &mut self,
+        revision: u64,
+        present: &[(&str, u64)],
+    ) -> Result<Vec<Deletion>, Restored> {
+        let turned_back = |(key, seen): &&(&str, u64)| {
+            let newest = self.records.get(*key).and_then(Record::newest);
+            let held = newest.map_or(0, |mark| mark.version.revision);
+            *seen < held && held <= revision
+        };
+        if let Some((key, _)) = present.iter().find(turned_back) {
+            return Err(Restored { key: (*key).into() });
+        }
+        let marks = self.records.values().filter_map(Record::valid_mark);
+        let generation = marks.map(|mark| mark.version.generation).max();
+        let present: Set<&str> = present.iter().map(|(key, _)| *key).collect();
+        let lacking = self.records.iter().filter_map(|(key, record)| {
+            let version = record.newest()?.version;
+            let older = version.revision < revision && Some(version.generation) >= generation;
+            let absent = !present.contains(&**key) && &**key != FLEET_KEY;
+            (older && absent && !record.is_tombstone()).then(|| Deletion {
+                key: key.clone(),
+                version: Version {
+                    revision,
+                    ..version
+                },
+            })
+        });
+        let deletions: Vec<Deletion> = lacking.collect();
+        for deletion in &deletions {
+            self.offer(&deletion.key, deletion.version, None, Source::Service);
+        }
+        Ok(deletions)
+    }
+
+    /// The entries in effect by name, in no order.
+    pub fn entries(&self) -> impl Iterator<Item = (&str, &Entry)> {
+        self.records.iter().filter_map(|(key, record)| {
+            let name = key.strip_prefix(ENTRY_PREFIX)?;
+            match &record.valid.as_ref()?.value {
+                Value::Entry(entry) => Some((name, entry)),
+                Value::Constants(_) | Value::Deleted => None,
             }
+        })
+    }
+
+    /// The deployment's constants, if they are known.
+    #[must_use]
+    pub fn constants(&self) -> Option<Constants> {
+        match self.get(FLEET_KEY)?.valid.as_ref()?.value {
+            Value::Constants(constants) => Some(constants),
+            Value::Entry(_) | Value::Deleted => None,
         }
-        let entry = match text.map(entry::parse).transpose() {
-            Ok(entry) => entry.filter(|entry| !entry.deleted),
-            Err(faults) => return Verdict::Rejected(faults),
+    }
+
+    /// The rejected contents: key, version and faults.
+    pub fn faults(&self) -> impl Iterator<Item = (&str, Version, &[Fault])> {
+        self.records.iter().filter_map(|(key, record)| {
+            let rejected = record.rejected.as_ref()?;
+            Some((&**key, rejected.mark.version, &*rejected.faults))
+        })
+    }
+
+    /// What is known of `key`.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<&Record> {
+        self.records.get(key)
+    }
+
+    /// All keys with what is known of them, in no order.
+    pub fn records(&self) -> impl Iterator<Item = (&str, &Record)> {
+        self.records.iter().map(|(key, record)| (&**key, record))
+    }
+
+    /// Bytes of all texts held.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    fn accept(
+        &mut self,
+        key: &str,
+        mark: Mark,
+        text: Option<&str>,
+        source: Source,
+        value: Value,
+    ) -> Verdict {
+        let old = self.records.get(key);
+        let known = old.map(|record| [record.valid_mark(), record.rejected_mark()]);
+        let conflict = check::is_conflict(known, mark);
+        let rejected = old.and_then(|record| record.rejected.clone());
+        let record = Record {
+            valid: Some(Valid {
+                mark,
+                text: text.map(Into::into),
+                source,
+                value,
+            }),
+            rejected: rejected.filter(|rejected| rejected.mark > mark),
         };
+        match self.store(key, record) {
+            Err(reason) => Verdict::Refused(reason.into()),
+            Ok(()) if conflict => Verdict::Conflict { kept: true },
+            Ok(()) => Verdict::Accepted,
+        }
+    }
+
+    fn reject(
+        &mut self,
+        key: &str,
+        mark: Mark,
+        text: &str,
+        source: Source,
+        faults: Vec<Fault>,
+    ) -> Verdict {
+        let old = self.records.get(key);
+        let known = old.map(|record| [record.valid_mark(), record.rejected_mark()]);
+        let conflict = check::is_conflict(known, mark);
+        if let Some([_, rejected]) = known
+            && rejected > Some(mark)
+        {
+            return if conflict {
+                Verdict::Conflict { kept: false }
+            } else {
+                Verdict::Behind
+            };
+        }
         let record = Record {
-            version,
-            text: text.map(Into::into),
-            entry,
+            valid: old.and_then(|record| record.valid.clone()),
+            rejected: Some(Rejected {
+                mark,
+                text: text.into(),
+                source,
+                faults: faults.clone(),
+            }),
         };
+        match self.store(key, record) {
+            Err(reason) => Verdict::Refused(reason.into()),
+            Ok(()) if conflict => Verdict::Conflict { kept: true },
+            Ok(()) => Verdict::Rejected(faults),
+        }
+    }
+
+    /// Puts `record` in place of what is known of `key`, within the bounds.
+    fn store(&mut self, key: &str, record: Record) -> Result<(), &'static str> {
+        let old = self.records.get(key).map_or(0, Record::bytes);
+        let bytes = self.bytes - old + record.bytes();
+        if bytes > MAX_TOTAL_BYTES && record.bytes() > old {
+            return Err("the catalogue would exceed 64 MB");
+        }
+        if self.records.len() == MAX_KEYS && !self.records.contains_key(key) {
+            self.make_room(&record)?;
+        }
+        self.remove(key);
+        self.bytes += record.bytes();
+        self.digest[record::bucket(key, BUCKETS)] ^= record.fingerprint(key);
         self.records.insert(key.into(), record);
-        Verdict::Accepted
+        Ok(())
     }
 
-    /// The entries in force, by key, in no order.
-    pub fn entries(&self) -> impl Iterator<Item = (&str, &Entry)> {
-        self.records
+    /// Forgets the oldest deletion, unless `record` is an older deletion itself.
+    fn make_room(&mut self, record: &Record) -> Result<(), &'static str> {
+        let tombstones = self
+            .records
             .iter()
-            .filter_map(|(key, record)| Some((&**key, record.entry.as_ref()?)))
+            .filter(|(_, known)| known.is_tombstone());
+        let oldest = tombstones.min_by_key(|(key, known)| (known.newest(), *key));
+        match oldest.map(|(key, known)| (key.clone(), known.newest())) {
+            Some((key, mark)) if !record.is_tombstone() || record.newest() > mark => {
+                self.remove(&key);
+                Ok(())
+            }
+            Some(_) | None => Err("the catalogue holds 4096 keys"),
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        if let Some(old) = self.records.remove(key) {
+            self.bytes -= old.bytes();
+            self.digest[record::bucket(key, BUCKETS)] ^= old.fingerprint(key);
+        }
     }
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -4,6 +4,20 @@
 use crate::entry::Entry;
 use crate::map::Map;
 
+data! {
+    /// An entry that gets fewer requests than it names, because another comes first by name.
+    pub struct Shadow {
+        /// Service of both entries.
+        pub service: Box<str>,
+        /// Name of the entry that gets fewer.
+        pub entry: Box<str>,
+        /// Name of the entry that comes first.
+        pub by: Box<str>,
+        /// Methods that both match; empty for all.
+        pub methods: Vec<Box<str>>,
+    }
+}
+
 /// Entries by service; within a service ordered by name.
 #[derive(Default)]
 pub struct Table {
@@ -42,4 +56,40 @@
             .iter()
             .map(|(service, entries)| (&**service, entries.as_slice()))
     }
+
+    /// Entries that share methods with an entry before them, by service and name.
+    #[must_use]
+    pub fn shadows(&self) -> Vec<Shadow> {
+        let mut shadows = Vec::new();
+        for (service, entries) in &self.services {
+            for (index, (name, entry)) in entries.iter().enumerate() {
+                for (by, first) in &entries[..index] {
+                    shadows.extend(shared(first, entry).map(|methods| Shadow {
+                        service: service.clone(),
+                        entry: name.clone(),
+                        by: by.clone(),
+                        methods,
+                    }));
+                }
+            }
+        }
+        shadows.sort_by(|left, right| {
+            let order = |shadow: &Shadow| (shadow.service.clone(), shadow.entry.clone());
+            order(left).cmp(&order(right))
+        });
+        shadows
+    }
+}
+
+/// The methods that both entries match, empty for all; none if they share none.
+fn shared(first: &Entry, second: &Entry) -> Option<Vec<Box<str>>> {
+    if first.methods.is_empty() {
+        return Some(second.methods.clone());
+    }
+    if second.methods.is_empty() {
+        return Some(first.methods.clone());
+    }
+    let mut methods = second.methods.clone();
+    methods.retain(|method| first.methods.contains(method));
+    (!methods.is_empty()).then_some(methods)
 }
--- a/crates/core/tests/entry.rs
+++ b/crates/core/tests/entry.rs
@@ -85,73 +85,44 @@
         json!({"targets": [target("a", 1, "node-1"), second]})
     };
     let many = |index: u16| target(&format!("t{index}"), index, "node-1");
+    #[rustfmt::skip]
     let cases = [
-        Case {
-            change: json!({"class": "once", "retry": {"attempts": 2}}),
-            fault: "retry.attempts: must be 1 for class once: \
-                    a non-idempotent request is never sent again",
-        },
-        Case {
-            change: json!({"retry": {"attempts": 2, "budget_percent": 0}}),
-            fault: "retry.budget_percent: must be above 0 while attempts is above 1",
-        },
-        Case {
-            change: json!({"class": "once", "hedge": {"enabled": true}}),
-            fault: "hedge.enabled: must be false for class once: \
-                    a non-idempotent request is never hedged",
-        },
-        Case {
-            change: json!({"hedge": {"enabled": true, "budget_percent": 0}}),
-            fault: "hedge.budget_percent: must be above 0 while enabled is true",
-        },
-        Case {
-            change: json!({"limits": {"measuring_burst_bytes": 0}}),
-            fault: "limits.measuring_burst_bytes: \
-                    must be above 0 while measuring_bytes_per_s is above 0",
-        },
-        Case {
-            change: json!({"limits": {"cross_region_bytes_per_s": 1,
-                                      "cross_region_burst_bytes": 0}}),
-            fault: "limits.cross_region_burst_bytes: \
-                    must be above 0 while cross_region_bytes_per_s is above 0",
-        },
-        Case {
-            change: json!({"methods": ["get"]}),
-            fault: "methods[0]: must be an HTTP method in upper case",
-        },
-        Case {
-            change: json!({"methods": ["GET", "GET"]}),
-            fault: "methods[1]: must be unique within the entry",
-        },
-        Case {
-            change: json!({"targets": (1..=1_025).map(many).collect::<Vec<Value>>()}),
-            fault: "targets: must be at most 1024",
-        },
-        Case {
-            change: targets(json!({"name": "a"})),
-            fault: "targets[1].name: must be unique within the entry",
-        },
-        Case {
-            change: targets(json!({"address": "192.0.2.1:1"})),
-            fault: "targets[1].address: must be unique within the entry",
-        },
-        Case {
-            change: targets(json!({"region": "alx"})),
-            fault: "targets[1].region: differs from another target of the data centre",
-        },
-        Case {
-            change: targets(json!({"vm": "node-1", "data_center": "cai-2"})),
-            fault: "targets[1].data_center: differs from another target of the VM",
-        },
-        Case {
-            change: json!({"targets": [target("a", 0, "node-1")]}),
-            fault: "targets[0].address: must have a port above 0",
-        },
-        Case {
-            change: json!({"targets": [{"name": "a", "address": "[::]:1", "vm": "node-1",
-                                        "region": "cai", "data_center": "cai-1"}]}),
-            fault: "targets[0].address: must not be the unspecified address",
-        },
+        Case { change: json!({"class": "once", "retry": {"attempts": 2}}),
+               fault: "retry.attempts: must be 1 for class once: \
+                       a non-idempotent request is never sent again" },
+        Case { change: json!({"retry": {"attempts": 2, "budget_percent": 0}}),
+               fault: "retry.budget_percent: must be above 0 while attempts is above 1" },
+        Case { change: json!({"class": "once", "hedge": {"enabled": true}}),
+               fault: "hedge.enabled: must be false for class once: \
+                       a non-idempotent request is never hedged" },
+        Case { change: json!({"hedge": {"enabled": true, "budget_percent": 0}}),
+               fault: "hedge.budget_percent: must be above 0 while enabled is true" },
+        Case { change: json!({"limits": {"measuring_burst_bytes": 0}}),
+               fault: "limits.measuring_burst_bytes: \
+                       must be above 0 while measuring_bytes_per_s is above 0" },
+        Case { change: json!({"limits": {"cross_region_bytes_per_s": 1,
+                                         "cross_region_burst_bytes": 0}}),
+               fault: "limits.cross_region_burst_bytes: \
+                       must be above 0 while cross_region_bytes_per_s is above 0" },
+        Case { change: json!({"methods": ["get"]}),
+               fault: "methods[0]: must be an HTTP method in upper case" },
+        Case { change: json!({"methods": ["GET", "GET"]}),
+               fault: "methods[1]: must be unique within the entry" },
+        Case { change: json!({"targets": (1..=1_025).map(many).collect::<Vec<Value>>()}),
+               fault: "targets: must be at most 1024" },
+        Case { change: targets(json!({"name": "a"})),
+               fault: "targets[1].name: must be unique within the entry" },
+        Case { change: targets(json!({"address": "192.0.2.1:1"})),
+               fault: "targets[1].address: must be unique within the entry" },
+        Case { change: targets(json!({"region": "alx"})),
+               fault: "targets[1].region: differs from another target of the data centre" },
+        Case { change: targets(json!({"vm": "node-1", "data_center": "cai-2"})),
+               fault: "targets[1].data_center: differs from another target of the VM" },
+        Case { change: json!({"targets": [target("a", 0, "node-1")]}),
+               fault: "targets[0].address: must have a port above 0" },
+        Case { change: json!({"targets": [{"name": "a", "address": "[::]:1", "vm": "node-1",
+                                           "region": "cai", "data_center": "cai-1"}]}),
+               fault: "targets[0].address: must not be the unspecified address" },
     ];
     let mut tried = BTreeSet::new();
     for case in cases {
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -46,35 +46,22 @@
         change: (&'static str, Value),
         fault: &'static str,
     }
+    #[rustfmt::skip]
     let cases = [
-        Case {
-            change: ("/fleet_key", json!("short")),
-            fault: "fleet_key: must have at least 32 bytes",
-        },
-        Case {
-            change: ("/listen/caller", json!("192.0.2.1:1")),
-            fault: "listen.caller: must differ from listen.directory",
-        },
-        Case {
-            change: ("/platform/vm_list", json!("192.0.2.1:3")),
-            fault: "platform.vm_list: must differ from listen.peer",
-        },
-        Case {
-            change: ("/view/takeover_after_ms", json!(30_001)),
-            fault: "view.takeover_after_ms: must not be longer than view.stale_after_ms",
-        },
-        Case {
-            change: ("/stop/address_ttl_ms", json!(60_001)),
-            fault: "stop.address_ttl_ms: must not be longer than stop.drain_limit_ms",
-        },
-        Case {
-            change: ("/listen/directory", json!("0.0.0.0:1")),
-            fault: "listen.directory: must not be the unspecified address",
-        },
-        Case {
-            change: ("/seeds/0", json!("192.0.2.1:0")),
-            fault: "seeds[0]: must have a port above 0",
-        },
+        Case { change: ("/fleet_key", json!("short")),
+               fault: "fleet_key: must have at least 32 bytes" },
+        Case { change: ("/listen/caller", json!("192.0.2.1:1")),
+               fault: "listen.caller: must differ from listen.directory" },
+        Case { change: ("/platform/vm_list", json!("192.0.2.1:3")),
+               fault: "platform.vm_list: must differ from listen.peer" },
+        Case { change: ("/view/takeover_after_ms", json!(30_001)),
+               fault: "view.takeover_after_ms: must not be longer than view.stale_after_ms" },
+        Case { change: ("/stop/address_ttl_ms", json!(60_001)),
+               fault: "stop.address_ttl_ms: must not be longer than stop.drain_limit_ms" },
+        Case { change: ("/listen/directory", json!("0.0.0.0:1")),
+               fault: "listen.directory: must not be the unspecified address" },
+        Case { change: ("/seeds/0", json!("192.0.2.1:0")),
+               fault: "seeds[0]: must have a port above 0" },
     ];
     let mut tried = BTreeSet::new();
     for case in cases {
