Drive the balancer's actions from the request path and report metrics

Cause: calls get several decisions over their life (send, hedge, cancel, refuse), which a one-shot channel per call cannot carry, and nothing was counted. Change: the node holds one slot of decisions per call, services live in an arena, a timer task lets time pass, probes and load reports reach the balancer, and counts, gauges and latency quantiles go to statsd once a second.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -1,6 +1,7 @@
 //! The request path: from a caller's request to a target's answer.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 
 use hyper::Request;
 use hyper::Response;
@@ -11,21 +12,26 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use oriolecleat_core::balance::Ask;
+use oriolecleat_core::balance::Call;
 use oriolecleat_core::balance::Ending;
+use oriolecleat_core::balance::Fate;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::request::Code;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::ticket;
-use oriolecleat_core::time::Instant;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use crate::clock;
-use crate::node::Grant;
 use crate::node::Shared;
 use crate::pool::Connection;
 use crate::relay::Attempt;
 use crate::relay::Download;
+use crate::report;
+use crate::service;
+use crate::service::Decision;
+use crate::service::Grant;
 
 /// Accepts callers until the process ends.
 pub(crate) async fn serve(node: Shared, listener: TcpListener) {
@@ -76,9 +82,9 @@
 
 async fn respond(node: &Shared, request: Request<Incoming>) -> Result<Response<Download>, Refused> {
     let service = service_name(&request).ok_or((Code::BadRequest, Outcome::NotRun))?;
-    let (class, deadline) = admit(node, &service, &request)?;
-    let claimed = claim(node, class, &request)?;
-    let answered = forward(node, &service, class, deadline, request).await;
+    let (service, ask) = admit(node, &service, &request)?;
+    let claimed = claim(node, ask.class, &request)?;
+    let answered = forward(node, service, ask, request).await;
     if let Some(id) = claimed {
         settle(node, id, &answered);
     }
@@ -95,11 +101,24 @@
     node: &Shared,
     service: &str,
     request: &Request<Incoming>,
-) -> Result<(Class, Instant), Refused> {
-    let node = node.borrow();
-    let found = node.routes.find(service, request.method().as_str());
-    let (_, entry) = found.ok_or((Code::UnknownService, Outcome::NotRun))?;
-    Ok((entry.class, node.clock.now() + entry.deadline))
+) -> Result<(service::Key, Ask), Refused> {
+    let mut node = node.borrow_mut();
+    let call = node.new_call();
+    let unknown = (Code::UnknownService, Outcome::NotRun);
+    let key = *node.names.get(service).ok_or(unknown)?;
+    let (_, entry) = node
+        .routes
+        .find(service, request.method().as_str())
+        .ok_or(unknown)?;
+    let deadline = node.clock.now() + entry.deadline;
+    let ask = Ask {
+        call,
+        class: entry.class,
+        deadline,
+        entry: 0,
+        hedge_percent: 0,
+    };
+    Ok((key, ask))
 }
 
 /// Claims the ticket of a non-idempotent request.
@@ -146,41 +165,62 @@
 
 async fn forward(
     node: &Shared,
-    service: &str,
-    class: Class,
-    deadline: Instant,
+    service: service::Key,
+    ask: Ask,
     request: Request<Incoming>,
 ) -> Result<Response<Download>, Refused> {
-    let (call, decision) = node.borrow_mut().arrive(service, class, deadline);
-    let grant = match decision.await {
-        Ok(Ok(grant)) => grant,
-        Ok(Err(refusal)) => return Err((Code::from(refusal), Outcome::NotRun)),
-        Err(_) => {
-            node.borrow_mut().withdraw(service, call);
-            return Err((Code::UnknownService, Outcome::NotRun));
-        }
-    };
-    let mut attempt = Attempt::new(node, service, grant.target);
+    let call = ask.call;
+    node.borrow_mut().arrive(service, ask);
+    let grant = granted(node, service, call).await?;
+    let mut attempt = Attempt::new(node, service, call, grant.target);
     let pooled = node.borrow_mut().pool.take(grant.address);
     let opened = match pooled {
         Some(connection) => Ok(connection),
         None => Connection::open(grant.address).await,
     };
     let Ok(connection) = opened else {
-        attempt.fail(Ending::Broken { written: false });
+        let fate = attempt.fail(Ending::Broken { written: false });
+        abandon(node, service, call, fate);
         return Err((Code::TargetFailed, Outcome::NotRun));
     };
     let request = outgoing(request, grant);
     match attempt.attach(connection).send(request).await {
-        Ok(response) => Ok(incoming(response, attempt)),
+        Ok(response) => {
+            if let Some(report) = report::parse(response.headers()) {
+                node.borrow_mut().report(service, grant.target, report);
+            }
+            Ok(incoming(response, attempt))
+        }
         Err(error) => {
             log::debug!(cause:% = error; "target failed");
-            attempt.fail(Ending::Broken { written: true });
+            let fate = attempt.fail(Ending::Broken { written: true });
+            abandon(node, service, call, fate);
             Err((Code::TargetFailed, Outcome::Unknown))
         }
     }
 }
 
+/// Waits for the first decision that sends or refuses the call.
+async fn granted(node: &Shared, service: service::Key, call: Call) -> Result<Grant, Refused> {
+    loop {
+        match poll_fn(|context| node.borrow_mut().poll_decision(call, context)).await {
+            Decision::Send(grant) => return Ok(grant),
+            Decision::Refuse(refusal) => return Err((Code::from(refusal), Outcome::NotRun)),
+            Decision::Hedge(grant) => {
+                node.borrow_mut()
+                    .finish(service, call, grant.target, Ending::Cancelled);
+            }
+            Decision::Cancel(target) => log::debug!(target:? = target; "no copy to cancel"),
+        }
+    }
+}
+
+fn abandon(node: &Shared, service: service::Key, call: Call, fate: Fate) {
+    if fate == Fate::Pending {
+        node.borrow_mut().withdraw(service, call);
+    }
+}
+
 fn outgoing(mut request: Request<Incoming>, grant: Grant) -> Request<Incoming> {
     let queue = HeaderValue::from(grant.queue.as_millis());
     request.headers_mut().insert("oriolecleat-queue-ms", queue);
--- /dev/null
+++ b/crates/daemon/src/calls.rs
@@ -0,0 +1,213 @@
+//! Carries calls between the request path and the balancers.
+
+use std::task::Context;
+use std::task::Poll;
+
+use oriolecleat_core::balance::Action;
+use oriolecleat_core::balance::Ask;
+use oriolecleat_core::balance::Call;
+use oriolecleat_core::balance::Ending;
+use oriolecleat_core::balance::Fate;
+use oriolecleat_core::estimate::Report;
+use oriolecleat_core::target;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+
+use crate::metrics::Count;
+use crate::node::Node;
+use crate::probe;
+use crate::service;
+use crate::service::Decision;
+use crate::service::Grant;
+use crate::service::Slot;
+
+impl Node {
+    /// A name for a new call.
+    pub(crate) fn new_call(&mut self) -> Call {
+        self.next_call += 1;
+        Call(self.next_call)
+    }
+
+    /// Asks for a target; the decisions come by [`Node::poll_decision`].
+    pub(crate) fn arrive(&mut self, service: service::Key, ask: Ask) {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        if let Some(found) = self.services.get_mut(service) {
+            self.calls.insert(ask.call, Slot::default());
+            found.balancer.arrive(now, ask, &mut self.rng, &mut actions);
+            if found.balancer.waiting() > 0 {
+                self.timer.notify_one();
+            }
+        }
+        self.act(service, &actions);
+    }
+
+    /// The next decision for `call`.
+    pub(crate) fn poll_decision(
+        &mut self,
+        call: Call,
+        context: &mut Context<'_>,
+    ) -> Poll<Decision> {
+        let Some(slot) = self.calls.get_mut(&call) else {
+            return Poll::Pending;
+        };
+        if let Some(decision) = slot.decisions.pop_front() {
+            return Poll::Ready(decision);
+        }
+        slot.waker = Some(context.waker().clone());
+        Poll::Pending
+    }
+
+    /// Tells how an attempt ended; the call is forgotten if its fate is over.
+    pub(crate) fn finish(
+        &mut self,
+        service: service::Key,
+        call: Call,
+        target: target::Key,
+        ending: Ending,
+    ) -> Fate {
+        let now = self.clock.now();
+        match ending {
+            Ending::Answered { latency, .. } => self.metrics.record(latency),
+            Ending::Shed => self.metrics.add(Count::Sheds, 1),
+            Ending::Broken { .. } | Ending::Cancelled => {}
+        }
+        let Some(found) = self.services.get_mut(service) else {
+            return Fate::Over;
+        };
+        let mut actions = Vec::new();
+        let fate = found
+            .balancer
+            .finish(now, call, target, ending, &mut self.rng, &mut actions);
+        if fate == Fate::Over {
+            self.calls.remove(&call);
+        }
+        self.act(service, &actions);
+        fate
+    }
+
+    /// A target reported its load on an answer.
+    pub(crate) fn report(&mut self, service: service::Key, target: target::Key, report: Report) {
+        let now = self.clock.now();
+        if let Some(found) = self.services.get_mut(service) {
+            found.balancer.report(now, target, report, Span::ZERO);
+        }
+    }
+
+    /// A call is not wanted any more, whether it waits or runs.
+    pub(crate) fn withdraw(&mut self, service: service::Key, call: Call) {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        if let Some(found) = self.services.get_mut(service) {
+            found.balancer.withdraw(now, call, &mut actions);
+        }
+        self.calls.remove(&call);
+        self.act(service, &actions);
+    }
+
+    /// Lets time pass in the services that have something to do by now.
+    pub(crate) fn tick(&mut self) -> Option<Instant> {
+        let now = self.clock.now();
+        let keys: Vec<service::Key> = self.services.keys().collect();
+        let mut next: Option<Instant> = None;
+        for key in keys {
+            let mut actions = Vec::new();
+            if let Some(found) = self.services.get_mut(key)
+                && found.balancer.next_tick(now).is_some()
+            {
+                found.balancer.tick(now, &mut self.rng, &mut actions);
+                let own = found.balancer.next_tick(now);
+                next = next.into_iter().chain(own).min();
+            }
+            self.act(key, &actions);
+        }
+        next
+    }
+
+    fn act(&mut self, service: service::Key, actions: &[Action]) {
+        for action in actions {
+            match *action {
+                Action::Assign {
+                    call,
+                    target,
+                    queue,
+                    report,
+                } => {
+                    self.grant(service, call, target, queue, report, Decision::Send);
+                }
+                Action::Hedge {
+                    call,
+                    target,
+                    queue,
+                    report,
+                } => {
+                    self.metrics.add(Count::Hedges, 1);
+                    self.grant(service, call, target, queue, report, Decision::Hedge);
+                }
+                Action::Cancel { call, target } => self.decide(call, Decision::Cancel(target)),
+                Action::Refuse { call, reason } => self.decide(call, Decision::Refuse(reason)),
+                Action::Probe { target } => self.probe(service, target),
+            }
+        }
+    }
+
+    fn grant(
+        &mut self,
+        service: service::Key,
+        call: Call,
+        target: target::Key,
+        queue: Span,
+        report: bool,
+        decision: fn(Grant) -> Decision,
+    ) {
+        let spec = self
+            .services
+            .get(service)
+            .and_then(|found| found.balancer.targets().get(target));
+        if let Some(spec) = spec.map(|target| &target.spec) {
+            let remote = spec.region != self.settings.region;
+            let address = spec.address;
+            self.decide(
+                call,
+                decision(Grant {
+                    target,
+                    address,
+                    queue,
+                    report,
+                    remote,
+                }),
+            );
+        }
+    }
+
+    fn decide(&mut self, call: Call, decision: Decision) {
+        if let Some(slot) = self.calls.get_mut(&call) {
+            slot.push(decision);
+        }
+    }
+
+    fn probe(&mut self, service: service::Key, target: target::Key) {
+        let spec = self
+            .services
+            .get(service)
+            .and_then(|found| found.balancer.targets().get(target));
+        if let Some(spec) = spec {
+            log::debug!(target = &*spec.spec.name; "probing a target");
+            self.metrics.add(Count::Probes, 1);
+            let address = spec.spec.address;
+            // The prober lives as long as the process.
+            let _ = self.probes.send(probe::Order {
+                service,
+                target,
+                address,
+            });
+        }
+    }
+
+    /// A probe was answered, or not.
+    pub(crate) fn probed(&mut self, service: service::Key, target: target::Key, answered: bool) {
+        if let Some(found) = self.services.get_mut(service) {
+            found.balancer.probed(target, answered);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,245 @@
+//! Counts and timings, sent once a second to a statsd server.
+//!
+//! The request path only adds to integers; text is made once a second. The UDP socket does not
+//! block, so a slow or absent server costs nothing.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+
+use cadence::BufferedUdpMetricSink;
+use cadence::Counted;
+use cadence::Gauged;
+use cadence::NopMetricSink;
+use cadence::StatsdClient;
+use hdrhistogram::Histogram;
+use oriolecleat_core::key;
+use oriolecleat_core::time::Span;
+use serde_json::Value;
+use serde_json::json;
+
+const PREFIX: &str = "oriolecleat";
+const LATENCY_DIGITS: u8 = 3;
+const LATENCY_MAX_US: u64 = 600_000_000;
+
+key! {
+    /// What is counted; each name in docs/metrics.md.
+    pub enum Count {
+        /// Requests received on the caller port.
+        Calls,
+        /// Requests answered by a target.
+        Ran,
+        /// Requests refused as not run.
+        NotRun,
+        /// Requests whose outcome is unknown.
+        Unknown,
+        /// Attempts that a target shed.
+        Sheds,
+        /// Attempts after the first one.
+        Retries,
+        /// Second copies of idempotent requests.
+        Hedges,
+        /// Probes sent to targets.
+        Probes,
+        /// Bytes spent on measuring targets, as charged to the budget.
+        MeasuringBytes,
+        /// Bytes to and from targets in other regions.
+        CrossRegionBytes,
+        /// Catalogue changes accepted.
+        CatalogueAccepted,
+        /// Catalogue changes rejected by the checks.
+        CatalogueRejected,
+        /// Calls to the configuration service.
+        ConfigurationCalls,
+        /// Frames sent to peers.
+        PeerFramesSent,
+        /// Bytes sent to peers.
+        PeerBytesSent,
+        /// Bytes received from peers.
+        PeerBytesReceived,
+        /// Frames from peers that did not hold.
+        PeerFaults,
+    }
+
+    /// What is gauged; each name in docs/metrics.md.
+    pub enum Gauge {
+        /// Requests in flight.
+        InFlight,
+        /// Requests waiting for a target.
+        Waiting,
+        /// Age of the catalogue view in milliseconds.
+        ViewAgeMs,
+        /// Links to peers.
+        Links,
+        /// Members known to be alive.
+        Members,
+        /// Targets that may get no new work.
+        TargetsLeaving,
+        /// Median time of a call inside the process and the target, in microseconds.
+        CallP50Us,
+        /// 99th percentile of that time.
+        CallP99Us,
+        /// 99.9th percentile of that time.
+        CallP999Us,
+    }
+}
+
+/// All counts in the order of their declaration.
+pub const COUNTS: [Count; 17] = [
+    Count::Calls,
+    Count::Ran,
+    Count::NotRun,
+    Count::Unknown,
+    Count::Sheds,
+    Count::Retries,
+    Count::Hedges,
+    Count::Probes,
+    Count::MeasuringBytes,
+    Count::CrossRegionBytes,
+    Count::CatalogueAccepted,
+    Count::CatalogueRejected,
+    Count::ConfigurationCalls,
+    Count::PeerFramesSent,
+    Count::PeerBytesSent,
+    Count::PeerBytesReceived,
+    Count::PeerFaults,
+];
+
+/// All gauges in the order of their declaration.
+pub const GAUGES: [Gauge; 9] = [
+    Gauge::InFlight,
+    Gauge::Waiting,
+    Gauge::ViewAgeMs,
+    Gauge::Links,
+    Gauge::Members,
+    Gauge::TargetsLeaving,
+    Gauge::CallP50Us,
+    Gauge::CallP99Us,
+    Gauge::CallP999Us,
+];
+
+impl Count {
+    /// Name in statsd, after the prefix.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Calls => "calls",
+            Self::Ran => "outcome.ran",
+            Self::NotRun => "outcome.not_run",
+            Self::Unknown => "outcome.unknown",
+            Self::Sheds => "attempts.shed",
+            Self::Retries => "attempts.retried",
+            Self::Hedges => "attempts.hedged",
+            Self::Probes => "probes",
+            Self::MeasuringBytes => "measuring.bytes",
+            Self::CrossRegionBytes => "cross_region.bytes",
+            Self::CatalogueAccepted => "catalogue.accepted",
+            Self::CatalogueRejected => "catalogue.rejected",
+            Self::ConfigurationCalls => "configuration.calls",
+            Self::PeerFramesSent => "peer.frames_sent",
+            Self::PeerBytesSent => "peer.bytes_sent",
+            Self::PeerBytesReceived => "peer.bytes_received",
+            Self::PeerFaults => "peer.faults",
+        }
+    }
+}
+
+impl Gauge {
+    /// Name in statsd, after the prefix.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::InFlight => "calls.in_flight",
+            Self::Waiting => "calls.waiting",
+            Self::ViewAgeMs => "view.age_ms",
+            Self::Links => "peer.links",
+            Self::Members => "members.alive",
+            Self::TargetsLeaving => "targets.leaving",
+            Self::CallP50Us => "call.p50_us",
+            Self::CallP99Us => "call.p99_us",
+            Self::CallP999Us => "call.p999_us",
+        }
+    }
+}
+
+/// Counts since the start of the process and since the last report.
+pub(crate) struct Metrics {
+    client: StatsdClient,
+    totals: [u64; COUNTS.len()],
+    reported: [u64; COUNTS.len()],
+    latency: Histogram<u64>,
+}
+
+impl Metrics {
+    /// Metrics that go to `statsd`, or nowhere without one.
+    pub(crate) fn new(statsd: Option<SocketAddr>, vm: &str) -> Self {
+        let latency = Histogram::new_with_max(LATENCY_MAX_US, LATENCY_DIGITS);
+        Self {
+            client: client(statsd, vm),
+            totals: [0; COUNTS.len()],
+            reported: [0; COUNTS.len()],
+            latency: latency.expect("the bounds of the histogram are constant and valid"),
+        }
+    }
+
+    pub(crate) fn add(&mut self, count: Count, amount: u64) {
+        self.totals[count as usize] += amount;
+    }
+
+    /// Records the time of one call.
+    pub(crate) fn record(&mut self, latency: Span) {
+        self.latency.saturating_record(latency.as_micros());
+    }
+
+    /// Sends what changed since the last report, with `gauges` as they are now.
+    pub(crate) fn report(&mut self, gauges: &[(Gauge, u64)]) {
+        for count in COUNTS {
+            let total = self.totals[count as usize];
+            let change = total - self.reported[count as usize];
+            if change > 0 {
+                // Metrics that can't be sent are lost; the totals stay on the operator port.
+                let _ = self
+                    .client
+                    .count(count.name(), i64::try_from(change).unwrap_or(i64::MAX));
+            }
+        }
+        self.reported = self.totals;
+        let quantiles = [
+            (Gauge::CallP50Us, self.latency.value_at_quantile(0.5)),
+            (Gauge::CallP99Us, self.latency.value_at_quantile(0.99)),
+            (Gauge::CallP999Us, self.latency.value_at_quantile(0.999)),
+        ];
+        for (gauge, value) in gauges.iter().copied().chain(quantiles) {
+            let _ = self.client.gauge(gauge.name(), value);
+        }
+        self.latency.reset();
+        let _ = self.client.flush();
+    }
+
+    /// The totals by name.
+    pub(crate) fn totals(&self) -> Value {
+        COUNTS
+            .iter()
+            .map(|count| (count.name(), json!(self.totals[*count as usize])))
+            .collect()
+    }
+}
+
+fn client(statsd: Option<SocketAddr>, vm: &str) -> StatsdClient {
+    match statsd.map(sink) {
+        Some(Ok(sink)) => StatsdClient::builder(PREFIX, sink)
+            .with_tag("vm", vm)
+            .build(),
+        Some(Err(error)) => {
+            log::warn!(cause:% = error; "metrics are not sent: the UDP socket could not be opened");
+            StatsdClient::from_sink(PREFIX, NopMetricSink)
+        }
+        None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+    }
+}
+
+fn sink(statsd: SocketAddr) -> Result<BufferedUdpMetricSink, cadence::MetricError> {
+    let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+    socket.set_nonblocking(true)?;
+    BufferedUdpMetricSink::from(statsd, socket)
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,60 +1,34 @@
 //! The one owner of the daemon's state.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
-use oriolecleat_core::balance::Action;
-use oriolecleat_core::balance::Ask;
-use oriolecleat_core::balance::Balancer;
 use oriolecleat_core::balance::Call;
-use oriolecleat_core::balance::Ending;
-use oriolecleat_core::balance::Refusal;
 use oriolecleat_core::catalogue::Catalogue;
-use oriolecleat_core::catalogue::Verdict;
-use oriolecleat_core::entry;
-use oriolecleat_core::entry::Class;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::route;
 use oriolecleat_core::settings::Settings;
-use oriolecleat_core::target;
+use oriolecleat_core::target::Place;
 use oriolecleat_core::ticket;
-use oriolecleat_core::ticket::Ticket;
-use oriolecleat_core::time::Instant;
-use oriolecleat_core::time::Span;
-use oriolecleat_core::version::Version;
-use rand::RngExt;
 use rand::rngs::SmallRng;
-use serde_json::Value;
-use serde_json::json;
-use tokio::sync::oneshot;
+use slotmap::SlotMap;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
 
 use crate::clock;
 use crate::clock::Clock;
+use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::query::Question;
+use crate::probe;
+use crate::service;
+use crate::service::Service;
+use crate::service::Slot;
 
 const LEDGER_CAPACITY: usize = 100_000;
 
 /// State shared by the tasks of the loop; no borrow lives across an await.
 pub(crate) type Shared = Rc<RefCell<Node>>;
 
-/// A target that a call may be sent to.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Grant {
-    pub(crate) target: target::Key,
-    pub(crate) address: SocketAddr,
-    pub(crate) queue: Span,
-}
-
-type Decision = Result<Grant, Refusal>;
-
-#[derive(Default)]
-struct Service {
-    balancer: Balancer,
-    waiting: Map<Call, oneshot::Sender<Decision>>,
-}
-
 /// State of the daemon.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -65,18 +39,30 @@
     pub(crate) ledger: ticket::Ledger,
     pub(crate) pool: Pool,
     pub(crate) revision: u64,
-    catalogue: Catalogue,
-    services: Map<Box<str>, Service>,
-    rng: SmallRng,
-    next_call: u64,
+    pub(crate) metrics: Metrics,
+    pub(crate) catalogue: Catalogue,
+    pub(crate) services: SlotMap<service::Key, Service>,
+    pub(crate) names: Map<Box<str>, service::Key>,
+    pub(crate) calls: Map<Call, Slot>,
+    pub(crate) next_call: u64,
+    pub(crate) rng: SmallRng,
+    pub(crate) probes: mpsc::UnboundedSender<probe::Order>,
+    /// Wakes the timer task when a service needs an earlier tick.
+    pub(crate) timer: Rc<Notify>,
 }
 
 impl Node {
-    pub(crate) fn new(settings: Settings, clock: Clock, rng: SmallRng) -> Self {
+    pub(crate) fn new(
+        settings: Settings,
+        clock: Clock,
+        rng: SmallRng,
+        probes: mpsc::UnboundedSender<probe::Order>,
+    ) -> Self {
         let incarnation = clock::wall_ms();
         Self {
             issuer: ticket::Issuer::new(settings.fleet_key.as_bytes()),
             ledger: ticket::Ledger::new(&settings.vm, incarnation, LEDGER_CAPACITY),
+            metrics: Metrics::new(settings.statsd, &settings.vm),
             settings,
             clock,
             incarnation,
@@ -84,173 +70,21 @@
             pool: Pool::default(),
             revision: 0,
             catalogue: Catalogue::default(),
-            services: Map::default(),
-            rng,
+            services: SlotMap::with_key(),
+            names: Map::default(),
+            calls: Map::default(),
             next_call: 0,
+            rng,
+            probes,
+            timer: Rc::new(Notify::new()),
         }
     }
 
-    /// Offers catalogue content read from the configuration service.
-    pub(crate) fn offer(&mut self, key: &str, revision: u64, text: Option<&str>) {
-        let generation = text.map_or(0, generation);
-        let version = Version {
-            generation,
-            revision,
-        };
-        match self.catalogue.offer(key, version, text) {
-            Verdict::Accepted => {
-                log::info!(key, revision; "catalogue change accepted");
-                self.apply();
-            }
-            Verdict::Rejected(faults) => {
-                let faults = format!("{faults:?}");
-                log::warn!(key, revision, faults = faults.as_str(); "catalogue change rejected");
-            }
-            Verdict::Known | Verdict::Behind => {}
-        }
-    }
-
-    fn apply(&mut self) {
-        self.routes = route::Table::build(&self.catalogue);
-        let mut specs: Map<Box<str>, Vec<entry::Target>> = Map::default();
-        for (service, entries) in self.routes.services() {
-            let targets = specs.entry(service.into()).or_default();
-            for (_, entry) in entries {
-                let new = entry
-                    .targets
-                    .iter()
-                    .filter(|target| !targets.contains(target));
-                let new: Vec<entry::Target> = new.cloned().collect();
-                targets.extend(new);
-            }
-        }
-        for (name, service) in &mut self.services {
-            service
-                .balancer
-                .update(specs.get(name).map_or(&[], Vec::as_slice));
-        }
-        for (name, targets) in &specs {
-            self.services
-                .entry(name.clone())
-                .or_default()
-                .balancer
-                .update(targets);
-        }
-    }
-
-    /// Asks for a target; the receiver resolves as soon as one is granted.
-    pub(crate) fn arrive(
-        &mut self,
-        service: &str,
-        class: Class,
-        deadline: Instant,
-    ) -> (Call, oneshot::Receiver<Decision>) {
-        self.next_call += 1;
-        let call = Call(self.next_call);
-        let (sender, receiver) = oneshot::channel();
-        let now = self.clock.now();
-        let mut actions = Vec::new();
-        if let Some(found) = self.services.get_mut(service) {
-            found.waiting.insert(call, sender);
-            let ask = Ask {
-                call,
-                class,
-                deadline,
-            };
-            found.balancer.arrive(now, ask, &mut self.rng, &mut actions);
-        }
-        self.act(service, actions);
-        (call, receiver)
-    }
-
-    /// Tells how an attempt ended.
-    pub(crate) fn finish(&mut self, service: &str, target: target::Key, ending: Ending) {
-        let now = self.clock.now();
-        let mut actions = Vec::new();
-        if let Some(found) = self.services.get_mut(service) {
-            found
-                .balancer
-                .finish(now, target, ending, &mut self.rng, &mut actions);
-        }
-        self.act(service, actions);
-    }
-
-    /// A waiting call is not wanted any more.
-    pub(crate) fn withdraw(&mut self, service: &str, call: Call) {
-        if let Some(found) = self.services.get_mut(service) {
-            found.waiting.remove(&call);
-            found.balancer.withdraw(call);
-        }
-    }
-
-    fn act(&mut self, service: &str, actions: Vec<Action>) {
-        let Some(found) = self.services.get_mut(service) else {
-            return;
-        };
-        for action in actions {
-            let (call, decision) = match action {
-                Action::Assign {
-                    call,
-                    target,
-                    queue,
-                } => {
-                    let Some(spec) = found.balancer.targets().get(target) else {
-                        continue;
-                    };
-                    (
-                        call,
-                        Ok(Grant {
-                            target,
-                            address: spec.spec.address,
-                            queue,
-                        }),
-                    )
-                }
-                Action::Refuse { call, reason } => (call, Err(reason)),
-            };
-            if let Some(sender) = found.waiting.remove(&call) {
-                // The receiver withdraws the call when it goes away, so it is still there.
-                let _ = sender.send(decision);
-            }
-        }
-    }
-
-    /// Answers a question of an HTTP handler.
-    pub(crate) fn answer(&mut self, question: Question) -> Value {
-        match question {
-            Question::Addresses(service) => self.addresses(&service),
-            Question::Status => json!({
-                "vm": self.settings.vm,
-                "incarnation": self.incarnation,
-                "revision": self.revision,
-                "uptime_ms": self.clock.now().as_micros() / 1_000,
-            }),
+    /// Where this VM stands.
+    pub(crate) fn place(&self) -> Place {
+        Place {
+            region: self.settings.region.clone(),
+            data_center: self.settings.data_center.clone(),
         }
     }
-
-    fn addresses(&mut self, service: &str) -> Value {
-        let now = self.clock.now();
-        let ttl = self.settings.stop.address_ttl;
-        let ticket = Ticket {
-            vm: self.settings.vm.clone(),
-            incarnation: self.incarnation,
-            id: self.rng.random(),
-            expires_us: (now + ttl).as_micros(),
-        };
-        json!({
-            "service": service,
-            "ttl_ms": ttl.as_millis(),
-            "addresses": [{
-                "vm": self.settings.vm,
-                "address": self.settings.listen.caller.to_string(),
-                "ticket": self.issuer.sign(&ticket),
-            }],
-        })
-    }
-}
-
-/// The generation written in the text of an entry, zero if there is none.
-fn generation(text: &str) -> u64 {
-    let value: Value = serde_json::from_str(text).unwrap_or_default();
-    value.get("generation").and_then(Value::as_u64).unwrap_or(0)
 }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -8,12 +8,15 @@
 use http_body::Body;
 use http_body::Frame;
 use hyper::body::Incoming;
+use oriolecleat_core::balance::Call;
 use oriolecleat_core::balance::Ending;
+use oriolecleat_core::balance::Fate;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
 
 use crate::node::Shared;
 use crate::pool::Connection;
+use crate::service;
 
 /// Body of a request on its way to a target.
 pub(crate) type Upload = Incoming;
@@ -21,7 +24,8 @@
 /// One attempt at a target; an attempt that is dropped unfinished is cancelled.
 pub(crate) struct Attempt {
     node: Shared,
-    service: Box<str>,
+    service: service::Key,
+    call: Call,
     target: target::Key,
     started: Instant,
     connection: Option<Connection>,
@@ -29,12 +33,18 @@
 }
 
 impl Attempt {
-    pub(crate) fn new(node: &Shared, service: &str, target: target::Key) -> Self {
+    pub(crate) fn new(
+        node: &Shared,
+        service: service::Key,
+        call: Call,
+        target: target::Key,
+    ) -> Self {
         let started = node.borrow().clock.now();
         let node = node.clone();
         Self {
             node,
-            service: service.into(),
+            service,
+            call,
             target,
             started,
             connection: None,
@@ -47,8 +57,8 @@
     }
 
     /// The attempt ended without a whole answer.
-    pub(crate) fn fail(mut self, ending: Ending) {
-        self.end(ending);
+    pub(crate) fn fail(mut self, ending: Ending) -> Fate {
+        self.end(ending)
     }
 
     fn complete(&mut self, failed: bool) {
@@ -59,15 +69,15 @@
         self.end(Ending::Answered { latency, failed });
     }
 
-    fn end(&mut self, ending: Ending) {
+    fn end(&mut self, ending: Ending) -> Fate {
         if let Some(connection) = self.connection.take() {
             connection.close();
         }
         if std::mem::replace(&mut self.open, false) {
-            self.node
-                .borrow_mut()
-                .finish(&self.service, self.target, ending);
+            let mut node = self.node.borrow_mut();
+            return node.finish(self.service, self.call, self.target, ending);
         }
+        Fate::Over
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/service.rs
@@ -0,0 +1,116 @@
+//! One service of the catalogue as the daemon runs it.
+
+use std::task::Waker;
+
+use oriolecleat_core::balance::Balancer;
+use oriolecleat_core::balance::Limits;
+use oriolecleat_core::data;
+use oriolecleat_core::entry;
+use oriolecleat_core::entry::Entry;
+use oriolecleat_core::target;
+use oriolecleat_core::target::Place;
+use oriolecleat_core::time::Span;
+
+slotmap::new_key_type! {
+    /// Names a service of the node.
+    pub(crate) struct Key;
+}
+
+/// Typical bytes of a request and its answer.
+const EXCHANGE_BYTES: u64 = 4_096;
+
+/// A service with its balancer.
+pub(crate) struct Service {
+    pub(crate) name: Box<str>,
+    pub(crate) balancer: Balancer,
+}
+
+data! {
+    /// A target that a call may be sent to.
+    #[derive(Copy)]
+    pub(crate) struct Grant {
+        pub(crate) target: target::Key,
+        pub(crate) address: std::net::SocketAddr,
+        /// Longest wait in the target before it sheds the request.
+        pub(crate) queue: Span,
+        /// Whether the target is to report its load on the answer.
+        pub(crate) report: bool,
+        /// Whether the target is in another region.
+        pub(crate) remote: bool,
+    }
+}
+
+/// What the balancer decided for a call, in order.
+#[derive(Default)]
+pub(crate) struct Slot {
+    pub(crate) decisions: std::collections::VecDeque<Decision>,
+    pub(crate) waker: Option<Waker>,
+}
+
+/// A decision for one call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Decision {
+    /// Send the request.
+    Send(Grant),
+    /// Send a second copy.
+    Hedge(Grant),
+    /// Close the connection of the copy at the target.
+    Cancel(target::Key),
+    /// Answer that the request did not run.
+    Refuse(oriolecleat_core::balance::Refusal),
+}
+
+impl Slot {
+    pub(crate) fn push(&mut self, decision: Decision) {
+        self.decisions.push_back(decision);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+impl Service {
+    pub(crate) fn new(name: &str, place: Place, limits: Limits) -> Self {
+        Self {
+            name: name.into(),
+            balancer: Balancer::new(place, limits),
+        }
+    }
+
+    /// Requests of this VM that the targets work on.
+    pub(crate) fn in_flight(&self) -> u64 {
+        self.balancer
+            .targets()
+            .iter()
+            .map(|(_, target)| target.in_flight)
+            .sum()
+    }
+}
+
+/// The limits of a service on one VM: the sums over its entries, shared out by `ceiling`.
+pub(crate) fn limits(entries: &[(Box<str>, Entry)], ceiling: u64) -> Limits {
+    let sum = |field: fn(&entry::Limits) -> u64| -> u64 {
+        entries.iter().map(|(_, entry)| field(&entry.limits)).sum()
+    };
+    let share = |field: fn(&entry::Limits) -> u64| sum(field) / ceiling;
+    let queue = sum(|limits| limits.queue);
+    Limits {
+        queue: usize::try_from(queue).unwrap_or(usize::MAX),
+        measuring_rate: share(|limits| limits.measuring_bytes_per_s),
+        measuring_burst: share(|limits| limits.measuring_burst_bytes),
+        remote_rate: share(|limits| limits.cross_region_bytes_per_s),
+        remote_burst: share(|limits| limits.cross_region_burst_bytes),
+        exchange: EXCHANGE_BYTES,
+    }
+}
+
+/// The targets that the entries name, each once.
+pub(crate) fn targets(entries: &[(Box<str>, Entry)]) -> Vec<entry::Target> {
+    let mut targets: Vec<entry::Target> = Vec::new();
+    for target in entries.iter().flat_map(|(_, entry)| &entry.targets) {
+        if !targets.iter().any(|known| known.name == target.name) {
+            targets.push(target.clone());
+        }
+    }
+    targets
+}
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -24,8 +24,10 @@
 use crate::node::Shared;
 use crate::operator;
 use crate::platform;
+use crate::probe;
 use crate::query::Client;
 use crate::query::Query;
+use crate::timer;
 
 const QUERY_QUEUE: usize = 256;
 
@@ -68,11 +70,9 @@
         .await
         .change_context(Failure("the operator port could not be opened"))?;
     let vm = settings.vm.clone();
-    let node = Node::new(
-        settings,
-        Clock::start(),
-        SmallRng::from_rng(&mut rand::rng()),
-    );
+    let rng = SmallRng::from_rng(&mut rand::rng());
+    let (probes, orders) = mpsc::unbounded_channel();
+    let node = Node::new(settings, Clock::start(), rng, probes);
     let node: Shared = Rc::new(RefCell::new(node));
     let (sender, queries) = mpsc::channel(QUERY_QUEUE);
     let client = Client::new(sender);
@@ -80,6 +80,8 @@
     spawn_pages(operators, operator::router(client));
     tokio::task::spawn_local(answer(node.clone(), queries));
     tokio::task::spawn_local(platform::follow(node.clone()));
+    tokio::task::spawn_local(probe::run(node.clone(), orders));
+    tokio::task::spawn_local(timer::run(node.clone()));
     log::info!(vm:% = vm, caller:% = listen.caller, directory:% = listen.directory; "serving");
     caller::serve(node, callers).await;
     Ok(())
--- /dev/null
+++ b/crates/daemon/src/timer.rs
@@ -0,0 +1,52 @@
+//! Lets time pass in the node.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::clock;
+use crate::metrics::Gauge;
+use crate::node::Node;
+use crate::node::Shared;
+
+const IDLE_TICK: Duration = Duration::from_millis(100);
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Ticks the balancers and reports metrics until the process ends.
+pub(crate) async fn run(node: Shared) {
+    let notify = node.borrow().timer.clone();
+    let mut report = Instant::now() + REPORT_INTERVAL;
+    loop {
+        let wait = {
+            let mut node = node.borrow_mut();
+            let next = node.tick();
+            let now = node.clock.now();
+            next.map_or(IDLE_TICK, |next| {
+                clock::duration(next.since(now)).min(IDLE_TICK)
+            })
+        };
+        if Instant::now() >= report {
+            report = Instant::now() + REPORT_INTERVAL;
+            let mut node = node.borrow_mut();
+            let gauges = gauges(&node);
+            node.metrics.report(&gauges);
+        }
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            () = notify.notified() => {}
+        }
+    }
+}
+
+fn gauges(node: &Node) -> Vec<(Gauge, u64)> {
+    let sum = |count: fn(&crate::service::Service) -> u64| -> u64 {
+        node.services.values().map(count).sum()
+    };
+    vec![
+        (Gauge::InFlight, sum(crate::service::Service::in_flight)),
+        (
+            Gauge::Waiting,
+            sum(|service| service.balancer.waiting() as u64),
+        ),
+    ]
+}
