Add leaving evidence, limits, budgets, address answers and the planned stop

Naive forms of them fail: a bucket that refills while a reservation is outstanding lets two bursts into one window; an answer read after a freeze looks fresh; ages of peers' news do not include the time on the way, so two peers can renew each other's evidence forever.

Change: `limit::Bucket` counts exact fractions of a token and keeps reservations inside its capacity; `budget::Meter` spends the whole divided by the VM ceiling and starts empty. `leaving::Evidence` dates positive evidence by when its request was sent and keeps evidence of leaving until a probe ends it; peers are told again only when evidence is 5 s newer. `address::choose` names two near VMs and one of another data centre in turn. `stop::Phase` waits for the lifetime of address answers, then for requests in flight, and its limit does not cut a request before the request's own deadline. `Span::less` is new.

--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,164 @@
+//! Budgets that hold over all VMs together without shared state.
+//!
+//! Each VM spends at most the whole divided by the ceiling on VMs, whatever it knows of the fleet,
+//! and starts with nothing. At most `ceiling` processes run at once, so their lifetimes fit into
+//! `ceiling` seats without overlap, and each seat spends at most its share: over any window, all
+//! VMs together spend at most rate × window + burst.
+
+use crate::limit::Bucket;
+use crate::limit::Rate;
+use crate::time::Instant;
+
+key! {
+    /// The whole of a budget in bytes, over all VMs.
+    pub struct Whole {
+        /// Bytes a second.
+        pub bytes_per_s: u64,
+        /// Bytes that may be spent at once.
+        pub burst_bytes: u64,
+        /// Largest number of VM processes alive at once.
+        pub vm_ceiling: u64,
+    }
+
+    /// Where the bytes travel.
+    pub enum Path {
+        /// Within a region.
+        Within,
+        /// Between regions: both regions bill the bytes, so they count twice.
+        Between,
+    }
+}
+
+/// Bytes set aside. The sender has to close the connection when more than [`Reservation::bytes`]
+/// were carried, and to settle in every case; what is never settled stays reserved.
+#[must_use]
+#[derive(Debug)]
+pub struct Reservation {
+    bytes: u64,
+    path: Path,
+}
+
+impl Reservation {
+    /// Bytes that may be carried, in both directions together.
+    #[must_use]
+    pub const fn bytes(&self) -> u64 {
+        self.bytes
+    }
+}
+
+impl Path {
+    const fn cost(self, bytes: u64) -> u64 {
+        match self {
+            Self::Within => bytes,
+            Self::Between => bytes.saturating_mul(2),
+        }
+    }
+}
+
+impl Whole {
+    fn rate(self) -> Rate {
+        Rate {
+            per_s: self.bytes_per_s,
+            burst: self.burst_bytes,
+            divisor: self.vm_ceiling,
+        }
+    }
+}
+
+/// This VM's share of a budget in bytes.
+#[derive(Clone, Debug)]
+pub struct Meter {
+    bucket: Bucket,
+    whole: Whole,
+    refused: u64,
+}
+
+impl Meter {
+    /// A meter that has nothing to spend yet.
+    #[must_use]
+    pub fn new(now: Instant, whole: Whole) -> Self {
+        Self {
+            bucket: Bucket::new(now, whole.rate()),
+            whole,
+            refused: 0,
+        }
+    }
+
+    /// Takes over another budget and keeps what was spent and reserved.
+    pub fn update(&mut self, now: Instant, whole: Whole) {
+        if whole != self.whole {
+            self.bucket.update(now, whole.rate());
+            self.whole = whole;
+        }
+    }
+
+    /// Sets aside an upper bound of the bytes of both directions, before the first is sent. None if
+    /// the budget does not allow them.
+    pub fn reserve(&mut self, now: Instant, bytes: u64, path: Path) -> Option<Reservation> {
+        if self.bucket.reserve(now, path.cost(bytes)) {
+            return Some(Reservation { bytes, path });
+        }
+        self.refused = self.refused.saturating_add(1);
+        None
+    }
+
+    /// Ends a reservation with the bytes that were carried in both directions. Bytes above the
+    /// reservation leave a debt that later measurements pay.
+    pub fn settle(&mut self, now: Instant, reservation: &Reservation, bytes: u64) {
+        let path = reservation.path;
+        let reserved = path.cost(reservation.bytes);
+        self.bucket.settle(now, reserved, path.cost(bytes));
+    }
+
+    /// Whether a measurement of `bytes` can ever fit into this VM's share.
+    #[must_use]
+    pub fn fits(&self, bytes: u64, path: Path) -> bool {
+        self.bucket.fits(path.cost(bytes))
+    }
+
+    /// Reservations refused so far.
+    #[must_use]
+    pub const fn refused(&self) -> u64 {
+        self.refused
+    }
+}
+
+/// Most retries that can be saved up.
+const RETRY_BURST: u64 = 10;
+
+/// Permission for extra attempts, retries or hedges, as a percentage of calls.
+#[derive(Clone, Debug)]
+pub struct Retry {
+    percent: u64,
+    /// Hundredths of an attempt.
+    saved: u64,
+}
+
+impl Retry {
+    /// No attempt saved up.
+    #[must_use]
+    pub const fn new(percent: u64) -> Self {
+        Self { percent, saved: 0 }
+    }
+
+    /// Takes over another percentage.
+    pub const fn update(&mut self, percent: u64) {
+        self.percent = percent;
+    }
+
+    /// A call was made for the first time.
+    pub fn called(&mut self) {
+        let saved = self.saved.saturating_add(self.percent);
+        self.saved = saved.min(RETRY_BURST * 100);
+    }
+
+    /// Takes one extra attempt; false if none is saved up.
+    #[must_use]
+    pub const fn take(&mut self) -> bool {
+        let Some(left) = self.saved.checked_sub(100) else {
+            return false;
+        };
+        self.saved = left;
+        true
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,14 +5,19 @@
 #[macro_use]
 mod derive;
 
+pub mod address;
 pub mod balance;
+pub mod budget;
 pub mod catalogue;
 pub mod entry;
+pub mod leaving;
+pub mod limit;
 pub mod map;
 pub mod read;
 pub mod request;
 pub mod route;
 pub mod settings;
+pub mod stop;
 pub mod target;
 pub mod ticket;
 pub mod time;
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -61,6 +61,12 @@
         self.0 / 1_000
     }
 
+    /// The span less `other`, zero if `other` is longer.
+    #[must_use]
+    pub const fn less(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
     /// Half of the span.
     #[must_use]
     pub const fn half(self) -> Self {
--- /dev/null
+++ b/crates/core/tests/leaving.rs
@@ -0,0 +1,417 @@
+//! P5: guards against new work for a target that is leaving, and against targets that stay out
+//! although nothing speaks against them.
+
+use oriolecleat_core::leaving::Bounds;
+use oriolecleat_core::leaving::Evidence;
+use oriolecleat_core::leaving::Listed;
+use oriolecleat_core::leaving::News;
+use oriolecleat_core::leaving::Probe;
+use oriolecleat_core::leaving::Source;
+use oriolecleat_core::leaving::Standing;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+const BOUNDS: Bounds = Bounds {
+    confirm_after: Span::from_millis(2_000),
+    hold: Span::from_millis(60_000),
+};
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// An answer to a request sent so long ago, with or without a drain sign.
+    Answer(u64, bool),
+    Probe(u64, Probe),
+    Refused,
+    List(Listed, u64),
+    News(Source, u64),
+    Removed,
+    Restored,
+}
+
+/// Feeds `event`; returns whether peers have to be told.
+fn feed(evidence: &mut Evidence, now: u64, event: Event) -> bool {
+    let sent = |ago| at(now.saturating_sub(ago));
+    match event {
+        Event::Answer(ago, draining) => evidence.answered(at(now), sent(ago), draining),
+        Event::Probe(ago, probe) => evidence.probed(at(now), sent(ago), probe),
+        Event::Refused => evidence.refused(at(now)),
+        Event::List(listed, age) => evidence.listed(at(now), listed, Span::from_millis(age)),
+        Event::News(source, age) => {
+            let age = Span::from_millis(age);
+            evidence.heard(at(now), News { source, age })
+        }
+        Event::Removed => {
+            evidence.removed(at(now));
+            false
+        }
+        Event::Restored => {
+            evidence.restored();
+            false
+        }
+    }
+}
+
+struct Case {
+    name: &'static str,
+    events: &'static [(u64, Event)],
+    standings: &'static [(u64, Standing)],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "an unknown target has to be confirmed",
+        events: &[],
+        standings: &[(100_000, Standing::Confirm)],
+    },
+    Case {
+        name: "positive evidence ages",
+        events: &[(100_000, Event::Answer(0, false))],
+        standings: &[(101_999, Standing::Fit), (102_000, Standing::Confirm)],
+    },
+    Case {
+        name: "an answer read after a freeze counts from when its request was sent",
+        events: &[(100_000, Event::Answer(5_000, false))],
+        standings: &[(100_000, Standing::Confirm)],
+    },
+    Case {
+        name: "answers without a sign do not cancel a drain sign",
+        events: &[
+            (100_000, Event::Answer(0, true)),
+            (101_000, Event::Answer(0, false)),
+            (102_000, Event::Probe(0, Probe::Fit)),
+        ],
+        standings: &[(102_000, Standing::Leaving), (160_000, Standing::Confirm)],
+    },
+    Case {
+        name: "after the hold only a probe brings a target back",
+        events: &[
+            (100_000, Event::Answer(0, true)),
+            (160_500, Event::Answer(400, false)),
+            (161_000, Event::Probe(100, Probe::Fit)),
+        ],
+        standings: &[(161_000, Standing::Fit)],
+    },
+    Case {
+        name: "a probe sent during the hold does not count after it",
+        events: &[
+            (100_000, Event::Answer(0, true)),
+            (160_100, Event::Probe(200, Probe::Fit)),
+        ],
+        standings: &[(160_100, Standing::Confirm)],
+    },
+    Case {
+        name: "a refused connection counts until a probe succeeds",
+        events: &[
+            (100_000, Event::Refused),
+            (101_000, Event::Probe(10, Probe::Fit)),
+        ],
+        standings: &[(101_000, Standing::Fit)],
+    },
+    Case {
+        name: "a probe sent before the refusal does not cancel it",
+        events: &[
+            (100_000, Event::Refused),
+            (100_100, Event::Probe(200, Probe::Fit)),
+        ],
+        standings: &[(100_100, Standing::Leaving)],
+    },
+    Case {
+        name: "a probe does not cancel what the VM list says besides a refusal",
+        events: &[
+            (100_000, Event::Refused),
+            (100_000, Event::List(Listed::Leaving, 1_000)),
+            (100_100, Event::Probe(0, Probe::Fit)),
+        ],
+        standings: &[(158_999, Standing::Leaving), (159_000, Standing::Confirm)],
+    },
+    Case {
+        name: "a lagging list does not cancel a drain sign",
+        events: &[
+            (100_000, Event::Probe(0, Probe::Draining)),
+            (100_100, Event::List(Listed::Live, 0)),
+        ],
+        standings: &[(100_100, Standing::Leaving)],
+    },
+    Case {
+        name: "a list that says live is no positive evidence",
+        events: &[(100_000, Event::List(Listed::Live, 0))],
+        standings: &[(100_000, Standing::Confirm)],
+    },
+    Case {
+        name: "old news does not revive what a probe has ended",
+        events: &[
+            (100_000, Event::Probe(0, Probe::Draining)),
+            (160_000, Event::Probe(0, Probe::Fit)),
+            (160_100, Event::News(Source::Drain, 5_000)),
+            (160_100, Event::List(Listed::Leaving, 200)),
+        ],
+        standings: &[(160_100, Standing::Fit)],
+    },
+    Case {
+        name: "old news of a refusal does not revive it after a probe",
+        events: &[
+            (100_000, Event::Refused),
+            (101_000, Event::Probe(0, Probe::Fit)),
+            (101_500, Event::News(Source::Refused, 1_000)),
+        ],
+        standings: &[(101_500, Standing::Fit)],
+    },
+    Case {
+        name: "news newer than the probe stops work again",
+        events: &[
+            (100_000, Event::Probe(0, Probe::Draining)),
+            (160_000, Event::Probe(0, Probe::Fit)),
+            (160_100, Event::News(Source::Drain, 50)),
+        ],
+        standings: &[(160_100, Standing::Leaving), (220_049, Standing::Leaving)],
+    },
+    Case {
+        name: "news older than the start of the process holds for the rest of its time",
+        events: &[(1_000, Event::News(Source::Drain, 50_000))],
+        standings: &[(10_999, Standing::Leaving), (11_000, Standing::Confirm)],
+    },
+    Case {
+        name: "a target that the catalogue names again has to be confirmed",
+        events: &[
+            (100_000, Event::Answer(0, false)),
+            (100_000, Event::Removed),
+            (100_100, Event::Restored),
+        ],
+        standings: &[(100_100, Standing::Confirm)],
+    },
+    Case {
+        name: "a failed probe ends positive evidence",
+        events: &[
+            (100_000, Event::Answer(0, false)),
+            (100_500, Event::Probe(300, Probe::Silent)),
+        ],
+        standings: &[(100_500, Standing::Confirm)],
+    },
+    Case {
+        name: "a freeze longer than every bound leaves nothing to go by",
+        events: &[
+            (100_000, Event::Answer(0, true)),
+            (100_000, Event::Answer(0, false)),
+        ],
+        standings: &[(9_000_000, Standing::Confirm)],
+    },
+];
+
+#[test]
+fn standing_follows_section_11() {
+    for case in CASES {
+        let mut evidence = Evidence::new(BOUNDS);
+        for (now, event) in case.events {
+            feed(&mut evidence, *now, *event);
+        }
+        for (now, standing) in case.standings {
+            let found = evidence.standing(at(*now));
+            assert_eq!(found, *standing, "{} at {now}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_target_that_refused_connections_is_probed() {
+    let mut evidence = Evidence::new(BOUNDS);
+    assert!(evidence.wants_probe(at(1)));
+    feed(&mut evidence, 1, Event::Refused);
+    assert!(evidence.wants_probe(at(2)));
+    feed(&mut evidence, 3, Event::List(Listed::Leaving, 0));
+    assert!(!evidence.wants_probe(at(4)));
+}
+
+/// Guards against two VMs that renew each other's evidence: news looks younger at each hop, because
+/// its age does not include the time on the way.
+#[test]
+fn peers_do_not_keep_a_rumour_alive() {
+    let mut vms = [Evidence::new(BOUNDS), Evidence::new(BOUNDS)];
+    let mut tell = feed(&mut vms[0], 0, Event::Answer(0, true));
+    let mut now = 0;
+    for turn in 0..10_000 {
+        now += 40;
+        let [left, right] = &mut vms;
+        let (from, to) = if turn % 2 == 0 {
+            (left, right)
+        } else {
+            (right, left)
+        };
+        // Besides what is passed on, the link reopens every 10 s and repeats everything.
+        if tell || turn % 250 < 2 {
+            let news: Vec<News> = from.news(at(now - 40)).collect();
+            tell = news.into_iter().any(|news| to.heard(at(now), news));
+        }
+    }
+    for evidence in vms {
+        assert_eq!(evidence.standing(at(62_000)), Standing::Confirm);
+    }
+}
+
+/// What is said of the target, by true time. An entry that is in `said` stops work for 60 s; after
+/// that only a probe sent later removes it.
+#[derive(Clone, Debug, Default)]
+struct Oracle {
+    now: u64,
+    said: Vec<(Source, u64)>,
+    /// When the newest request or probe was sent that got a good answer.
+    good: Option<u64>,
+    /// When the newest good probe was sent.
+    probe: Option<u64>,
+    /// When the probe was sent that last brought the target back.
+    back: Option<u64>,
+}
+
+impl Oracle {
+    fn standing(&self) -> Standing {
+        let fresh = self.good.is_some_and(|sent| self.now - sent < 2_000);
+        if self.said.iter().any(|(_, when)| self.now < when + 60_000) {
+            Standing::Leaving
+        } else if self.said.is_empty() && fresh {
+            Standing::Fit
+        } else {
+            Standing::Confirm
+        }
+    }
+
+    fn told(&mut self, source: Source, age: u64) {
+        let when = self.now.saturating_sub(age);
+        let since = match source {
+            Source::Refused => self.probe,
+            _ => self.back,
+        };
+        let outdated = age >= 60_000 || since.is_some_and(|sent| when <= sent);
+        if age == 0 || !outdated {
+            self.said.push((source, when));
+        }
+    }
+
+    fn note(&mut self, event: Event) {
+        match event {
+            Event::Answer(_, true) | Event::Probe(_, Probe::Draining) => {
+                self.told(Source::Drain, 0);
+            }
+            Event::Refused | Event::Probe(_, Probe::Refused) => self.told(Source::Refused, 0),
+            Event::List(Listed::Leaving, age) => self.told(Source::List, age),
+            Event::List(Listed::Live, _) => {}
+            Event::News(source, age) => self.told(source, age),
+            Event::Answer(ago, false) => self.good = self.good.max(Some(self.now - ago)),
+            Event::Probe(ago, Probe::Fit) => {
+                let sent = self.now - ago;
+                self.good = self.good.max(Some(sent));
+                self.probe = self.probe.max(Some(sent));
+                self.said
+                    .retain(|(source, when)| *source != Source::Refused || *when > sent);
+                if !self.said.is_empty() && self.said.iter().all(|said| said.1 + 60_000 <= sent) {
+                    self.said.clear();
+                    self.back = Some(sent);
+                }
+            }
+            Event::Probe(_, Probe::Silent) => self.good = None,
+            Event::Removed => self.told(Source::Removal, 0),
+            Event::Restored => {
+                self.said.retain(|(source, _)| *source != Source::Removal);
+                self.good = None;
+            }
+        }
+    }
+}
+
+fn events() -> impl Strategy<Value = Event> {
+    let ago = prop_oneof![3 => 0..300_u64, 1 => 0..70_000_u64];
+    let age = prop_oneof![1..2_000_u64, 1..120_000_u64];
+    let probe = prop_oneof![
+        4 => Just(Probe::Fit),
+        1 => Just(Probe::Draining),
+        1 => Just(Probe::Refused),
+        1 => Just(Probe::Silent),
+    ];
+    let listed = prop_oneof![Just(Listed::Live), Just(Listed::Leaving)];
+    let source = prop_oneof![
+        Just(Source::Drain),
+        Just(Source::Refused),
+        Just(Source::List)
+    ];
+    prop_oneof![
+        6 => (ago.clone(), prop::bool::weighted(0.1)).prop_map(|(ago, sign)| Event::Answer(ago, sign)),
+        6 => (ago, probe).prop_map(|(ago, probe)| Event::Probe(ago, probe)),
+        1 => Just(Event::Refused),
+        1 => (listed, age.clone()).prop_map(|(listed, age)| Event::List(listed, age)),
+        2 => (source, age).prop_map(|(source, age)| Event::News(source, age)),
+        1 => Just(Event::Removed),
+        1 => Just(Event::Restored),
+    ]
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = Self;
+    type Transition = (u64, Event);
+
+    fn init_state() -> BoxedStrategy<Self> {
+        let start = |now| Self {
+            now,
+            ..Self::default()
+        };
+        (100_000..200_000_u64).prop_map(start).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Self::Transition> {
+        let pass = prop_oneof![4 => 1..1_500_u64, 2 => 1..61_000_u64, 1 => Just(3_600_000)];
+        (pass, events()).boxed()
+    }
+
+    fn apply(mut state: Self, (pass, event): &Self::Transition) -> Self {
+        state.now += pass;
+        state.note(*event);
+        state
+    }
+}
+
+struct Subject(Evidence);
+
+impl StateMachineTest for Subject {
+    type SystemUnderTest = Self;
+    type Reference = Oracle;
+
+    fn init_test(_: &Oracle) -> Self {
+        Self(Evidence::new(BOUNDS))
+    }
+
+    fn apply(mut subject: Self, oracle: &Oracle, (_, event): (u64, Event)) -> Self {
+        feed(&mut subject.0, oracle.now, event);
+        assert_eq!(subject.0.standing(at(oracle.now)), oracle.standing());
+        let mut later = oracle.clone();
+        for pass in [1, 1_000, 30_000, 59_000] {
+            later.now = oracle.now + pass;
+            assert_eq!(subject.0.standing(at(later.now)), later.standing());
+        }
+        subject
+    }
+}
+
+/// A fixed seed, unless `PROPTEST_RNG_SEED` names one; `PROPTEST_CASES` sets the number of cases.
+fn config() -> ProptestConfig {
+    let mut config = ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    config
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn standing_agrees_with_what_was_said(sequential 1..40 => Subject);
+}
--- /dev/null
+++ b/crates/core/tests/stop.rs
@@ -0,0 +1,234 @@
+//! P6: guards against a planned stop that cuts a request or refuses a caller that was sent here.
+
+use oriolecleat_core::settings::Stop;
+use oriolecleat_core::stop::Phase;
+use oriolecleat_core::stop::Work;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+const BOUNDS: Stop = Stop {
+    address_ttl: Span::from_millis(10_000),
+    drain_limit: Span::from_millis(60_000),
+};
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// Time passes; a long one is a freeze.
+    Pass(u64),
+    Term,
+    /// A caller asks a peer, which hears of a stop up to 2 s late, for addresses.
+    Ask,
+    /// A request by an address answer of so long ago, with its deadline.
+    Arrive(u64, u64),
+    Finish,
+}
+
+/// The world around the VM.
+#[derive(Clone, Debug, Default)]
+struct World {
+    now: u64,
+    /// When the stop was asked for.
+    term: Option<u64>,
+    /// When the newest address answer was given that names the VM.
+    named: Option<u64>,
+}
+
+impl ReferenceStateMachine for World {
+    type State = Self;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self::default()).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Step> {
+        prop_oneof![
+            6 => prop_oneof![3 => 1..2_000_u64, 1 => 1..30_000_u64].prop_map(Step::Pass),
+            1 => Just(Step::Term),
+            2 => Just(Step::Ask),
+            4 => (0..10_000_u64, prop_oneof![1..10_000_u64, 1..600_000_u64])
+                .prop_map(|(ago, deadline)| Step::Arrive(ago, deadline)),
+            2 => Just(Step::Finish),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut world: Self, step: &Step) -> Self {
+        match step {
+            Step::Pass(millis) => world.now += millis,
+            Step::Term => world.term = world.term.or(Some(world.now)),
+            Step::Ask if world.term.is_none_or(|term| world.now < term + 2_000) => {
+                world.named = Some(world.now);
+            }
+            Step::Ask | Step::Arrive(..) | Step::Finish => {}
+        }
+        world
+    }
+}
+
+struct Subject {
+    phase: Phase,
+    /// Deadlines of the requests in flight.
+    in_flight: Vec<u64>,
+    last_arrival: u64,
+}
+
+impl Subject {
+    fn work(&self) -> Work {
+        Work {
+            in_flight: self.in_flight.len() as u64,
+            latest_deadline: at(self.in_flight.iter().copied().max().unwrap_or(0)),
+            last_arrival: at(self.last_arrival),
+            handed_over: true,
+        }
+    }
+
+    fn arrive(&mut self, world: &World, ago: u64, deadline: u64) {
+        let asked = world.now.saturating_sub(ago);
+        if matches!(self.phase, Phase::Stopped(_)) {
+            return;
+        }
+        self.last_arrival = world.now;
+        if self.phase.accepts() {
+            self.in_flight.push(world.now + deadline);
+        } else {
+            let sent_here = world.named.is_some_and(|named| asked <= named);
+            assert!(!sent_here, "refused a caller whose address answer is valid");
+        }
+    }
+}
+
+impl StateMachineTest for Subject {
+    type SystemUnderTest = Self;
+    type Reference = World;
+
+    fn init_test(_: &World) -> Self {
+        Self {
+            phase: Phase::default(),
+            in_flight: Vec::new(),
+            last_arrival: 0,
+        }
+    }
+
+    fn apply(mut subject: Self, world: &World, step: Step) -> Self {
+        match step {
+            Step::Pass(_) | Step::Ask => {}
+            Step::Term => subject.phase = subject.phase.leave(at(world.now), &BOUNDS),
+            Step::Arrive(ago, deadline) => subject.arrive(world, ago, deadline),
+            Step::Finish => {
+                subject.in_flight.pop();
+            }
+        }
+        let before = subject.phase;
+        subject.phase = before.advance(at(world.now), &BOUNDS, subject.work());
+        let stopped = matches!(subject.phase, Phase::Stopped(_));
+        if stopped && !matches!(before, Phase::Stopped(_)) {
+            let cut = subject
+                .in_flight
+                .iter()
+                .filter(|deadline| **deadline > world.now);
+            assert_eq!(cut.count(), 0, "the stop cut requests");
+        }
+        assert_eq!(subject.phase.is_named(), world.term.is_none());
+        subject
+    }
+}
+
+/// A fixed seed, unless `PROPTEST_RNG_SEED` names one; `PROPTEST_CASES` sets the number of cases.
+fn config() -> ProptestConfig {
+    let mut config = ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    config
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_planned_stop_cuts_nothing(sequential 1..60 => Subject);
+}
+
+struct Case {
+    name: &'static str,
+    work: Work,
+    stops_at: u64,
+}
+
+const IDLE: Work = Work {
+    in_flight: 0,
+    latest_deadline: Instant::from_micros(0),
+    last_arrival: Instant::from_micros(0),
+    handed_over: true,
+};
+
+/// A stop at 0 drains from 12,000 ms on.
+const CASES: &[Case] = &[
+    Case {
+        name: "an idle VM waits for requests in the backlog",
+        work: IDLE,
+        stops_at: 12_500,
+    },
+    Case {
+        name: "callers that still arrive get their refusal",
+        work: Work {
+            last_arrival: Instant::from_micros(14_000_000),
+            ..IDLE
+        },
+        stops_at: 14_500,
+    },
+    Case {
+        name: "audit records that nobody takes do not keep it forever",
+        work: Work {
+            handed_over: false,
+            ..IDLE
+        },
+        stops_at: 72_000,
+    },
+    Case {
+        name: "a request past its deadline does not keep it forever",
+        work: Work {
+            in_flight: 1,
+            latest_deadline: Instant::from_micros(20_000_000),
+            ..IDLE
+        },
+        stops_at: 72_000,
+    },
+    Case {
+        name: "the limit does not cut a request with a longer deadline",
+        work: Work {
+            in_flight: 1,
+            latest_deadline: Instant::from_micros(300_000_000),
+            ..IDLE
+        },
+        stops_at: 300_000,
+    },
+];
+
+#[test]
+fn a_stop_ends_in_time() {
+    for case in CASES {
+        let mut phase = Phase::default().leave(at(0), &BOUNDS);
+        let mut now = 0;
+        while !matches!(phase, Phase::Stopped(_)) && now < 1_000_000 {
+            now += 100;
+            phase = phase.advance(at(now), &BOUNDS, case.work);
+            phase = phase.leave(at(now), &BOUNDS);
+            assert_eq!(phase.accepts(), now < 12_000, "{}", case.name);
+        }
+        assert_eq!(now, case.stops_at, "{}", case.name);
+    }
+}
