--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -11,6 +11,8 @@
     let rows = PAGE.lines().filter_map(|line| line.strip_prefix("| `"));
     let documented: Vec<&str> = rows.filter_map(|row| row.split('`').next()).collect();
     let counts = COUNTS.iter().map(|count| count.name());
-    let sent: Vec<&str> = counts.chain(GAUGES.iter().map(|gauge| gauge.name())).collect();
+    let sent: Vec<&str> = counts
+        .chain(GAUGES.iter().map(|gauge| gauge.name()))
+        .collect();
     assert_eq!(documented, sent);
 }
