Let evidence decide which targets get work

Cause: a target that drains or refuses connections went on to get new work, and a VM that was frozen acted on what it knew before. Change: each target has evidence that is dated and reviewed before every decision and right before the first byte; probes confirm targets only while calls wait, or two of them while a service was called in the last 10 s, so that an idle service costs no measuring traffic.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -155,6 +155,12 @@
 const TICK_WAITING: Span = Span::from_millis(2);
 const TICK_RUNNING: Span = Span::from_millis(20);
 const PROBE_AGAIN: Span = Span::from_millis(500);
+/// Targets that are kept confirmed while no call waits.
+const WARM_TARGETS: usize = 2;
+/// Probes under way at once.
+const PROBES_AT_ONCE: usize = 3;
+/// Time without a call after which no target is kept confirmed.
+const COLD_AFTER: Span = Span::from_millis(10_000);
 
 /// Queue and targets of one service.
 #[derive(Debug)]
@@ -170,6 +176,7 @@
     pub(crate) hedges: Map<u32, hedge::Budget>,
     pub(crate) latency: hedge::Quantile,
     last: Instant,
+    arrived: Option<Instant>,
 }
 
 impl Balancer {
@@ -187,6 +194,7 @@
             hedges: Map::default(),
             latency: hedge::Quantile::default(),
             last: Instant::default(),
+            arrived: None,
             limits,
         }
     }
@@ -234,9 +242,11 @@
     /// A call arrived, or a call that was over is offered again.
     pub fn arrive(&mut self, now: Instant, ask: Ask, rng: &mut SmallRng, out: &mut Vec<Action>) {
         self.pass(now);
+        self.arrived = Some(now);
         let arrived = now;
         self.admit(now, Waiting { ask, arrived }, out);
         self.dispatch(now, rng, out);
+        self.confirm(now, out);
     }
 
     /// `target` reported its load; the report is `age` old. Goes before the `finish` of the
@@ -314,12 +324,9 @@
     /// The latest moment for the next `tick`, as seen from `now`.
     #[must_use]
     pub fn next_tick(&self, now: Instant) -> Option<Instant> {
-        let unconfirmed = |(_, target): (_, &target::Target)| {
-            target.standing == Standing::Unconfirmed || target.probe.is_some()
-        };
         if self.queue.len() > 0 {
             Some(now + TICK_WAITING)
-        } else if !self.flights.is_empty() || self.targets.iter().any(unconfirmed) {
+        } else if !self.flights.is_empty() || self.wants_probes(now) {
             Some(now + TICK_RUNNING)
         } else {
             None
@@ -347,18 +354,53 @@
         }
     }
 
+    /// Whether a target has to be confirmed now: if calls wait, or to keep a few confirmed.
+    fn wants_probes(&self, now: Instant) -> bool {
+        let standing = |standing| {
+            self.targets
+                .iter()
+                .filter(move |(_, target)| target.standing == standing)
+                .count()
+        };
+        let warm = self
+            .arrived
+            .is_some_and(|arrived| now.since(arrived) < COLD_AFTER);
+        let wanted = self.queue.len() > 0 || (warm && standing(Standing::Open) < WARM_TARGETS);
+        wanted && standing(Standing::Unconfirmed) > 0
+    }
+
     fn confirm(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let measuring = &mut self.measuring;
-        for (key, target) in self.targets.iter_mut() {
-            let waits = target
+        if !self.wants_probes(now) {
+            return;
+        }
+        let recent = |target: &target::Target| {
+            target
                 .probe
-                .is_some_and(|sent| now.since(sent) < PROBE_AGAIN);
-            if target.standing == Standing::Unconfirmed && !waits {
-                let price = if target.remote { 2 } else { 1 } * PROBE_BYTES;
-                if measuring.take(now, price, 0) {
-                    target.probe = Some(now);
-                    out.push(Action::Probe { target: key });
-                }
+                .is_some_and(|sent| now.since(sent) < PROBE_AGAIN)
+        };
+        let under_way = self
+            .targets
+            .iter()
+            .filter(|(_, target)| recent(target))
+            .count();
+        let mut candidates: Vec<(target::Key, f64)> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| target.standing == Standing::Unconfirmed && !recent(target))
+            .map(|(key, target)| (key, target.round_trip))
+            .collect();
+        candidates.sort_by(|left, right| left.1.total_cmp(&right.1));
+        for (key, _) in candidates
+            .into_iter()
+            .take(PROBES_AT_ONCE.saturating_sub(under_way))
+        {
+            let Some(target) = self.targets.get_mut(key) else {
+                continue;
+            };
+            let price = if target.remote { 2 } else { 1 } * PROBE_BYTES;
+            if self.measuring.take(now, price, 0) {
+                target.probe = Some(now);
+                out.push(Action::Probe { target: key });
             }
         }
     }
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -28,7 +28,6 @@
 use crate::pool::Connection;
 use crate::relay::Attempt;
 use crate::relay::Download;
-use crate::report;
 use crate::service;
 use crate::service::Decision;
 use crate::service::Grant;
@@ -179,16 +178,22 @@
         None => Connection::open(grant.address).await,
     };
     let Ok(connection) = opened else {
+        node.borrow_mut().refused(service, grant.target);
         let fate = attempt.fail(Ending::Broken { written: false });
         abandon(node, service, call, fate);
         return Err((Code::TargetFailed, Outcome::NotRun));
     };
+    if !node.borrow().is_fit(service, grant.target) {
+        let fate = attempt.fail(Ending::Cancelled);
+        abandon(node, service, call, fate);
+        return Err((Code::NoTarget, Outcome::NotRun));
+    }
     let request = outgoing(request, grant);
     match attempt.attach(connection).send(request).await {
         Ok(response) => {
-            if let Some(report) = report::parse(response.headers()) {
-                node.borrow_mut().report(service, grant.target, report);
-            }
+            let mut shared = node.borrow_mut();
+            shared.observe(service, grant.target, attempt.started(), response.headers());
+            drop(shared);
             Ok(incoming(response, attempt))
         }
         Err(error) => {
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -3,12 +3,13 @@
 use std::task::Context;
 use std::task::Poll;
 
+use hyper::HeaderMap;
 use oriolecleat_core::balance::Action;
 use oriolecleat_core::balance::Ask;
 use oriolecleat_core::balance::Call;
 use oriolecleat_core::balance::Ending;
 use oriolecleat_core::balance::Fate;
-use oriolecleat_core::estimate::Report;
+use oriolecleat_core::leaving::Probe;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
@@ -16,6 +17,7 @@
 use crate::metrics::Count;
 use crate::node::Node;
 use crate::probe;
+use crate::report;
 use crate::service;
 use crate::service::Decision;
 use crate::service::Grant;
@@ -34,6 +36,7 @@
         let mut actions = Vec::new();
         if let Some(found) = self.services.get_mut(service) {
             self.calls.insert(ask.call, Slot::default());
+            found.review(now);
             found.balancer.arrive(now, ask, &mut self.rng, &mut actions);
             if found.balancer.waiting() > 0 {
                 self.timer.notify_one();
@@ -76,6 +79,7 @@
             return Fate::Over;
         };
         let mut actions = Vec::new();
+        found.review(now);
         let fate = found
             .balancer
             .finish(now, call, target, ending, &mut self.rng, &mut actions);
@@ -86,12 +90,52 @@
         fate
     }
 
-    /// A target reported its load on an answer.
-    pub(crate) fn report(&mut self, service: service::Key, target: target::Key, report: Report) {
+    /// The head of an answer to a request sent at `sent` arrived.
+    pub(crate) fn observe(
+        &mut self,
+        service: service::Key,
+        target: target::Key,
+        sent: Instant,
+        headers: &HeaderMap,
+    ) {
         let now = self.clock.now();
-        if let Some(found) = self.services.get_mut(service) {
+        let Some(found) = self.services.get_mut(service) else {
+            return;
+        };
+        if let Some(report) = report::parse(headers) {
             found.balancer.report(now, target, report, Span::ZERO);
         }
+        let draining = headers.contains_key("oriolecleat-drain");
+        if found.answered(now, target, sent, draining) {
+            self.leaving(service, target, "drain header on an answer");
+        }
+    }
+
+    /// The target refused a connection.
+    pub(crate) fn refused(&mut self, service: service::Key, target: target::Key) {
+        let now = self.clock.now();
+        let found = self.services.get_mut(service);
+        if found.is_some_and(|found| found.refused(now, target)) {
+            self.leaving(service, target, "connection refused");
+        }
+    }
+
+    /// Whether the target may get a request now; asked right before the first byte is written.
+    pub(crate) fn is_fit(&self, service: service::Key, target: target::Key) -> bool {
+        let now = self.clock.now();
+        self.services
+            .get(service)
+            .is_some_and(|found| found.is_fit(now, target))
+    }
+
+    /// Records that a target is leaving.
+    pub(crate) fn leaving(&mut self, service: service::Key, target: target::Key, cause: &str) {
+        if let Some(found) = self.services.get(service)
+            && let Some(target) = found.balancer.targets().get(target)
+        {
+            let target = &*target.spec.name;
+            log::info!(service = &*found.name, target, cause; "target is leaving");
+        }
     }
 
     /// A call is not wanted any more, whether it waits or runs.
@@ -115,6 +159,7 @@
             if let Some(found) = self.services.get_mut(key)
                 && found.balancer.next_tick(now).is_some()
             {
+                found.review(now);
                 found.balancer.tick(now, &mut self.rng, &mut actions);
                 let own = found.balancer.next_tick(now);
                 next = next.into_iter().chain(own).min();
@@ -204,10 +249,19 @@
         }
     }
 
-    /// A probe was answered, or not.
-    pub(crate) fn probed(&mut self, service: service::Key, target: target::Key, answered: bool) {
-        if let Some(found) = self.services.get_mut(service) {
-            found.balancer.probed(target, answered);
+    /// A probe that was sent at `sent` ended.
+    pub(crate) fn probed(&mut self, order: probe::Order, sent: Instant, result: Probe) {
+        let now = self.clock.now();
+        let Some(found) = self.services.get_mut(order.service) else {
+            return;
+        };
+        let news = found.probed(now, order.target, sent, result);
+        found.review(now);
+        let mut actions = Vec::new();
+        found.balancer.tick(now, &mut self.rng, &mut actions);
+        self.act(order.service, &actions);
+        if news {
+            self.leaving(order.service, order.target, "probe");
         }
     }
 }
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -1,6 +1,7 @@
 //! Takes catalogue changes into use.
 
 use oriolecleat_core::catalogue::Verdict;
+use oriolecleat_core::leaving;
 use oriolecleat_core::map::Set;
 use oriolecleat_core::route;
 use oriolecleat_core::version::Version;
@@ -42,6 +43,7 @@
         self.routes = route::Table::build(&self.catalogue);
         let now = self.clock.now();
         let place = self.place();
+        let bounds = leaving::Bounds::from(&self.settings.evidence);
         let mut named = Set::default();
         for (name, entries) in self.routes.services() {
             let limits = service::limits(entries, DEFAULT_VM_CEILING);
@@ -54,11 +56,13 @@
             if let Some(service) = self.services.get_mut(key) {
                 service.balancer.limit(limits);
                 service.balancer.update(now, &targets);
+                service.align(bounds);
             }
         }
         for (key, service) in &mut self.services {
             if !named.contains(&key) {
                 service.balancer.update(now, &[]);
+                service.align(bounds);
             }
         }
     }
--- /dev/null
+++ b/crates/daemon/src/evidence.rs
@@ -0,0 +1,86 @@
+//! Evidence about the targets of a service, and what it means for the balancer.
+
+use oriolecleat_core::leaving;
+use oriolecleat_core::leaving::Evidence;
+use oriolecleat_core::leaving::Probe;
+use oriolecleat_core::target;
+use oriolecleat_core::target::Standing;
+use oriolecleat_core::time::Instant;
+use slotmap::SecondaryMap;
+
+use crate::service::Service;
+
+/// Evidence by target.
+pub(crate) type Map = SecondaryMap<target::Key, Evidence>;
+
+impl Service {
+    /// Brings the evidence in line with the targets of the balancer.
+    pub(crate) fn align(&mut self, bounds: leaving::Bounds) {
+        let targets = self.balancer.targets();
+        self.evidence.retain(|key, _| targets.get(key).is_some());
+        for (key, _) in targets.iter() {
+            if !self.evidence.contains_key(key) {
+                self.evidence.insert(key, Evidence::new(bounds));
+            }
+        }
+    }
+
+    /// Tells the balancer how each target stands now. Evidence ages without events, so this goes
+    /// before every decision.
+    pub(crate) fn review(&mut self, now: Instant) {
+        for (key, evidence) in &self.evidence {
+            self.balancer.stand(key, standing(evidence.standing(now)));
+        }
+    }
+
+    /// Whether the target may get a request at `now`.
+    pub(crate) fn is_fit(&self, now: Instant, target: target::Key) -> bool {
+        let evidence = self.evidence.get(target);
+        evidence.is_some_and(|evidence| evidence.standing(now) == leaving::Standing::Fit)
+    }
+
+    /// Targets that get no new work because they leave.
+    pub(crate) fn leaving(&self, now: Instant) -> u64 {
+        let leaves = |evidence: &&Evidence| evidence.standing(now) == leaving::Standing::Leaving;
+        self.evidence.values().filter(leaves).count() as u64
+    }
+
+    /// An answer to a request sent at `sent` arrived. Returns whether peers have to be told.
+    pub(crate) fn answered(
+        &mut self,
+        now: Instant,
+        target: target::Key,
+        sent: Instant,
+        draining: bool,
+    ) -> bool {
+        let evidence = self.evidence.get_mut(target);
+        evidence.is_some_and(|evidence| evidence.answered(now, sent, draining))
+    }
+
+    /// A probe sent at `sent` ended. Returns whether peers have to be told.
+    pub(crate) fn probed(
+        &mut self,
+        now: Instant,
+        target: target::Key,
+        sent: Instant,
+        probe: Probe,
+    ) -> bool {
+        self.balancer.probed(target, false);
+        let evidence = self.evidence.get_mut(target);
+        evidence.is_some_and(|evidence| evidence.probed(now, sent, probe))
+    }
+
+    /// The target refused a connection. Returns whether peers have to be told.
+    pub(crate) fn refused(&mut self, now: Instant, target: target::Key) -> bool {
+        let evidence = self.evidence.get_mut(target);
+        evidence.is_some_and(|evidence| evidence.refused(now))
+    }
+}
+
+const fn standing(standing: leaving::Standing) -> Standing {
+    match standing {
+        leaving::Standing::Fit => Standing::Open,
+        leaving::Standing::Confirm => Standing::Unconfirmed,
+        leaving::Standing::Leaving => Standing::Leaving,
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 mod change;
 mod clock;
 mod directory;
+mod evidence;
 mod explain;
 mod logs;
 pub mod metrics;
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -1,13 +1,16 @@
 //! Probes targets.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
+use http_body_util::Limited;
 use hyper::Request;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use oriolecleat_core::leaving::Probe;
 use oriolecleat_core::target;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -16,6 +19,8 @@
 use crate::node::Shared;
 use crate::service;
 
+const BODY_LIMIT_BYTES: usize = 4_096;
+
 /// A target to probe.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Order {
@@ -30,17 +35,24 @@
         let node = node.clone();
         tokio::task::spawn_local(async move {
             let limit = clock::duration(node.borrow().settings.evidence.probe_timeout);
+            let sent = node.borrow().clock.now();
             let probed = tokio::time::timeout(limit, probe(order.address)).await;
-            let answered = matches!(probed, Ok(Ok(true)));
-            node.borrow_mut()
-                .probed(order.service, order.target, answered);
+            let result = match probed {
+                Ok(Ok(result)) => result,
+                Ok(Err(_)) | Err(_) => Probe::Silent,
+            };
+            node.borrow_mut().probed(order, sent, result);
         });
     }
 }
 
-/// Whether the target answered that it takes new work.
-async fn probe(address: SocketAddr) -> Result<bool, Box<dyn std::error::Error>> {
-    let stream = TcpStream::connect(address).await?;
+/// What the target answers on its health endpoint.
+async fn probe(address: SocketAddr) -> Result<Probe, Box<dyn std::error::Error + Send + Sync>> {
+    let stream = match TcpStream::connect(address).await {
+        Ok(stream) => stream,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => return Ok(Probe::Refused),
+        Err(error) => return Err(error.into()),
+    };
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let driver = tokio::task::spawn_local(connection);
@@ -50,7 +62,13 @@
     let response = sender.send_request(request).await?;
     let draining = response.headers().contains_key("oriolecleat-drain");
     let healthy = response.status().is_success();
-    let body = response.into_body().collect().await?.to_bytes();
+    let body = Limited::new(response.into_body(), BODY_LIMIT_BYTES)
+        .collect()
+        .await?
+        .to_bytes();
     driver.abort();
-    Ok(healthy && !draining && !body.starts_with(b"draining"))
+    if draining || body.starts_with(b"draining") {
+        return Ok(Probe::Draining);
+    }
+    Ok(if healthy { Probe::Fit } else { Probe::Silent })
 }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -52,6 +52,10 @@
         }
     }
 
+    pub(crate) fn started(&self) -> Instant {
+        self.started
+    }
+
     pub(crate) fn attach(&mut self, connection: Connection) -> &mut Connection {
         self.connection.insert(connection)
     }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -11,6 +11,8 @@
 use oriolecleat_core::target::Place;
 use oriolecleat_core::time::Span;
 
+use crate::evidence;
+
 slotmap::new_key_type! {
     /// Names a service of the node.
     pub(crate) struct Key;
@@ -23,6 +25,7 @@
 pub(crate) struct Service {
     pub(crate) name: Box<str>,
     pub(crate) balancer: Balancer,
+    pub(crate) evidence: evidence::Map,
 }
 
 data! {
@@ -74,6 +77,7 @@
         Self {
             name: name.into(),
             balancer: Balancer::new(place, limits),
+            evidence: evidence::Map::new(),
         }
     }
 
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -42,7 +42,14 @@
     let sum = |count: fn(&crate::service::Service) -> u64| -> u64 {
         node.services.values().map(count).sum()
     };
+    let now = node.clock.now();
+    let leaving = node
+        .services
+        .values()
+        .map(|service| service.leaving(now))
+        .sum();
     vec![
+        (Gauge::TargetsLeaving, leaving),
         (Gauge::InFlight, sum(crate::service::Service::in_flight)),
         (
             Gauge::Waiting,
