Stop gracefully on SIGTERM

Cause: a planned stop ended the process at once and cut requests in flight. Change: SIGTERM takes the VM through leaving and draining; it accepts requests until every address answer that names it has expired, refuses later ones as not run, and exits once nothing is in flight.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -6,6 +6,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
@@ -28,9 +29,11 @@
 use crate::pool::Connection;
 use crate::relay::Attempt;
 use crate::relay::Download;
+use crate::relay::Tracked;
 use crate::service;
 use crate::service::Decision;
 use crate::service::Grant;
+use crate::visit::Visit;
 
 /// Accepts callers until the process ends.
 pub(crate) async fn serve(node: Shared, listener: TcpListener) {
@@ -68,20 +71,36 @@
     }
 }
 
-async fn handle(
-    node: Shared,
-    request: Request<Incoming>,
-) -> Result<Response<Download>, Infallible> {
-    Ok(respond(&node, request)
-        .await
-        .unwrap_or_else(|(code, outcome)| refusal(code, outcome)))
+async fn handle(node: Shared, request: Request<Incoming>) -> Result<Response<Tracked>, Infallible> {
+    let visit = Visit::enter(&node);
+    let accepts = node.borrow().phase().accepts();
+    let answered = if accepts {
+        respond(&node, &visit, request).await
+    } else {
+        Err((Code::Stopping, Outcome::NotRun))
+    };
+    let mut response = answered.unwrap_or_else(|(code, outcome)| refusal(code, outcome));
+    if !node.borrow().phase().is_named() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    let tracked = |body| Tracked {
+        body,
+        _visit: visit,
+    };
+    Ok(response.map(tracked))
 }
 
 type Refused = (Code, Outcome);
 
-async fn respond(node: &Shared, request: Request<Incoming>) -> Result<Response<Download>, Refused> {
+async fn respond(
+    node: &Shared,
+    visit: &Visit,
+    request: Request<Incoming>,
+) -> Result<Response<Download>, Refused> {
     let service = service_name(&request).ok_or((Code::BadRequest, Outcome::NotRun))?;
     let (service, ask) = admit(node, &service, &request)?;
+    visit.wait_until(ask.deadline);
     let claimed = claim(node, ask.class, &request)?;
     let answered = forward(node, service, ask, request).await;
     if let Some(id) = claimed {
--- /dev/null
+++ b/crates/daemon/src/halt.rs
@@ -0,0 +1,71 @@
+//! Carries out a planned stop.
+
+use std::rc::Rc;
+
+use oriolecleat_core::stop::Phase;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+
+use crate::node::Node;
+use crate::node::Shared;
+
+/// Tells the tasks of the process which phase it is in.
+pub(crate) type Phases = Rc<watch::Sender<Phase>>;
+
+/// Starts the planned stop on SIGTERM or SIGINT.
+pub(crate) async fn listen(node: Shared) {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        log::error!("signals can't be received: the process can only be killed");
+        return;
+    };
+    loop {
+        let name = tokio::select! {
+            _ = terminate.recv() => "SIGTERM",
+            _ = interrupt.recv() => "SIGINT",
+        };
+        log::info!(signal = name; "planned stop requested");
+        node.borrow_mut().leave();
+    }
+}
+
+impl Node {
+    /// Starts the planned stop.
+    pub(crate) fn leave(&mut self) {
+        let phase = self.phase().leave(self.clock.now(), &self.settings.stop);
+        self.enter(phase);
+    }
+
+    /// Goes on with the planned stop if it is time.
+    pub(crate) fn advance(&mut self) {
+        let work = self.visits.work(true);
+        let phase = self
+            .phase()
+            .advance(self.clock.now(), &self.settings.stop, work);
+        self.enter(phase);
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phases.borrow()
+    }
+
+    fn enter(&mut self, phase: Phase) {
+        if phase != self.phase() {
+            log::info!(phase = name(phase); "phase of the VM changed");
+            self.phases.send_replace(phase);
+        }
+    }
+}
+
+/// The word for `phase` in logs and on the operator port.
+pub(crate) const fn name(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Serving(_) => "serving",
+        Phase::Leaving(_) => "leaving",
+        Phase::Draining(_) => "draining",
+        Phase::Stopped(_) => "stopped",
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod evidence;
 mod explain;
+mod halt;
 mod logs;
 pub mod metrics;
 mod node;
@@ -20,6 +21,7 @@
 mod service;
 mod start;
 mod timer;
+mod visit;
 
 pub use logs::init as init_logs;
 pub use start::run;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,21 +8,25 @@
 use oriolecleat_core::map::Map;
 use oriolecleat_core::route;
 use oriolecleat_core::settings::Settings;
+use oriolecleat_core::stop::Phase;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::ticket;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use crate::clock;
 use crate::clock::Clock;
+use crate::halt::Phases;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::probe;
 use crate::service;
 use crate::service::Service;
 use crate::service::Slot;
+use crate::visit::Visits;
 
 const LEDGER_CAPACITY: usize = 100_000;
 
@@ -49,6 +53,8 @@
     pub(crate) probes: mpsc::UnboundedSender<probe::Order>,
     /// Wakes the timer task when a service needs an earlier tick.
     pub(crate) timer: Rc<Notify>,
+    pub(crate) visits: Visits,
+    pub(crate) phases: Phases,
 }
 
 impl Node {
@@ -77,6 +83,8 @@
             rng,
             probes,
             timer: Rc::new(Notify::new()),
+            visits: Visits::default(),
+            phases: Rc::new(watch::Sender::new(Phase::default())),
         }
     }
 
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::node::Shared;
 use crate::pool::Connection;
 use crate::service;
+use crate::visit::Visit;
 
 /// Body of a request on its way to a target.
 pub(crate) type Upload = Incoming;
@@ -103,6 +104,32 @@
     },
 }
 
+/// Body of an answer with the request that is in flight until it ends.
+pub(crate) struct Tracked {
+    pub(crate) body: Download,
+    pub(crate) _visit: Visit,
+}
+
+impl Body for Tracked {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl Body for Download {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -7,6 +7,7 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use oriolecleat_core::settings::Settings;
+use oriolecleat_core::stop::Phase;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use salvo::Router;
@@ -20,6 +21,7 @@
 use crate::caller;
 use crate::clock::Clock;
 use crate::directory;
+use crate::halt;
 use crate::node::Node;
 use crate::node::Shared;
 use crate::operator;
@@ -83,7 +85,14 @@
     tokio::task::spawn_local(probe::run(node.clone(), orders));
     tokio::task::spawn_local(timer::run(node.clone()));
     log::info!(vm:% = vm, caller:% = listen.caller, directory:% = listen.directory; "serving");
-    caller::serve(node, callers).await;
+    let mut phases = node.borrow().phases.subscribe();
+    tokio::task::spawn_local(halt::listen(node.clone()));
+    tokio::task::spawn_local(caller::serve(node, callers));
+    // The node holds the sender, so the channel is open until the process ends.
+    let _ = phases
+        .wait_for(|phase| matches!(phase, Phase::Stopped(_)))
+        .await;
+    log::info!("stopped");
     Ok(())
 }
 
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -20,6 +20,7 @@
         let wait = {
             let mut node = node.borrow_mut();
             let next = node.tick();
+            node.advance();
             let now = node.clock.now();
             next.map_or(IDLE_TICK, |next| {
                 clock::duration(next.since(now)).min(IDLE_TICK)
@@ -50,7 +51,7 @@
         .sum();
     vec![
         (Gauge::TargetsLeaving, leaving),
-        (Gauge::InFlight, sum(crate::service::Service::in_flight)),
+        (Gauge::InFlight, node.visits.in_flight()),
         (
             Gauge::Waiting,
             sum(|service| service.balancer.waiting() as u64),
