--- a/crates/core/src/ticket.rs
+++ b/crates/core/src/ticket.rs
@@ -10,6 +10,8 @@
 use sha2::Sha256;
 
 use crate::map::Map;
+use crate::request::Code;
+use crate::request::Outcome;
 use crate::time::Instant;
 
 const TAG_BYTES: usize = 32;
@@ -102,6 +104,11 @@
     }
 }
 
+/// The right to run the work of a ticket once. A claim that is dropped leaves the ticket undecided.
+#[derive(Debug)]
+#[must_use]
+pub struct Claim(u128);
+
 /// The tickets that this incarnation ran, until each expires.
 #[derive(Debug)]
 pub struct Ledger {
@@ -128,36 +135,77 @@
     /// # Errors
     ///
     /// Returns why the request must not run.
-    pub fn claim(&mut self, now: Instant, ticket: &Ticket) -> Result<(), Refusal> {
-        if ticket.vm != self.vm || ticket.incarnation != self.incarnation {
-            return Err(Refusal::Elsewhere);
-        }
-        let expires = Instant::from_micros(ticket.expires_us);
-        if now >= expires {
-            return Err(Refusal::Expired);
-        }
-        if let Some((_, state)) = self.used.get(&ticket.id) {
-            return Err(Refusal::Used(*state));
-        }
+    pub fn claim(&mut self, now: Instant, ticket: &Ticket) -> Result<Claim, Refusal> {
+        self.check(now, ticket)?;
         if self.used.len() >= self.capacity {
             self.used.retain(|_, (expires, _)| *expires > now);
         }
         if self.used.len() >= self.capacity {
             return Err(Refusal::Full);
         }
+        let expires = Instant::from_micros(ticket.expires_us);
         self.used.insert(ticket.id, (expires, State::Undecided));
-        Ok(())
+        Ok(Claim(ticket.id))
+    }
+
+    /// What became of the work of `ticket` up to now. A refusal for another reason carries this
+    /// outcome, since the ticket may have been used before.
+    #[must_use]
+    pub fn outcome(&self, now: Instant, ticket: &Ticket) -> Outcome {
+        match self.check(now, ticket) {
+            Ok(()) => Outcome::NotRun,
+            Err(refusal) => refusal.outcome(),
+        }
+    }
+
+    fn check(&self, now: Instant, ticket: &Ticket) -> Result<(), Refusal> {
+        if ticket.vm != self.vm || ticket.incarnation != self.incarnation {
+            return Err(Refusal::Elsewhere);
+        }
+        if now >= Instant::from_micros(ticket.expires_us) {
+            return Err(Refusal::Expired);
+        }
+        match self.used.get(&ticket.id) {
+            Some((_, state)) => Err(Refusal::Used(*state)),
+            None => Ok(()),
+        }
     }
+}
 
-    /// The whole answer to the request of `id` was delivered.
-    pub fn ran(&mut self, id: u128) {
-        if let Some((_, state)) = self.used.get_mut(&id) {
+impl Claim {
+    /// The whole answer to the request was delivered.
+    pub fn ran(self, ledger: &mut Ledger) {
+        if let Some((_, state)) = ledger.used.get_mut(&self.0) {
             *state = State::Ran;
         }
     }
 
-    /// The request of `id` did not run; its ticket may be used again.
-    pub fn release(&mut self, id: u128) {
-        self.used.remove(&id);
+    /// The request did not run; its ticket may be used again.
+    pub fn release(self, ledger: &mut Ledger) {
+        ledger.used.remove(&self.0);
+    }
+}
+
+impl Refusal {
+    /// What the caller is told about the work of the ticket.
+    #[must_use]
+    pub const fn outcome(&self) -> Outcome {
+        match self {
+            Self::Invalid | Self::Full => Outcome::NotRun,
+            Self::Elsewhere | Self::Expired | Self::Used(State::Undecided) => Outcome::Unknown,
+            Self::Used(State::Ran) => Outcome::Ran,
+        }
+    }
+
+    /// The code of the refusal.
+    #[must_use]
+    pub const fn code(&self) -> Code {
+        match self {
+            Self::Invalid => Code::TicketInvalid,
+            Self::Elsewhere => Code::TicketElsewhere,
+            Self::Expired => Code::TicketExpired,
+            Self::Used(_) => Code::TicketUsed,
+            Self::Full => Code::Overloaded,
+        }
     }
 }
