--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -1,81 +1,176 @@
 //! Connections to targets.
 
+use std::collections::VecDeque;
+use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
 
+use hyper::Request;
+use hyper::Response;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use oriolecleat_core::map::Map;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 
-use crate::relay;
+use crate::socket::Socket;
+use crate::upload::Upload;
+
+/// Bounds on connections to targets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    /// Largest head of an answer.
+    pub(crate) head: usize,
+    /// Most connections to one target.
+    pub(crate) connections: usize,
+}
+
+type Driver = http1::Connection<TokioIo<Socket>, Upload>;
 
 /// A connection that carries one request at a time.
+///
+/// It makes progress only while it is polled by the task that uses it, so an exchange costs no
+/// switch between tasks, and dropping the connection closes it at once.
 pub(crate) struct Connection {
-    sender: SendRequest<relay::Upload>,
-    driver: AbortHandle,
+    sender: http1::SendRequest<Upload>,
+    driver: Option<Box<Driver>>,
+    socket: Socket,
+    seat: Seat,
+}
+
+/// A place among the connections to one target.
+struct Seat {
     address: SocketAddr,
+    open: Rc<std::cell::Cell<usize>>,
 }
 
-impl Connection {
-    /// Opens a connection.
-    pub(crate) async fn open(address: SocketAddr) -> Result<Self, std::io::Error> {
-        let stream = TcpStream::connect(address).await?;
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+/// Permission to open one connection.
+pub(crate) struct Permit(Seat, usize);
+
+impl Permit {
+    /// Opens the connection.
+    pub(crate) async fn open(self) -> io::Result<Connection> {
+        let Self(seat, head) = self;
+        let stream = TcpStream::connect(seat.address).await?;
         stream.set_nodelay(true)?;
-        let io = TokioIo::new(stream);
-        let (sender, connection) = http1::handshake(io).await.map_err(std::io::Error::other)?;
-        let driver = tokio::task::spawn_local(async move {
-            if let Err(error) = connection.await {
-                log::debug!(cause:% = error; "connection to a target ended");
-            }
-        });
-        Ok(Self {
+        let socket = Socket::new(stream);
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(head)
+            .handshake(TokioIo::new(socket.clone()))
+            .await
+            .map_err(io::Error::other)?;
+        Ok(Connection {
             sender,
-            driver: driver.abort_handle(),
-            address,
+            driver: Some(Box::new(driver)),
+            socket,
+            seat,
         })
     }
+}
 
-    /// Sends one request; bytes may have reached the target as soon as this is called.
+impl Connection {
+    /// Sends one request; bytes may have reached the target as soon as this is polled.
     pub(crate) async fn send(
         &mut self,
-        request: hyper::Request<relay::Upload>,
-    ) -> Result<hyper::Response<Incoming>, hyper::Error> {
-        self.sender.send_request(request).await
+        request: Request<Upload>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        let mut answer = std::pin::pin!(self.sender.send_request(request));
+        let driver = &mut self.driver;
+        std::future::poll_fn(|context| {
+            drive(driver, context);
+            answer.as_mut().poll(context)
+        })
+        .await
+    }
+
+    /// Moves bytes in both directions.
+    pub(crate) fn drive(&mut self, context: &mut Context<'_>) {
+        drive(&mut self.driver, context);
+    }
+
+    /// Whether the last exchange left nothing behind: the request was sent whole, the answer was
+    /// read whole and no byte followed it.
+    fn is_clean(&mut self, context: &mut Context<'_>) -> bool {
+        self.drive(context);
+        self.driver.is_some() && self.sender.is_ready()
     }
+}
 
-    /// Closes the connection at once, with all bytes in either direction.
-    pub(crate) fn close(self) {
-        self.driver.abort();
+fn drive(driver: &mut Option<Box<Driver>>, context: &mut Context<'_>) {
+    if let Some(running) = driver
+        && let Poll::Ready(ended) = Pin::new(&mut **running).poll(context)
+    {
+        if let Err(error) = ended {
+            log::debug!(cause:% = error; "connection to a target ended");
+        }
+        *driver = None;
     }
 }
 
-/// Idle connections by target address.
+#[derive(Default)]
+struct Lane {
+    idle: VecDeque<Connection>,
+    open: Rc<std::cell::Cell<usize>>,
+}
+
+/// Connections by target address.
 #[derive(Default)]
 pub(crate) struct Pool {
-    idle: Map<SocketAddr, Vec<Connection>>,
+    lanes: Map<SocketAddr, Lane>,
 }
 
-impl Pool {
+/// What a request gets.
+pub(crate) enum Taken {
     /// An idle connection that is still open.
-    pub(crate) fn take(&mut self, address: SocketAddr) -> Option<Connection> {
-        let idle = self.idle.get_mut(&address)?;
-        while let Some(connection) = idle.pop() {
-            if connection.sender.is_ready() {
-                return Some(connection);
+    Idle(Connection),
+    /// No connection is idle.
+    New(Permit),
+    /// The target has as many connections of this VM as it may.
+    Full,
+}
+
+impl Pool {
+    pub(crate) fn take(&mut self, address: SocketAddr, bounds: Bounds) -> Taken {
+        let lane = self.lanes.entry(address).or_default();
+        while let Some(connection) = lane.idle.pop_back() {
+            if connection.socket.is_quiet() {
+                return Taken::Idle(connection);
             }
-            connection.close();
         }
-        None
+        if lane.open.get() >= bounds.connections {
+            return Taken::Full;
+        }
+        lane.open.set(lane.open.get() + 1);
+        let open = Rc::clone(&lane.open);
+        Taken::New(Permit(Seat { address, open }, bounds.head))
     }
 
-    /// Keeps a connection whose answer was read whole.
-    pub(crate) fn put(&mut self, connection: Connection) {
-        self.idle
-            .entry(connection.address)
-            .or_default()
-            .push(connection);
+    /// Keeps a connection if its last exchange left nothing behind, else closes it.
+    pub(crate) fn put(&mut self, mut connection: Connection, context: &mut Context<'_>) {
+        let address = connection.seat.address;
+        let clean = connection.is_clean(context);
+        let lane = self.lanes.entry(address).or_default();
+        // The oldest connections are used last and would otherwise stay after the target closed
+        // them.
+        if lane
+            .idle
+            .front()
+            .is_some_and(|oldest| !oldest.socket.is_quiet())
+        {
+            lane.idle.pop_front();
+        }
+        if clean {
+            lane.idle.push_back(connection);
+        }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/socket.rs
@@ -0,0 +1,99 @@
+//! The byte stream of a target, which can be examined while hyper holds it.
+
+use std::io;
+use std::io::IoSlice;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+
+use socket2::SockRef;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// A connection to a target.
+#[derive(Clone)]
+pub(crate) struct Socket(Rc<TcpStream>);
+
+impl Socket {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self(Rc::new(stream))
+    }
+
+    /// Whether the connection is open and the target sent nothing that was not read.
+    pub(crate) fn is_quiet(&self) -> bool {
+        // Asks the kernel directly: the event loop may not know yet what arrived last.
+        let peeked = SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit(); 1]);
+        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            match self.0.try_read_buf(buffer) {
+                Ok(_) => return Poll::Ready(Ok(())),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+            if self.0.poll_read_ready(context)?.is_pending() {
+                return Poll::Pending;
+            }
+        }
+    }
+}
+
+impl Socket {
+    fn write(
+        &self,
+        context: &mut Context<'_>,
+        mut attempt: impl FnMut(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            match attempt(&self.0) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+            if self.0.poll_write_ready(context)?.is_pending() {
+                return Poll::Pending;
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.write(context, |stream| stream.try_write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.write(context, |stream| stream.try_write_vectored(slices))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
+    }
+}
