--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,9 @@
 #[macro_use]
 mod derive;
 
+pub mod address;
 pub mod balance;
+pub mod budget;
 pub mod catalogue;
 mod choose;
 mod dispatch;
@@ -13,6 +15,8 @@
 pub mod estimate;
 mod flight;
 pub mod hedge;
+pub mod leaving;
+pub mod limit;
 pub mod map;
 pub mod purse;
 mod queue;
@@ -20,6 +24,7 @@
 pub mod request;
 pub mod route;
 pub mod settings;
+pub mod stop;
 pub mod target;
 pub mod ticket;
 pub mod time;
