--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod leaving;
 pub mod limit;
 pub mod map;
+mod outcome;
 pub mod purse;
 mod queue;
 pub mod read;
--- /dev/null
+++ b/crates/core/src/outcome.rs
@@ -0,0 +1,122 @@
+//! The words that a caller gets about its request.
+
+use crate::balance::Refusal;
+
+key! {
+    /// What a caller is told about the work of a request.
+    pub enum Outcome {
+        /// A target ran it and answered.
+        Ran,
+        /// It did not run.
+        NotRun,
+        /// Nobody can tell.
+        Unknown,
+    }
+
+    /// Stable code of an error that the balancer itself answers.
+    pub enum Code {
+        /// The head of the request does not hold.
+        BadRequest,
+        /// No entry matches.
+        UnknownService,
+        /// The head of the request is larger than allowed.
+        HeadTooLarge,
+        /// The lengths in the head contradict each other.
+        LengthConflict,
+        /// A request of class `once` came without a ticket.
+        TicketRequired,
+        /// The ticket was not issued by this fleet.
+        TicketInvalid,
+        /// The ticket expired.
+        TicketExpired,
+        /// The ticket belongs to another VM or incarnation.
+        TicketElsewhere,
+        /// The ticket was used.
+        TicketUsed,
+        /// The entry's rate or concurrency limit is reached.
+        RateLimited,
+        /// The queue is full, or the wait would be too long.
+        Overloaded,
+        /// The deadline passed.
+        Deadline,
+        /// No target may get new work.
+        NoTarget,
+        /// This VM is stopping.
+        Stopping,
+        /// The connection to the target failed.
+        TargetFailed,
+        /// The target's answer does not hold.
+        TargetBadAnswer,
+        /// The call chain is too deep.
+        DepthExceeded,
+        /// The caller sent its body too slowly.
+        SlowCaller,
+    }
+}
+
+impl Outcome {
+    /// The word in the `oriolecleat-outcome` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl Code {
+    /// The word in the `oriolecleat-code` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::UnknownService => "unknown_service",
+            Self::HeadTooLarge => "head_too_large",
+            Self::LengthConflict => "length_conflict",
+            Self::TicketRequired => "ticket_required",
+            Self::TicketInvalid => "ticket_invalid",
+            Self::TicketExpired => "ticket_expired",
+            Self::TicketElsewhere => "ticket_elsewhere",
+            Self::TicketUsed => "ticket_used",
+            Self::RateLimited => "rate_limited",
+            Self::Overloaded => "overloaded",
+            Self::Deadline => "deadline",
+            Self::NoTarget => "no_target",
+            Self::Stopping => "stopping",
+            Self::TargetFailed => "target_failed",
+            Self::TargetBadAnswer => "target_bad_answer",
+            Self::DepthExceeded => "depth_exceeded",
+            Self::SlowCaller => "slow_caller",
+        }
+    }
+
+    /// The HTTP status.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::BadRequest | Self::LengthConflict | Self::TicketInvalid => 400,
+            Self::UnknownService => 404,
+            Self::SlowCaller => 408,
+            Self::TicketExpired | Self::TicketElsewhere | Self::TicketUsed => 409,
+            Self::TicketRequired => 428,
+            Self::RateLimited => 429,
+            Self::HeadTooLarge => 431,
+            Self::TargetFailed | Self::TargetBadAnswer => 502,
+            Self::Overloaded | Self::NoTarget | Self::Stopping => 503,
+            Self::Deadline => 504,
+            Self::DepthExceeded => 508,
+        }
+    }
+}
+
+impl From<Refusal> for Code {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Overloaded => Self::Overloaded,
+            Refusal::Deadline => Self::Deadline,
+            Refusal::NoTarget => Self::NoTarget,
+        }
+    }
+}
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -5,137 +5,19 @@
 
 use std::marker::PhantomData;
 
-use crate::balance::Refusal;
 use crate::entry::Class;
 use crate::entry::Entry;
+pub use crate::outcome::Code;
+pub use crate::outcome::Outcome;
 use crate::time::Instant;
 use crate::time::Span;
 
 /// Longest chain of calls; a request further down is refused.
 pub const DEPTH_LIMIT: u64 = 15;
 
-/// Targets that may shed one request before its caller is told that it did not run. It bounds the
-/// bytes spent on one request while every target is full.
-const SHED_LIMIT: u64 = 16;
-
-key! {
-    /// What a caller is told about the work of a request.
-    pub enum Outcome {
-        /// A target ran it and answered.
-        Ran,
-        /// It did not run.
-        NotRun,
-        /// Nobody can tell.
-        Unknown,
-    }
-
-    /// Stable code of an error that the balancer itself answers.
-    pub enum Code {
-        /// The head of the request does not hold.
-        BadRequest,
-        /// No entry matches.
-        UnknownService,
-        /// The head of the request is larger than allowed.
-        HeadTooLarge,
-        /// The lengths in the head contradict each other.
-        LengthConflict,
-        /// A request of class `once` came without a ticket.
-        TicketRequired,
-        /// The ticket was not issued by this fleet.
-        TicketInvalid,
-        /// The ticket expired.
-        TicketExpired,
-        /// The ticket belongs to another VM or incarnation.
-        TicketElsewhere,
-        /// The ticket was used.
-        TicketUsed,
-        /// The entry's rate or concurrency limit is reached.
-        RateLimited,
-        /// The queue is full, or the wait would be too long.
-        Overloaded,
-        /// The deadline passed.
-        Deadline,
-        /// No target may get new work.
-        NoTarget,
-        /// This VM is stopping.
-        Stopping,
-        /// The connection to the target failed.
-        TargetFailed,
-        /// The target's answer does not hold.
-        TargetBadAnswer,
-        /// The call chain is too deep.
-        DepthExceeded,
-        /// The caller sent its body too slowly.
-        SlowCaller,
-    }
-}
-
-impl Outcome {
-    /// The word in the `oriolecleat-outcome` header.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Ran => "ran",
-            Self::NotRun => "not-run",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
-impl Code {
-    /// The word in the `oriolecleat-code` header.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::BadRequest => "bad_request",
-            Self::UnknownService => "unknown_service",
-            Self::HeadTooLarge => "head_too_large",
-            Self::LengthConflict => "length_conflict",
-            Self::TicketRequired => "ticket_required",
-            Self::TicketInvalid => "ticket_invalid",
-            Self::TicketExpired => "ticket_expired",
-            Self::TicketElsewhere => "ticket_elsewhere",
-            Self::TicketUsed => "ticket_used",
-            Self::RateLimited => "rate_limited",
-            Self::Overloaded => "overloaded",
-            Self::Deadline => "deadline",
-            Self::NoTarget => "no_target",
-            Self::Stopping => "stopping",
-            Self::TargetFailed => "target_failed",
-            Self::TargetBadAnswer => "target_bad_answer",
-            Self::DepthExceeded => "depth_exceeded",
-            Self::SlowCaller => "slow_caller",
-        }
-    }
-
-    /// The HTTP status.
-    #[must_use]
-    pub const fn status(self) -> u16 {
-        match self {
-            Self::BadRequest | Self::LengthConflict | Self::TicketInvalid => 400,
-            Self::UnknownService => 404,
-            Self::SlowCaller => 408,
-            Self::TicketExpired | Self::TicketElsewhere | Self::TicketUsed => 409,
-            Self::TicketRequired => 428,
-            Self::RateLimited => 429,
-            Self::HeadTooLarge => 431,
-            Self::TargetFailed | Self::TargetBadAnswer => 502,
-            Self::Overloaded | Self::NoTarget | Self::Stopping => 503,
-            Self::Deadline => 504,
-            Self::DepthExceeded => 508,
-        }
-    }
-}
-
-impl From<Refusal> for Code {
-    fn from(refusal: Refusal) -> Self {
-        match refusal {
-            Refusal::Overloaded => Self::Overloaded,
-            Refusal::Deadline => Self::Deadline,
-            Refusal::NoTarget => Self::NoTarget,
-        }
-    }
-}
+/// Times that one request may go back to the queue. It bounds the bytes spent on one request while
+/// every target sheds, and the connection attempts while every target refuses connections.
+const REQUEUE_LIMIT: u64 = 16;
 
 key! {
     /// Terms under which a request is served.
@@ -176,7 +58,7 @@
 struct Course {
     terms: Terms,
     attempt: u64,
-    sheds: u64,
+    requeues: u64,
     /// `NotRun` until an attempt was written and not shed.
     outcome: Outcome,
 }
@@ -188,6 +70,14 @@
             outcome: self.outcome,
         }
     }
+
+    fn requeue(mut self, code: Code) -> Result<Admitted, End> {
+        self.requeues += 1;
+        if self.requeues >= REQUEUE_LIMIT {
+            return Err(self.end(code));
+        }
+        Ok(Admitted(self))
+    }
 }
 
 /// A request whose head was read.
@@ -230,7 +120,7 @@
         Ok(Admitted(Course {
             terms,
             attempt: 1,
-            sheds: 0,
+            requeues: 0,
             outcome: Outcome::NotRun,
         }))
     }
@@ -293,9 +183,12 @@
     }
 
     /// Gives the target back; the request waits for another one.
-    #[must_use]
-    pub fn requeue(self) -> Admitted {
-        Admitted(self.0)
+    ///
+    /// # Errors
+    ///
+    /// Returns the end, for the reason `code`, if the request went back too often.
+    pub fn requeue(self, code: Code) -> Result<Admitted, End> {
+        self.0.requeue(code)
     }
 
     /// Ends the request.
@@ -337,6 +230,47 @@
     Idempotent(Written<Idempotent>),
 }
 
+impl Sent {
+    /// See [`Written::shed`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the end if the request cannot go to another target.
+    pub fn shed(self, proof: Shed, replayable: bool) -> Result<Admitted, End> {
+        match self {
+            Self::Once(written) => written.shed(proof, replayable),
+            Self::Idempotent(written) => written.shed(proof, replayable),
+        }
+    }
+
+    /// See [`Written::answer`].
+    #[must_use]
+    pub fn answer(self) -> Answered {
+        match self {
+            Self::Once(written) => written.answer(),
+            Self::Idempotent(written) => written.answer(),
+        }
+    }
+
+    /// See [`Written::fail`].
+    #[must_use]
+    pub fn fail(self, code: Code) -> End {
+        match self {
+            Self::Once(written) => written.fail(code),
+            Self::Idempotent(written) => written.fail(code),
+        }
+    }
+
+    /// See [`Written::discard`].
+    #[must_use]
+    pub fn discard(self, code: Code) -> End {
+        match self {
+            Self::Once(written) => written.discard(code),
+            Self::Idempotent(written) => written.discard(code),
+        }
+    }
+}
+
 /// A request of which bytes may have reached a target.
 ///
 /// An idempotent request has a way back:
@@ -387,12 +321,11 @@
     /// # Errors
     ///
     /// Returns the end if too many targets shed the request, or if its body cannot be sent again.
-    pub fn shed(mut self, _proof: Shed, replayable: bool) -> Result<Admitted, End> {
-        self.0.sheds += 1;
-        if !replayable || self.0.sheds >= SHED_LIMIT {
+    pub fn shed(self, _proof: Shed, replayable: bool) -> Result<Admitted, End> {
+        if !replayable {
             return Err(self.0.end(Code::Overloaded));
         }
-        Ok(Admitted(self.0))
+        self.0.requeue(Code::Overloaded)
     }
 
     /// A whole answer head arrived.
@@ -421,6 +354,12 @@
 }
 
 impl Written<Idempotent> {
+    /// Permits a second copy of the request while the first runs. From then on the request is never
+    /// reported as not run.
+    pub fn copy(&mut self) {
+        self.0.outcome = Outcome::Unknown;
+    }
+
     /// No answer head arrived; the request waits for another target if `allowed` and if it is at
     /// the top of its call chain, so that attempts in a chain add up and do not multiply.
     ///
--- /dev/null
+++ b/crates/daemon/src/attempt.rs
@@ -0,0 +1,150 @@
+//! A call in the balancer and its attempts at targets.
+
+use std::future::poll_fn;
+use std::task::Context;
+use std::task::Poll;
+
+use hyper::header::HeaderValue;
+use oriolecleat_core::balance::Ask;
+use oriolecleat_core::balance::Call;
+use oriolecleat_core::balance::Ending;
+use oriolecleat_core::balance::Fate;
+use oriolecleat_core::balance::Refusal;
+use oriolecleat_core::target;
+use oriolecleat_core::time::Instant;
+
+use crate::node::Shared;
+use crate::service;
+use crate::service::Decision;
+use crate::service::Grant;
+
+/// A request's place in the balancer, left when it is dropped.
+pub(crate) struct Line {
+    node: Shared,
+    service: service::Key,
+    ask: Ask,
+    id: HeaderValue,
+    open: bool,
+}
+
+impl Line {
+    /// Offers a call to the balancer.
+    pub(crate) fn new(node: &Shared, service: service::Key, ask: Ask, id: HeaderValue) -> Self {
+        node.borrow_mut().arrive(service, ask.clone());
+        Self {
+            node: node.clone(),
+            service,
+            ask,
+            id,
+            open: true,
+        }
+    }
+
+    /// Id of the request.
+    pub(crate) fn id(&self) -> &str {
+        self.id.to_str().unwrap_or_default()
+    }
+
+    /// The balancer has forgotten the call.
+    pub(crate) fn close(&mut self) {
+        self.open = false;
+    }
+
+    /// Offers the request to the balancer as a new call.
+    pub(crate) fn again(&mut self) {
+        self.leave();
+        let mut node = self.node.borrow_mut();
+        self.ask.call = node.new_call();
+        node.arrive(self.service, self.ask.clone());
+        self.open = true;
+    }
+
+    /// The next decision of the balancer.
+    pub(crate) fn poll_decision(&self, context: &mut Context<'_>) -> Poll<Decision> {
+        let mut node = self.node.borrow_mut();
+        node.poll_decision(self.ask.call, context)
+    }
+
+    /// Waits for a target.
+    pub(crate) async fn granted(&self) -> Result<Grant, Refusal> {
+        loop {
+            match poll_fn(|context| self.poll_decision(context)).await {
+                Decision::Send(grant) => return Ok(grant),
+                Decision::Refuse(refusal) => return Err(refusal),
+                Decision::Hedge(grant) => drop(self.attempt(grant.target)),
+                Decision::Cancel(target) => log::debug!(target:? = target; "no copy to cancel"),
+            }
+        }
+    }
+
+    /// Begins an attempt at a target that was granted.
+    pub(crate) fn attempt(&self, target: target::Key) -> Attempt {
+        let started = self.node.borrow().clock.now();
+        Attempt {
+            node: self.node.clone(),
+            service: self.service,
+            call: self.ask.call,
+            target,
+            started,
+            open: true,
+        }
+    }
+
+    fn leave(&mut self) {
+        if std::mem::replace(&mut self.open, false) {
+            self.node.borrow_mut().withdraw(self.service, self.ask.call);
+        }
+    }
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
+
+/// One attempt at a target; an attempt that is dropped unfinished is cancelled.
+pub(crate) struct Attempt {
+    node: Shared,
+    service: service::Key,
+    call: Call,
+    target: target::Key,
+    started: Instant,
+    open: bool,
+}
+
+impl Attempt {
+    pub(crate) fn target(&self) -> target::Key {
+        self.target
+    }
+
+    /// The whole answer was read.
+    pub(crate) fn answered(self, failed: bool) -> Fate {
+        let latency = self.node.borrow().clock.now().since(self.started);
+        self.end(Ending::Answered { latency, failed })
+    }
+
+    /// The attempt ended.
+    pub(crate) fn end(mut self, ending: Ending) -> Fate {
+        self.report(ending)
+    }
+
+    /// The balancer ended the attempt itself.
+    pub(crate) fn forget(mut self) {
+        self.open = false;
+    }
+
+    fn report(&mut self, ending: Ending) -> Fate {
+        if !std::mem::replace(&mut self.open, false) {
+            return Fate::Over;
+        }
+        let mut node = self.node.borrow_mut();
+        node.finish(self.service, self.call, self.target, ending)
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.report(Ending::Cancelled);
+    }
+}
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -1,67 +1,126 @@
 //! The request path: from a caller's request to a target's answer.
 
+use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::Poll;
 
+use http::request::Parts;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use oriolecleat_core::balance::Ask;
-use oriolecleat_core::balance::Call;
-use oriolecleat_core::balance::Ending;
-use oriolecleat_core::balance::Fate;
 use oriolecleat_core::entry::Class;
+use oriolecleat_core::entry::Entry;
+use oriolecleat_core::request::Admitted;
 use oriolecleat_core::request::Code;
+use oriolecleat_core::request::End;
 use oriolecleat_core::request::Outcome;
-use oriolecleat_core::ticket;
+use oriolecleat_core::request::Received;
+use rand::RngExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::attempt::Line;
 use crate::clock;
+use crate::exchange::Exchange;
+use crate::head;
+use crate::head::Facts;
+use crate::head::Outgoing;
+use crate::metrics::Count;
 use crate::node::Shared;
-use crate::pool::Connection;
-use crate::relay::Attempt;
+use crate::race::Reply;
+use crate::refusal;
+use crate::relay::Delivery;
 use crate::relay::Download;
-use crate::report;
 use crate::service;
-use crate::service::Decision;
-use crate::service::Grant;
+use crate::stream::Active;
+use crate::stream::Stream;
+use crate::stream::Watch;
+use crate::ticketed;
+use crate::ticketed::Held;
+use crate::upload;
+
+/// Headers in one head.
+const HEADERS_MAX: usize = 64;
 
 /// Accepts callers until the process ends.
 pub(crate) async fn serve(node: Shared, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(node.clone(), stream));
+                let seat = Seat::new(&open);
+                let limit = node.borrow().settings.http.connections;
+                if open.get() > limit {
+                    tokio::task::spawn_local(turn_away(stream, seat));
+                } else {
+                    tokio::task::spawn_local(connection(node.clone(), stream, seat));
+                }
+            }
+            Err(error) => {
+                log::warn!(cause:% = error; "accepting a caller failed");
+                // Without free file descriptors, accepting fails at once until one is closed.
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
-            Err(error) => log::warn!(cause:% = error; "accepting a caller failed"),
         }
     }
 }
 
-async fn connection(node: Shared, stream: TcpStream) {
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
+
+/// Counts one connection of a caller while it is open.
+struct Seat(Rc<Cell<u64>>);
+
+impl Seat {
+    fn new(open: &Rc<Cell<u64>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Refuses a connection above the limit. No request was read, so the outcome of a ticket that it
+/// may carry is not known.
+async fn turn_away(mut stream: TcpStream, _seat: Seat) {
+    let answer = refusal::raw(Code::Overloaded, Outcome::Unknown);
+    // The answer is a courtesy: the caller may be gone.
+    let _ = stream.try_write(&answer);
+    let _ = stream.shutdown().await;
+    log::info!(code = Code::Overloaded.as_str(); "connection refused, too many are open");
+}
+
+async fn connection(node: Shared, stream: TcpStream, _seat: Seat) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(cause:% = error; "caller's connection is gone");
         return;
     }
-    let (head_bytes, head_timeout) = {
-        let node = node.borrow();
-        (
-            node.settings.http.head_bytes,
-            node.settings.http.head_timeout,
-        )
-    };
-    let service = service_fn(move |request| handle(node.clone(), request));
+    let http = node.borrow().settings.http.clone();
+    let head = usize::try_from(http.head_bytes).unwrap_or(usize::MAX);
+    let watch = Rc::new(Watch::default());
+    let idle = clock::duration(http.body_idle);
+    let stream = Stream::new(stream, Rc::clone(&watch), head, idle);
+    let service = service_fn(move |request| {
+        let active = Active::new(&watch);
+        handle(node.clone(), active, request)
+    });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(clock::duration(head_timeout))
-        .max_buf_size(usize::try_from(head_bytes).unwrap_or(usize::MAX))
+        .header_read_timeout(clock::duration(http.head_timeout))
+        .max_buf_size(head)
+        .max_headers(HEADERS_MAX)
         .serve_connection(TokioIo::new(stream), service)
         .await;
     if let Err(error) = served {
@@ -71,187 +130,177 @@
 
 async fn handle(
     node: Shared,
+    active: Active,
     request: Request<Incoming>,
 ) -> Result<Response<Download>, Infallible> {
-    Ok(respond(&node, request)
-        .await
-        .unwrap_or_else(|(code, outcome)| refusal(code, outcome)))
+    let (parts, body) = request.into_parts();
+    node.borrow_mut().metrics.add(Count::Calls, 1);
+    let id = head::request_id(&parts.headers).unwrap_or_else(|| new_id(&node));
+    let admitted = admit(&node, &active, &parts);
+    let prepared = admitted.and_then(|(service, admitted, ask)| {
+        let held = match ask.class {
+            Class::Once => Held::claim(&node, &parts.headers)?,
+            Class::Interactive | Class::Batch => Held::none(&node),
+        };
+        Ok((service, admitted, ask, held))
+    });
+    let (service, admitted, ask, held) = match prepared {
+        Ok(prepared) => prepared,
+        Err(end) => return Ok(refuse(&node, active, end, id)),
+    };
+    let depth = admitted.terms().depth;
+    let end = ask.deadline;
+    let left = clock::duration(end.since(node.borrow().clock.now()));
+    let deadline = tokio::time::Instant::now() + left;
+    active.watch.limit(deadline);
+    let idle = clock::duration(node.borrow().settings.http.body_idle);
+    let mut exchange = Exchange {
+        node: node.clone(),
+        service,
+        line: Line::new(&node, service, ask, id.clone()),
+        outgoing: Outgoing::new(parts, depth, id.clone()),
+        body: upload::Shared::new(body, idle),
+        held,
+        end,
+        deadline: Box::pin(tokio::time::sleep_until(deadline)),
+    };
+    Ok(match exchange.run(admitted).await {
+        Ok((reply, outcome)) => deliver(exchange, active, reply, outcome, id).await,
+        Err(end) => refuse(&node, active, end, id),
+    })
 }
 
-type Refused = (Code, Outcome);
-
-async fn respond(node: &Shared, request: Request<Incoming>) -> Result<Response<Download>, Refused> {
-    let service = service_name(&request).ok_or((Code::BadRequest, Outcome::NotRun))?;
-    let (service, ask) = admit(node, &service, &request)?;
-    let claimed = claim(node, ask.class, &request)?;
-    let answered = forward(node, service, ask, request).await;
-    if let Some(id) = claimed {
-        settle(node, id, &answered);
+/// Checks the head and finds the entry.
+fn admit(
+    node: &Shared,
+    active: &Active,
+    parts: &Parts,
+) -> Result<(service::Key, Admitted, Ask), End> {
+    let history = || ticketed::history(&node.borrow(), &parts.headers);
+    // The ticket may have been used by an earlier request.
+    let refused = |code| End {
+        code,
+        outcome: history(),
+    };
+    if active.conflict {
+        return Err(refused(Code::LengthConflict));
     }
-    answered
+    let facts = head::check(parts).map_err(|cause| {
+        log::info!(cause; "malformed head");
+        refused(Code::BadRequest)
+    })?;
+    enter(node, parts, &facts).map_err(|end| refused(end.code))
 }
 
-fn service_name(request: &Request<Incoming>) -> Option<Box<str>> {
-    let host = request.headers().get(HOST)?.to_str().ok()?;
-    let name = host.split(':').next()?;
-    Some(name.into())
-}
-
-fn admit(
+fn enter(
     node: &Shared,
-    service: &str,
-    request: &Request<Incoming>,
-) -> Result<(service::Key, Ask), Refused> {
+    parts: &Parts,
+    facts: &Facts,
+) -> Result<(service::Key, Admitted, Ask), End> {
     let mut node = node.borrow_mut();
     let call = node.new_call();
-    let unknown = (Code::UnknownService, Outcome::NotRun);
-    let key = *node.names.get(service).ok_or(unknown)?;
-    let (_, entry) = node
-        .routes
-        .find(service, request.method().as_str())
-        .ok_or(unknown)?;
-    let deadline = node.clock.now() + entry.deadline;
+    let received = Received::new(node.clock.now(), facts.limit, facts.depth);
+    let key = node.names.get(&facts.service).copied();
+    let found = node.routes.find(&facts.service, parts.method.as_str());
+    let (Some(key), Some((name, entry))) = (key, found) else {
+        return Err(received.refuse(Code::UnknownService));
+    };
+    let admitted = received.admit(entry)?;
+    let terms = admitted.terms();
     let ask = Ask {
         call,
-        class: entry.class,
-        deadline,
-        entry: 0,
-        hedge_percent: 0,
+        class: terms.class,
+        deadline: terms.deadline,
+        entry: number(name),
+        hedge_percent: hedge_percent(entry),
     };
-    Ok((key, ask))
+    Ok((key, admitted, ask))
 }
 
-/// Claims the ticket of a non-idempotent request.
-fn claim(
-    node: &Shared,
-    class: Class,
-    request: &Request<Incoming>,
-) -> Result<Option<u128>, Refused> {
-    if class != Class::Once {
-        return Ok(None);
-    }
-    let header = request.headers().get("oriolecleat-ticket");
-    let text = header
-        .ok_or((Code::TicketRequired, Outcome::NotRun))?
-        .to_str()
-        .unwrap_or_default();
-    let mut node = node.borrow_mut();
-    let ticket = node
-        .issuer
-        .verify(text)
-        .ok_or((Code::TicketInvalid, Outcome::NotRun))?;
-    let now = node.clock.now();
-    match node.ledger.claim(now, &ticket) {
-        Ok(()) => Ok(Some(ticket.id)),
-        Err(ticket::Refusal::Invalid) => Err((Code::TicketInvalid, Outcome::NotRun)),
-        Err(ticket::Refusal::Elsewhere) => Err((Code::TicketElsewhere, Outcome::Unknown)),
-        Err(ticket::Refusal::Expired) => Err((Code::TicketExpired, Outcome::Unknown)),
-        Err(ticket::Refusal::Used(ticket::State::Ran)) => Err((Code::TicketUsed, Outcome::Ran)),
-        Err(ticket::Refusal::Used(ticket::State::Undecided)) => {
-            Err((Code::TicketUsed, Outcome::Unknown))
-        }
-        Err(ticket::Refusal::Full) => Err((Code::Overloaded, Outcome::NotRun)),
-    }
+/// An id for a request that came without one.
+fn new_id(node: &Shared) -> HeaderValue {
+    let id: u128 = node.borrow_mut().rng.random();
+    let text = format!("{id:032x}");
+    HeaderValue::try_from(text).expect("hexadecimal digits form a header value")
 }
 
-fn settle(node: &Shared, id: u128, answered: &Result<Response<Download>, Refused>) {
-    let mut node = node.borrow_mut();
-    match answered {
-        Ok(_) => node.ledger.ran(id),
-        Err((_, Outcome::NotRun)) => node.ledger.release(id),
-        Err((_, Outcome::Ran | Outcome::Unknown)) => {}
-    }
+/// Tells the entries of a service apart.
+fn number(name: &str) -> u32 {
+    // FNV-1a: a collision only makes two entries share one place in the queue.
+    name.bytes().fold(0x811c_9dc5, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+    })
 }
 
-async fn forward(
-    node: &Shared,
-    service: service::Key,
-    ask: Ask,
-    request: Request<Incoming>,
-) -> Result<Response<Download>, Refused> {
-    let call = ask.call;
-    node.borrow_mut().arrive(service, ask);
-    let grant = granted(node, service, call).await?;
-    let mut attempt = Attempt::new(node, service, call, grant.target);
-    let pooled = node.borrow_mut().pool.take(grant.address);
-    let opened = match pooled {
-        Some(connection) => Ok(connection),
-        None => Connection::open(grant.address).await,
-    };
-    let Ok(connection) = opened else {
-        let fate = attempt.fail(Ending::Broken { written: false });
-        abandon(node, service, call, fate);
-        return Err((Code::TargetFailed, Outcome::NotRun));
-    };
-    let request = outgoing(request, grant);
-    match attempt.attach(connection).send(request).await {
-        Ok(response) => {
-            if let Some(report) = report::parse(response.headers()) {
-                node.borrow_mut().report(service, grant.target, report);
-            }
-            Ok(incoming(response, attempt))
-        }
-        Err(error) => {
-            log::debug!(cause:% = error; "target failed");
-            let fate = attempt.fail(Ending::Broken { written: true });
-            abandon(node, service, call, fate);
-            Err((Code::TargetFailed, Outcome::Unknown))
-        }
+fn hedge_percent(entry: &Entry) -> u8 {
+    if entry.hedge.enabled {
+        u8::try_from(entry.hedge.budget_percent).unwrap_or(u8::MAX)
+    } else {
+        0
     }
 }
 
-/// Waits for the first decision that sends or refuses the call.
-async fn granted(node: &Shared, service: service::Key, call: Call) -> Result<Grant, Refused> {
-    loop {
-        match poll_fn(|context| node.borrow_mut().poll_decision(call, context)).await {
-            Decision::Send(grant) => return Ok(grant),
-            Decision::Refuse(refusal) => return Err((Code::from(refusal), Outcome::NotRun)),
-            Decision::Hedge(grant) => {
-                node.borrow_mut()
-                    .finish(service, call, grant.target, Ending::Cancelled);
-            }
-            Decision::Cancel(target) => log::debug!(target:? = target; "no copy to cancel"),
-        }
-    }
-}
-
-fn abandon(node: &Shared, service: service::Key, call: Call, fate: Fate) {
-    if fate == Fate::Pending {
-        node.borrow_mut().withdraw(service, call);
-    }
-}
-
-fn outgoing(mut request: Request<Incoming>, grant: Grant) -> Request<Incoming> {
-    let queue = HeaderValue::from(grant.queue.as_millis());
-    request.headers_mut().insert("oriolecleat-queue-ms", queue);
-    request
-}
-
-fn incoming(response: Response<Incoming>, attempt: Attempt) -> Response<Download> {
-    let failed = response.status().is_server_error();
-    let mut response = response.map(|body| Download::Target {
+/// Passes a target's answer on.
+async fn deliver(
+    exchange: Exchange,
+    active: Active,
+    reply: Reply,
+    outcome: Outcome,
+    id: HeaderValue,
+) -> Response<Download> {
+    exchange.node.borrow_mut().metrics.add(Count::Ran, 1);
+    let idle = exchange.idle();
+    let (mut parts, body) = reply.response.into_parts();
+    head::answer(&mut parts.headers, id, outcome.as_str());
+    let mut delivery = Box::new(Delivery {
+        node: exchange.node,
         body,
-        attempt,
-        failed,
+        connection: Some(reply.connection),
+        attempt: Some(reply.attempt),
+        failed: parts.status.is_server_error(),
+        held: exchange.held,
+        line: exchange.line,
+        deadline: exchange.deadline,
+        idle,
+        waiting: None,
+        active,
     });
-    let outcome = HeaderValue::from_static(Outcome::Ran.as_str());
-    response
-        .headers_mut()
-        .insert("oriolecleat-outcome", outcome);
-    response
+    std::future::poll_fn(|context| {
+        delivery.complete_if_empty(context);
+        Poll::Ready(())
+    })
+    .await;
+    Response::from_parts(parts, Download::Target(delivery))
 }
 
-fn refusal(code: Code, outcome: Outcome) -> Response<Download> {
-    let body = serde_json::json!({ "code": code.as_str(), "outcome": outcome.as_str() });
-    let mut response = Response::new(Download::Own(Some(body.to_string().into())));
-    *response.status_mut() =
-        hyper::StatusCode::from_u16(code.status()).expect("codes have valid statuses");
-    let headers = response.headers_mut();
-    headers.insert("content-type", HeaderValue::from_static("application/json"));
-    headers.insert("oriolecleat-code", HeaderValue::from_static(code.as_str()));
-    headers.insert(
-        "oriolecleat-outcome",
-        HeaderValue::from_static(outcome.as_str()),
+/// Answers a request that has no answer of a target.
+fn refuse(node: &Shared, active: Active, end: End, id: HeaderValue) -> Response<Download> {
+    let text = id.to_str().unwrap_or_default();
+    log::info!(
+        id = text,
+        code = end.code.as_str(),
+        outcome = end.outcome.as_str();
+        "request refused: {}", refusal::message(end.code)
     );
+    let count = match end.outcome {
+        Outcome::Ran => Count::Ran,
+        Outcome::NotRun => Count::NotRun,
+        Outcome::Unknown => Count::Unknown,
+    };
+    node.borrow_mut().metrics.add(count, 1);
+    let body = refusal::body(end, Some(text));
+    let malformed = matches!(end.code, Code::BadRequest | Code::LengthConflict);
+    let mut response = Response::new(Download::Own {
+        bytes: Some(body),
+        _active: active,
+    });
+    let (status, mut headers) = refusal::head(end);
+    headers.insert("oriolecleat-request-id", id);
+    if malformed {
+        // The framing of what follows cannot be trusted.
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
     response
 }
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -12,7 +12,7 @@
 use crate::service::Service;
 
 /// Largest number of entry VM processes alive at once until the catalogue states it.
-const DEFAULT_VM_CEILING: u64 = 64;
+pub(crate) const DEFAULT_VM_CEILING: u64 = 64;
 
 impl Node {
     /// Offers catalogue content read from the configuration service.
--- /dev/null
+++ b/crates/daemon/src/exchange.rs
@@ -0,0 +1,248 @@
+//! A request between its admission and the head of its answer.
+
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use oriolecleat_core::balance::Ending;
+use oriolecleat_core::balance::Fate;
+use oriolecleat_core::request::Admitted;
+use oriolecleat_core::request::Assigned;
+use oriolecleat_core::request::Code;
+use oriolecleat_core::request::End;
+use oriolecleat_core::request::Outcome;
+use oriolecleat_core::request::Sent;
+use oriolecleat_core::target;
+use oriolecleat_core::target::Standing;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+use tokio::time::Sleep;
+
+use crate::attempt::Line;
+use crate::change::DEFAULT_VM_CEILING;
+use crate::clock;
+use crate::head::Outgoing;
+use crate::metrics::Count;
+use crate::node::Shared;
+use crate::pool::Bounds;
+use crate::pool::Connection;
+use crate::pool::Taken;
+use crate::race::Copy;
+use crate::race::Raced;
+use crate::race::Reply;
+use crate::report;
+use crate::service;
+use crate::service::Grant;
+use crate::ticketed::Held;
+use crate::upload;
+
+/// Connections to one target that a VM may always have, as a multiple of the target's slots.
+const CONNECTIONS_PER_SLOT: u64 = 2;
+
+/// Why there is no connection to a target.
+#[derive(Debug)]
+pub(crate) enum Unconnected {
+    /// This VM has as many connections to the target as it may.
+    Full,
+    /// The deadline passed.
+    Late,
+    /// The target did not accept the connection in time.
+    Refused(std::io::Error),
+}
+
+impl fmt::Display for Unconnected {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Full => formatter.write_str("all connections to the target are in use"),
+            Self::Late => formatter.write_str("the deadline passed"),
+            Self::Refused(error) => error.fmt(formatter),
+        }
+    }
+}
+
+/// A request on its way to an answer.
+pub(crate) struct Exchange {
+    pub(crate) node: Shared,
+    pub(crate) service: service::Key,
+    pub(crate) line: Line,
+    pub(crate) outgoing: Outgoing,
+    pub(crate) body: upload::Shared,
+    pub(crate) held: Held,
+    /// When the caller stops waiting, by the clock of the node.
+    pub(crate) end: Instant,
+    /// The same moment as a timer.
+    pub(crate) deadline: Pin<Box<Sleep>>,
+}
+
+impl Exchange {
+    /// Sends the request until there is an answer or an end.
+    pub(crate) async fn run(&mut self, admitted: Admitted) -> Result<(Reply, Outcome), End> {
+        let mut admitted = admitted;
+        loop {
+            let (assigned, grant) = self.assign(admitted).await?;
+            let attempt = self.line.attempt(grant.target);
+            let connection = match self.connect(&grant).await {
+                Ok(connection) => connection,
+                Err(unconnected) => {
+                    log::info!(cause:% = unconnected, id = self.line.id(); "attempt not sent");
+                    let code = match unconnected {
+                        Unconnected::Full => return Err(assigned.refuse(Code::Overloaded)),
+                        Unconnected::Late => return Err(assigned.refuse(Code::Deadline)),
+                        Unconnected::Refused(_) => Code::TargetFailed,
+                    };
+                    admitted = assigned.requeue(code)?;
+                    let fate = attempt.end(Ending::Broken { written: false });
+                    self.requeued(fate);
+                    continue;
+                }
+            };
+            // The wait for the connection may have been long enough for the target to leave.
+            if !self.may_send(grant.target) {
+                admitted = assigned.requeue(Code::NoTarget)?;
+                let fate = attempt.end(Ending::Cancelled);
+                self.requeued(fate);
+                continue;
+            }
+            let now = self.node.borrow().clock.now();
+            let number = assigned.attempt();
+            let left = self.end.since(now);
+            let request = self.outgoing.request(&grant, number, left, &self.body);
+            let mut sent = assigned.write(now)?;
+            self.held.written();
+            let copy = Copy::new(attempt, connection, request);
+            let raced = self.race(copy, || permit(&mut sent)).await;
+            admitted = match raced {
+                Raced::Answer(reply) => return Ok((*reply, sent.answer().outcome())),
+                Raced::Shed(shed, fate) => {
+                    self.held.shed();
+                    let admitted = sent.shed(shed, self.body.is_replayable())?;
+                    self.requeued(fate);
+                    admitted
+                }
+                Raced::Failed(code) => self.retry(sent, code)?,
+                Raced::Discarded(code) => return Err(sent.discard(code)),
+                Raced::Late => return Err(sent.fail(Code::Deadline)),
+            };
+        }
+    }
+
+    /// Waits for a target.
+    async fn assign(&mut self, admitted: Admitted) -> Result<(Assigned, Grant), End> {
+        let granted = tokio::select! {
+            biased;
+            granted = self.line.granted() => granted.map_err(Code::from),
+            () = self.deadline.as_mut() => Err(Code::Deadline),
+        };
+        match granted {
+            Ok(grant) => {
+                let now = self.node.borrow().clock.now();
+                match admitted.assign(now) {
+                    Ok(assigned) => Ok((assigned, grant)),
+                    Err(end) => {
+                        drop(self.line.attempt(grant.target));
+                        Err(end)
+                    }
+                }
+            }
+            Err(code) => Err(admitted.refuse(code)),
+        }
+    }
+
+    fn retry(&mut self, sent: Sent, code: Code) -> Result<Admitted, End> {
+        match sent {
+            Sent::Once(written) => Err(written.fail(code)),
+            Sent::Idempotent(written) => {
+                let allowed = self.body.is_replayable();
+                let admitted = written.retry(code, allowed)?;
+                self.node.borrow_mut().metrics.add(Count::Retries, 1);
+                self.line.again();
+                Ok(admitted)
+            }
+        }
+    }
+
+    /// The request goes back to the queue, in which the balancer keeps it if `fate` is pending.
+    fn requeued(&mut self, fate: Fate) {
+        if fate == Fate::Over {
+            self.line.again();
+        }
+    }
+
+    /// A connection to a target, idle or new.
+    pub(crate) fn connect(
+        &self,
+        grant: &Grant,
+    ) -> impl Future<Output = Result<Connection, Unconnected>> + use<> {
+        let (taken, limit, left) = {
+            let mut node = self.node.borrow_mut();
+            let targets = node
+                .services
+                .get(self.service)
+                .map(|found| found.balancer.targets());
+            let target = targets.and_then(|targets| targets.get(grant.target));
+            let slots = target.map_or(1, |target| target.spec.slots);
+            let http = &node.settings.http;
+            let limit = http.connect_timeout;
+            let share = http.connections_per_target / DEFAULT_VM_CEILING;
+            let connections = share.max(CONNECTIONS_PER_SLOT * slots);
+            let bounds = Bounds {
+                head: usize::try_from(http.head_bytes).unwrap_or(usize::MAX),
+                connections: usize::try_from(connections).unwrap_or(usize::MAX),
+            };
+            let taken = node.pool.take(grant.address, bounds);
+            (taken, limit, self.end.since(node.clock.now()))
+        };
+        async move {
+            let permit = match taken {
+                Taken::Idle(connection) => return Ok(connection),
+                Taken::Full => return Err(Unconnected::Full),
+                Taken::New(permit) => permit,
+            };
+            let wait = clock::duration(limit.min(left));
+            match tokio::time::timeout(wait, permit.open()).await {
+                Ok(Ok(connection)) => Ok(connection),
+                Ok(Err(error)) => Err(Unconnected::Refused(error)),
+                Err(_) if left <= limit => Err(Unconnected::Late),
+                Err(elapsed) => Err(Unconnected::Refused(elapsed.into())),
+            }
+        }
+    }
+
+    fn may_send(&self, target: target::Key) -> bool {
+        let node = self.node.borrow();
+        let found = node.services.get(self.service);
+        found
+            .and_then(|found| found.balancer.targets().get(target))
+            .is_some_and(|target| target.standing != Standing::Leaving)
+    }
+
+    /// Takes the load report off an answer.
+    pub(crate) fn observe(&self, target: target::Key, headers: &HeaderMap) {
+        if let Some(report) = report::parse(headers) {
+            self.node.borrow_mut().report(self.service, target, report);
+        }
+    }
+
+    /// Time until the caller stops waiting.
+    pub(crate) fn left(&self) -> Span {
+        self.end.since(self.node.borrow().clock.now())
+    }
+
+    /// Longest pause in an answer.
+    pub(crate) fn idle(&self) -> Duration {
+        clock::duration(self.node.borrow().settings.http.body_idle)
+    }
+}
+
+/// Whether a second copy may be sent.
+fn permit(sent: &mut Sent) -> bool {
+    match sent {
+        Sent::Once(_) => false,
+        Sent::Idempotent(written) => {
+            written.copy();
+            true
+        }
+    }
+}
--- a/crates/daemon/src/framing.rs
+++ b/crates/daemon/src/framing.rs
@@ -32,8 +32,8 @@
 #[derive(Debug, Default)]
 struct Lengths {
     begun: bool,
-    lengths: u64,
-    length: u64,
+    count: u64,
+    body: u64,
     chunked: bool,
 }
 
@@ -132,15 +132,15 @@
 
     fn end_of_head(&mut self) -> bool {
         let head = std::mem::take(&mut self.head);
-        if head.lengths > 1 || (head.lengths > 0 && head.chunked) {
+        if head.count > 1 || (head.count > 0 && head.chunked) {
             self.state = State::Lost;
             return true;
         }
         self.heads += 1;
         if head.chunked {
             self.state = State::Size;
-        } else if head.length > 0 {
-            self.state = State::Body(head.length);
+        } else if head.body > 0 {
+            self.state = State::Body(head.body);
         }
         false
     }
@@ -158,8 +158,8 @@
         let (name, value) = line.split_at(colon);
         if name.eq_ignore_ascii_case(b"content-length") {
             let text = std::str::from_utf8(&value[1..]).unwrap_or_default();
-            self.lengths += 1;
-            self.length = text.trim().parse().unwrap_or(0);
+            self.count += 1;
+            self.body = text.trim().parse().unwrap_or(0);
         } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
             self.chunked = true;
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,11 +1,15 @@
 //! The daemon of an entry VM: a thin I/O shell around the decisions in `oriolecleat-core`.
 
+mod attempt;
 mod caller;
 mod calls;
 mod change;
 mod clock;
 mod directory;
+mod exchange;
 mod explain;
+mod framing;
+mod head;
 mod logs;
 pub mod metrics;
 mod node;
@@ -14,11 +18,17 @@
 mod pool;
 mod probe;
 mod query;
+mod race;
+mod refusal;
 mod relay;
 mod report;
 mod service;
+mod socket;
 mod start;
+mod stream;
+mod ticketed;
 mod timer;
+mod upload;
 
 pub use logs::init as init_logs;
 pub use start::run;
--- /dev/null
+++ b/crates/daemon/src/race.rs
@@ -0,0 +1,251 @@
+//! The copies of one written request, of which one answer goes to the caller.
+
+use std::future::Future;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use oriolecleat_core::balance::Ending;
+use oriolecleat_core::balance::Fate;
+use oriolecleat_core::request::Code;
+use oriolecleat_core::request::Shed;
+
+use crate::attempt::Attempt;
+use crate::exchange::Exchange;
+use crate::exchange::Unconnected;
+use crate::head;
+use crate::pool::Connection;
+use crate::service::Decision;
+use crate::service::Grant;
+use crate::upload::Fault;
+use crate::upload::Upload;
+
+/// An answer whose head was read.
+pub(crate) struct Reply {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) connection: Connection,
+    pub(crate) attempt: Attempt,
+}
+
+/// How the copies of a request ended.
+pub(crate) enum Raced {
+    /// One has an answer.
+    Answer(Box<Reply>),
+    /// All were shed.
+    Shed(Shed, Fate),
+    /// None has an answer.
+    Failed(Code),
+    /// A target sent an answer that must not be passed on.
+    Discarded(Code),
+    /// The deadline passed.
+    Late,
+}
+
+enum Flow {
+    Head(Box<(Response<Incoming>, Connection)>),
+    Broken(hyper::Error),
+    Unconnected(Unconnected),
+}
+
+/// One copy of a request.
+pub(crate) struct Copy {
+    attempt: Attempt,
+    flow: Pin<Box<dyn Future<Output = Flow>>>,
+}
+
+impl Copy {
+    /// Writes `request` to `connection`.
+    pub(crate) fn new(
+        attempt: Attempt,
+        mut connection: Connection,
+        request: Request<Upload>,
+    ) -> Self {
+        let flow = async move {
+            match connection.send(request).await {
+                Ok(response) => Flow::Head(Box::new((response, connection))),
+                Err(error) => Flow::Broken(error),
+            }
+        };
+        Self {
+            attempt,
+            flow: Box::pin(flow),
+        }
+    }
+}
+
+impl Exchange {
+    /// Waits for the first answer; `permit` allows a second copy.
+    pub(crate) async fn race(&mut self, first: Copy, mut permit: impl FnMut() -> bool) -> Raced {
+        let mut copies = vec![first];
+        let mut last = None;
+        poll_fn(|context| {
+            self.decide(context, &mut copies, &mut permit);
+            if let Some(raced) = self.advance(context, &mut copies, &mut last) {
+                return Poll::Ready(raced);
+            }
+            if self.deadline.as_mut().poll(context).is_ready() {
+                return Poll::Ready(Raced::Late);
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    fn decide(
+        &mut self,
+        context: &mut Context<'_>,
+        copies: &mut Vec<Copy>,
+        permit: &mut impl FnMut() -> bool,
+    ) {
+        while let Poll::Ready(decision) = self.line.poll_decision(context) {
+            match decision {
+                Decision::Hedge(grant) => {
+                    let attempt = self.line.attempt(grant.target);
+                    if self.body.is_replayable() && permit() {
+                        copies.push(self.copy(grant, attempt));
+                    }
+                }
+                Decision::Cancel(target) => {
+                    let ended = copies.extract_if(.., |copy| copy.attempt.target() == target);
+                    ended.for_each(|copy| copy.attempt.forget());
+                }
+                Decision::Send(grant) => drop(self.line.attempt(grant.target)),
+                Decision::Refuse(refusal) => {
+                    log::debug!(refusal:? = refusal; "refusal of a call that runs");
+                }
+            }
+        }
+    }
+
+    /// A second copy; it opens its connection while the first copy runs.
+    fn copy(&self, grant: Grant, attempt: Attempt) -> Copy {
+        let left = self.left();
+        let request = self.outgoing.request(&grant, 1, left, &self.body);
+        let connected = self.connect(&grant);
+        let flow = async move {
+            let mut connection = match connected.await {
+                Ok(connection) => connection,
+                Err(unconnected) => return Flow::Unconnected(unconnected),
+            };
+            match connection.send(request).await {
+                Ok(response) => Flow::Head(Box::new((response, connection))),
+                Err(error) => Flow::Broken(error),
+            }
+        };
+        Copy {
+            attempt,
+            flow: Box::pin(flow),
+        }
+    }
+
+    fn advance(
+        &mut self,
+        context: &mut Context<'_>,
+        copies: &mut Vec<Copy>,
+        last: &mut Option<Raced>,
+    ) -> Option<Raced> {
+        let mut index = 0;
+        while index < copies.len() {
+            let Poll::Ready(flow) = copies[index].flow.as_mut().poll(context) else {
+                index += 1;
+                continue;
+            };
+            let copy = copies.swap_remove(index);
+            let ended = self.judge(context, copy.attempt, flow, copies.is_empty());
+            if matches!(ended, Raced::Answer(_)) {
+                return Some(ended);
+            }
+            // An attempt whose result is unknown outweighs one that was shed.
+            if !matches!((&ended, &last), (Raced::Shed(..), Some(_))) {
+                *last = Some(ended);
+            }
+        }
+        if copies.is_empty() { last.take() } else { None }
+    }
+
+    fn judge(
+        &mut self,
+        context: &mut Context<'_>,
+        attempt: Attempt,
+        flow: Flow,
+        alone: bool,
+    ) -> Raced {
+        match flow {
+            Flow::Head(head) => {
+                let (response, connection) = *head;
+                self.answered(context, attempt, response, connection, alone)
+            }
+            Flow::Broken(error) => self.broken(attempt, &error),
+            Flow::Unconnected(unconnected) => {
+                log::debug!(cause:% = unconnected, id = self.line.id(); "copy was not sent");
+                attempt.end(Ending::Broken { written: false });
+                Raced::Failed(Code::TargetFailed)
+            }
+        }
+    }
+
+    fn broken(&self, attempt: Attempt, error: &hyper::Error) -> Raced {
+        log::info!(cause:% = error, id = self.line.id(); "attempt failed");
+        let fault = self.body.fault();
+        attempt.end(match fault {
+            Some(_) => Ending::Cancelled,
+            None => Ending::Broken { written: true },
+        });
+        Raced::Failed(match fault {
+            Some(Fault::Slow) => Code::SlowCaller,
+            Some(Fault::Broken | Fault::Gone) => Code::BadRequest,
+            None if error.is_parse() => Code::TargetBadAnswer,
+            None => Code::TargetFailed,
+        })
+    }
+
+    fn answered(
+        &mut self,
+        context: &mut Context<'_>,
+        attempt: Attempt,
+        response: Response<Incoming>,
+        connection: Connection,
+        alone: bool,
+    ) -> Raced {
+        let status = response.status();
+        let headers = response.headers();
+        self.observe(attempt.target(), headers);
+        let length = response.body().size_hint().exact();
+        let bad = if status == StatusCode::SWITCHING_PROTOCOLS {
+            Some("the target switched protocols unasked")
+        } else if !self.outgoing.is_answered_by(headers) {
+            Some("the answer carries the id of another request")
+        } else if !head::is_delimited(headers, length) {
+            Some("the answer has no length and is not chunked")
+        } else {
+            None
+        };
+        if let Some(cause) = bad {
+            log::warn!(cause, id = self.line.id(); "answer discarded");
+            attempt.end(Ending::Broken { written: true });
+            return Raced::Discarded(Code::TargetBadAnswer);
+        }
+        let outcome = headers.get("oriolecleat-outcome");
+        if let Some(shed) = Shed::read(status.as_u16(), outcome.map(AsRef::as_ref)) {
+            if response.body().is_end_stream() {
+                self.node.borrow_mut().pool.put(connection, context);
+            }
+            return Raced::Shed(shed, attempt.end(Ending::Shed));
+        }
+        if status.is_server_error() && !alone {
+            attempt.answered(true);
+            return Raced::Failed(Code::TargetFailed);
+        }
+        Raced::Answer(Box::new(Reply {
+            response,
+            connection,
+            attempt,
+        }))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/refusal.rs
@@ -0,0 +1,76 @@
+//! Answers of the balancer itself.
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use oriolecleat_core::request::Code;
+use oriolecleat_core::request::End;
+use oriolecleat_core::request::Outcome;
+use serde_json::json;
+
+/// What an answer with `code` tells its reader.
+pub(crate) const fn message(code: Code) -> &'static str {
+    match code {
+        Code::BadRequest => "the request line or a header is malformed",
+        Code::UnknownService => "no entry matches the service in the Host header and the method",
+        Code::HeadTooLarge => "the head of the request is too large",
+        Code::LengthConflict => "the lengths in the head contradict each other",
+        Code::TicketRequired => "this service needs a ticket from the directory",
+        Code::TicketInvalid => "the ticket was not issued by this fleet",
+        Code::TicketExpired => "the ticket expired",
+        Code::TicketElsewhere => "the ticket belongs to another VM or an earlier incarnation",
+        Code::TicketUsed => "the ticket was used",
+        Code::RateLimited => "the entry's rate or concurrency limit is reached",
+        Code::Overloaded => "there is no room for the request",
+        Code::Deadline => "the deadline passed",
+        Code::NoTarget => "no target may get new work",
+        Code::Stopping => "this VM is stopping",
+        Code::TargetFailed => "the connection to the target failed",
+        Code::TargetBadAnswer => "the target's answer is malformed or cannot be checked",
+        Code::DepthExceeded => "the call chain is too deep",
+        Code::SlowCaller => "the body of the request arrived too slowly",
+    }
+}
+
+/// The JSON body.
+pub(crate) fn body(end: End, request_id: Option<&str>) -> Bytes {
+    let body = json!({
+        "code": end.code.as_str(),
+        "outcome": end.outcome.as_str(),
+        "message": message(end.code),
+        "request_id": request_id,
+    });
+    body.to_string().into()
+}
+
+/// Status and headers.
+pub(crate) fn head(end: End) -> (StatusCode, HeaderMap) {
+    let status = StatusCode::from_u16(end.code.status()).expect("codes have valid statuses");
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let code = HeaderValue::from_static(end.code.as_str());
+    headers.insert("oriolecleat-code", code);
+    let outcome = HeaderValue::from_static(end.outcome.as_str());
+    headers.insert("oriolecleat-outcome", outcome);
+    (status, headers)
+}
+
+/// A whole answer as bytes, for a connection on which no request was read.
+pub(crate) fn raw(code: Code, outcome: Outcome) -> Bytes {
+    let body = body(End { code, outcome }, None);
+    let reason = StatusCode::from_u16(code.status())
+        .ok()
+        .and_then(|status| status.canonical_reason())
+        .unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 {} {reason}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+         oriolecleat-code: {}\r\noriolecleat-outcome: {}\r\nconnection: close\r\n\r\n",
+        code.status(),
+        body.len(),
+        code.as_str(),
+        outcome.as_str(),
+    );
+    [head.as_bytes(), &body].concat().into()
+}
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -1,141 +1,172 @@
-//! Streams bodies between callers and targets.
+//! Streams answers of targets to callers.
 
+use std::error::Error;
+use std::future::Future;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::Body;
 use http_body::Frame;
+use http_body::SizeHint;
 use hyper::body::Incoming;
-use oriolecleat_core::balance::Call;
 use oriolecleat_core::balance::Ending;
-use oriolecleat_core::balance::Fate;
-use oriolecleat_core::target;
-use oriolecleat_core::time::Instant;
+use tokio::time::Instant;
+use tokio::time::Sleep;
 
+use crate::attempt::Attempt;
+use crate::attempt::Line;
 use crate::node::Shared;
 use crate::pool::Connection;
-use crate::service;
-
-/// Body of a request on its way to a target.
-pub(crate) type Upload = Incoming;
-
-/// One attempt at a target; an attempt that is dropped unfinished is cancelled.
-pub(crate) struct Attempt {
-    node: Shared,
-    service: service::Key,
-    call: Call,
-    target: target::Key,
-    started: Instant,
-    connection: Option<Connection>,
-    open: bool,
+use crate::stream::Active;
+use crate::ticketed::Held;
+
+/// Why an answer was cut.
+type Fault = Box<dyn Error + Send + Sync>;
+
+/// Body of an answer to a caller.
+pub(crate) enum Download {
+    /// An answer of the balancer itself.
+    Own {
+        bytes: Option<Bytes>,
+        _active: Active,
+    },
+    /// An answer of a target.
+    Target(Box<Delivery>),
+}
+
+/// An answer of a target on its way to the caller.
+pub(crate) struct Delivery {
+    pub(crate) node: Shared,
+    pub(crate) body: Incoming,
+    pub(crate) connection: Option<Connection>,
+    pub(crate) attempt: Option<Attempt>,
+    /// Whether the target answered with a server error.
+    pub(crate) failed: bool,
+    pub(crate) held: Held,
+    pub(crate) line: Line,
+    pub(crate) deadline: Pin<Box<Sleep>>,
+    pub(crate) idle: Duration,
+    pub(crate) waiting: Option<Pin<Box<Sleep>>>,
+    pub(crate) active: Active,
 }
 
-impl Attempt {
-    pub(crate) fn new(
-        node: &Shared,
-        service: service::Key,
-        call: Call,
-        target: target::Key,
-    ) -> Self {
-        let started = node.borrow().clock.now();
-        let node = node.clone();
-        Self {
-            node,
-            service,
-            call,
-            target,
-            started,
-            connection: None,
-            open: true,
+impl Delivery {
+    /// The answer was read whole.
+    pub(crate) fn complete(&mut self, context: &mut Context<'_>) {
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        if let Some(connection) = self.connection.take() {
+            let mut node = self.node.borrow_mut();
+            node.pool.put(connection, context);
         }
+        self.held.ran();
+        attempt.answered(self.failed);
+        self.line.close();
     }
 
-    pub(crate) fn attach(&mut self, connection: Connection) -> &mut Connection {
-        self.connection.insert(connection)
+    /// Ends the exchange if the answer has no body, which hyper drops without reading it.
+    pub(crate) fn complete_if_empty(&mut self, context: &mut Context<'_>) {
+        if self.body.is_end_stream() {
+            self.complete(context);
+        }
     }
 
-    /// The attempt ended without a whole answer.
-    pub(crate) fn fail(mut self, ending: Ending) -> Fate {
-        self.end(ending)
+    fn cut(&mut self, ending: Ending, cause: Fault) -> Fault {
+        log::info!(cause:% = cause, id = self.line.id(); "answer cut");
+        self.connection = None;
+        if let Some(attempt) = self.attempt.take() {
+            attempt.end(ending);
+        }
+        self.active.watch.cut();
+        cause
     }
 
-    fn complete(&mut self, failed: bool) {
-        if let Some(connection) = self.connection.take() {
-            self.node.borrow_mut().pool.put(connection);
+    fn poll_body(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if polled.is_ready() {
+            return polled;
+        }
+        if let Some(connection) = &mut self.connection {
+            connection.drive(context);
         }
-        let latency = self.node.borrow().clock.now().since(self.started);
-        self.end(Ending::Answered { latency, failed });
+        Pin::new(&mut self.body).poll_frame(context)
     }
 
-    fn end(&mut self, ending: Ending) -> Fate {
-        if let Some(connection) = self.connection.take() {
-            connection.close();
+    fn poll_late(&mut self, context: &mut Context<'_>) -> Poll<Fault> {
+        if self.deadline.as_mut().poll(context).is_ready() {
+            return Poll::Ready(self.cut(Ending::Cancelled, "the deadline passed".into()));
         }
-        if std::mem::replace(&mut self.open, false) {
-            let mut node = self.node.borrow_mut();
-            return node.finish(self.service, self.call, self.target, ending);
+        let idle = self.idle;
+        let waiting = self
+            .waiting
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(Instant::now() + idle)));
+        if waiting.as_mut().poll(context).is_ready() {
+            let cause = "the target sent its answer too slowly".into();
+            return Poll::Ready(self.cut(Ending::Broken { written: true }, cause));
         }
-        Fate::Over
+        Poll::Pending
     }
-}
 
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        self.end(Ending::Cancelled);
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        match self.poll_body(context) {
+            Poll::Pending => self.poll_late(context).map(|fault| Some(Err(fault))),
+            Poll::Ready(None) => {
+                self.complete(context);
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Ok(frame))) => {
+                self.waiting = None;
+                if self.body.is_end_stream() {
+                    self.complete(context);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                let fault = self.cut(Ending::Broken { written: true }, error.into());
+                Poll::Ready(Some(Err(fault)))
+            }
+        }
     }
 }
 
-/// Body of an answer to a caller.
-pub(crate) enum Download {
-    /// An answer of the balancer itself.
-    Own(Option<Bytes>),
-    /// An answer of a target.
-    Target {
-        body: Incoming,
-        attempt: Attempt,
-        failed: bool,
-    },
-}
-
 impl Body for Download {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Fault;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
         match self.get_mut() {
-            Self::Own(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Target {
-                body,
-                attempt,
-                failed,
-            } => {
-                let polled = Pin::new(body).poll_frame(context);
-                if matches!(polled, Poll::Ready(None)) {
-                    attempt.complete(*failed);
-                }
-                polled
+            Self::Own { bytes, .. } => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
+            Self::Target(delivery) => delivery.poll(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Own(bytes) => bytes.is_none(),
-            Self::Target { .. } => false,
+            Self::Own { bytes, .. } => bytes.is_none(),
+            Self::Target(delivery) => delivery.attempt.is_none() && delivery.body.is_end_stream(),
         }
     }
 
-    fn size_hint(&self) -> http_body::SizeHint {
+    fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Own(bytes) => http_body::SizeHint::with_exact(
-                bytes.as_ref().map_or(0, |bytes| bytes.len() as u64),
+            Self::Own { bytes, .. } => SizeHint::with_exact(
+                bytes
+                    .as_ref()
+                    .map_or(0, |bytes| u64::try_from(bytes.len()).unwrap_or(u64::MAX)),
             ),
-            Self::Target { body, .. } => body.size_hint(),
+            Self::Target(delivery) => delivery.body.size_hint(),
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/upload.rs
@@ -0,0 +1,211 @@
+//! Bodies of requests on their way to targets, kept for another attempt while they are small.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+/// Bytes of a body that are kept for another attempt. A larger body is streamed, and its request
+/// cannot be sent again once a target has taken part of it.
+const REPLAY_BYTES: usize = 65_536;
+
+/// Why a body ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The caller sent nothing for too long.
+    Slow,
+    /// The caller's connection or its framing broke.
+    Broken,
+    /// Parts that this attempt needs are not kept any more.
+    Gone,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Slow => "the caller sent its body too slowly",
+            Self::Broken => "the caller's body broke off",
+            Self::Gone => "the start of the body is not kept any more",
+        })
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// The body of a caller's request.
+pub(crate) struct Source {
+    body: Incoming,
+    /// The parts read so far; empty once they were too large.
+    kept: Vec<Bytes>,
+    kept_bytes: usize,
+    /// Parts read so far.
+    read: usize,
+    ended: bool,
+    length: Option<u64>,
+    idle: Duration,
+    waiting: Option<Pin<Box<Sleep>>>,
+    fault: Option<Fault>,
+}
+
+/// A body that several attempts may read.
+#[derive(Clone)]
+pub(crate) struct Shared(Option<Rc<RefCell<Source>>>);
+
+impl Shared {
+    /// Takes over `body`; the caller may pause for at most `idle`.
+    pub(crate) fn new(body: Incoming, idle: Duration) -> Self {
+        if body.is_end_stream() {
+            return Self(None);
+        }
+        let length = body.size_hint().exact();
+        Self(Some(Rc::new(RefCell::new(Source {
+            body,
+            kept: Vec::new(),
+            kept_bytes: 0,
+            read: 0,
+            ended: false,
+            length,
+            idle,
+            waiting: None,
+            fault: None,
+        }))))
+    }
+
+    /// A reader of the whole body.
+    pub(crate) fn upload(&self) -> Upload {
+        Upload {
+            source: self.clone(),
+            next: 0,
+        }
+    }
+
+    /// Whether another attempt can read the whole body.
+    pub(crate) fn is_replayable(&self) -> bool {
+        self.0.as_ref().is_none_or(|source| {
+            let source = source.borrow();
+            source.fault.is_none() && source.kept.len() == source.read
+        })
+    }
+
+    /// Why the body ended early, if it did.
+    pub(crate) fn fault(&self) -> Option<Fault> {
+        self.0.as_ref().and_then(|source| source.borrow().fault)
+    }
+}
+
+impl Source {
+    /// The part with number `index`, none at the end of the body.
+    fn poll_part(
+        &mut self,
+        context: &mut Context<'_>,
+        index: usize,
+    ) -> Poll<Option<Result<Bytes, Fault>>> {
+        if index < self.read {
+            let part = self.kept.get(index).cloned();
+            return Poll::Ready(Some(part.ok_or(Fault::Gone)));
+        }
+        if let Some(fault) = self.fault {
+            return Poll::Ready(Some(Err(fault)));
+        }
+        while !self.ended {
+            match Pin::new(&mut self.body).poll_frame(context) {
+                Poll::Pending => return self.poll_idle(context),
+                Poll::Ready(None) => self.ended = true,
+                Poll::Ready(Some(Err(error))) => {
+                    log::debug!(cause:% = error; "caller's body broke off");
+                    return self.fail(Fault::Broken);
+                }
+                Poll::Ready(Some(Ok(frame))) => {
+                    self.waiting = None;
+                    // Trailers of requests are dropped: no target of the catalogue asks for them.
+                    if let Ok(part) = frame.into_data() {
+                        self.keep(&part);
+                        return Poll::Ready(Some(Ok(part)));
+                    }
+                }
+            }
+        }
+        Poll::Ready(None)
+    }
+
+    fn poll_idle(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
+        let idle = self.idle;
+        let waiting = self
+            .waiting
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(Instant::now() + idle)));
+        if waiting.as_mut().poll(context).is_ready() {
+            return self.fail(Fault::Slow);
+        }
+        Poll::Pending
+    }
+
+    fn fail(&mut self, fault: Fault) -> Poll<Option<Result<Bytes, Fault>>> {
+        self.fault = Some(fault);
+        Poll::Ready(Some(Err(fault)))
+    }
+
+    fn keep(&mut self, part: &Bytes) {
+        let whole = self.kept.len() == self.read;
+        self.read += 1;
+        self.kept_bytes = self.kept_bytes.saturating_add(part.len());
+        if whole && self.kept_bytes <= REPLAY_BYTES {
+            self.kept.push(part.clone());
+        } else {
+            self.kept.clear();
+        }
+    }
+}
+
+/// The body of one attempt.
+pub(crate) struct Upload {
+    source: Shared,
+    next: usize,
+}
+
+impl Body for Upload {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        let Some(source) = self.source.0.clone() else {
+            return Poll::Ready(None);
+        };
+        let polled = source.borrow_mut().poll_part(context, self.next);
+        if matches!(polled, Poll::Ready(Some(Ok(_)))) {
+            self.next += 1;
+        }
+        polled.map_ok(Frame::data)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.source.0.as_ref().is_none_or(|source| {
+            let source = source.borrow();
+            source.fault.is_none()
+                && self.next == source.read
+                && (source.ended || source.body.is_end_stream())
+        })
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let Some(source) = &self.source.0 else {
+            return SizeHint::with_exact(0);
+        };
+        let length = source.borrow().length;
+        length.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
