--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -297,6 +297,12 @@
         }
     }
 
+    /// Whether the measuring budget can ever pay for a probe.
+    #[must_use]
+    pub fn can_probe(&self) -> bool {
+        self.limits.measuring_burst >= PROBE_BYTES && self.limits.measuring_rate > 0
+    }
+
     /// Measuring bytes were spent apart from the balancer's own actions, as on load frames.
     pub fn charge(&mut self, now: Instant, bytes: u64) {
         self.measuring.charge(now, bytes);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod leaving;
 pub mod limit;
 pub mod map;
+mod outcome;
 pub mod purse;
 mod queue;
 pub mod read;
--- a/crates/daemon/src/evidence.rs
+++ b/crates/daemon/src/evidence.rs
@@ -28,15 +28,19 @@
     /// Tells the balancer how each target stands now. Evidence ages without events, so this goes
     /// before every decision.
     pub(crate) fn review(&mut self, now: Instant) {
+        let can_probe = self.balancer.can_probe();
         for (key, evidence) in &self.evidence {
-            self.balancer.stand(key, standing(evidence.standing(now)));
+            let standing = standing(evidence.standing(now), can_probe);
+            self.balancer.stand(key, standing);
         }
     }
 
     /// Whether the target may get a request at `now`.
     pub(crate) fn is_fit(&self, now: Instant, target: target::Key) -> bool {
+        let can_probe = self.balancer.can_probe();
         let evidence = self.evidence.get(target);
-        evidence.is_some_and(|evidence| evidence.standing(now) == leaving::Standing::Fit)
+        evidence
+            .is_some_and(|evidence| standing(evidence.standing(now), can_probe) == Standing::Open)
     }
 
     /// Targets that get no new work because they leave.
@@ -77,10 +81,12 @@
     }
 }
 
-const fn standing(standing: leaving::Standing) -> Standing {
+/// Without a measuring budget that pays for a probe, a target that is not known to leave gets work
+/// unconfirmed: otherwise the entry would never be served.
+const fn standing(standing: leaving::Standing, can_probe: bool) -> Standing {
     match standing {
-        leaving::Standing::Fit => Standing::Open,
-        leaving::Standing::Confirm => Standing::Unconfirmed,
+        leaving::Standing::Confirm if can_probe => Standing::Unconfirmed,
+        leaving::Standing::Confirm | leaving::Standing::Fit => Standing::Open,
         leaving::Standing::Leaving => Standing::Leaving,
     }
 }
