Enforce the rate and concurrency limits of each entry

Cause: the limits of an entry were read and checked but not enforced. Change: each entry has a token bucket and a gate on each VM, divided over the members known and never over less than a third of the ceiling; a request above them is refused as rate_limited.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -36,6 +36,8 @@
 use crate::head::Outgoing;
 use crate::metrics::Count;
 use crate::node::Shared;
+use crate::quota;
+use crate::quota::Pass;
 use crate::race::Reply;
 use crate::refusal;
 use crate::relay::Delivery;
@@ -131,14 +133,20 @@
 
 async fn handle(
     node: Shared,
-    active: Active,
+    mut active: Active,
     request: Request<Incoming>,
 ) -> Result<Response<Download>, Infallible> {
     let (parts, body) = request.into_parts();
     node.borrow_mut().metrics.add(Count::Calls, 1);
     let id = head::request_id(&parts.headers).unwrap_or_else(|| new_id(&node));
     let admitted = admit(&node, &active, &parts);
-    let prepared = admitted.and_then(|(service, admitted, ask)| {
+    let prepared = admitted.and_then(|(service, admitted, ask, quota)| {
+        active.pass = Pass::enter(&node, quota);
+        if active.pass.is_none() {
+            let outcome = ticketed::history(&node.borrow(), &parts.headers);
+            let code = Code::RateLimited;
+            return Err(End { code, outcome });
+        }
         let held = match ask.class {
             Class::Once => Held::claim(&node, &parts.headers)?,
             Class::Interactive | Class::Batch => Held::none(&node),
@@ -181,7 +189,7 @@
     node: &Shared,
     active: &Active,
     parts: &Parts,
-) -> Result<(service::Key, Admitted, Ask), End> {
+) -> Result<(service::Key, Admitted, Ask, quota::Key), End> {
     let history = || ticketed::history(&node.borrow(), &parts.headers);
     // The ticket may have been used by an earlier request.
     let refused = |code| End {
@@ -205,7 +213,7 @@
     node: &Shared,
     parts: &Parts,
     facts: &Facts,
-) -> Result<(service::Key, Admitted, Ask), End> {
+) -> Result<(service::Key, Admitted, Ask, quota::Key), End> {
     let mut node = node.borrow_mut();
     let call = node.new_call();
     let received = Received::new(node.clock.now(), facts.limit, facts.depth);
@@ -214,16 +222,18 @@
     let (Some(key), Some((name, entry))) = (key, found) else {
         return Err(received.refuse(Code::UnknownService));
     };
+    let quota = node.entries.get(name).copied().unwrap_or_default();
+    let number = node.quotas.get(quota).map_or(0, |quota| quota.number);
     let admitted = received.admit(entry)?;
     let terms = admitted.terms();
     let ask = Ask {
         call,
         class: terms.class,
         deadline: terms.deadline,
-        entry: number(name),
+        entry: number,
         hedge_percent: hedge_percent(entry),
     };
-    Ok((key, admitted, ask))
+    Ok((key, admitted, ask, quota))
 }
 
 /// An id for a request that came without one.
@@ -233,14 +243,6 @@
     HeaderValue::try_from(text).expect("hexadecimal digits form a header value")
 }
 
-/// Tells the entries of a service apart.
-fn number(name: &str) -> u32 {
-    // FNV-1a: a collision only makes two entries share one place in the queue.
-    name.bytes().fold(0x811c_9dc5, |hash, byte| {
-        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
-    })
-}
-
 fn hedge_percent(entry: &Entry) -> u8 {
     if entry.hedge.enabled {
         u8::try_from(entry.hedge.budget_percent).unwrap_or(u8::MAX)
@@ -258,6 +260,7 @@
     id: HeaderValue,
 ) -> Response<Download> {
     exchange.node.borrow_mut().metrics.add(Count::Ran, 1);
+    active.count(outcome);
     let idle = exchange.idle();
     let (mut parts, body) = reply.response.into_parts();
     head::answer(&mut parts.headers, id, outcome.as_str());
@@ -297,6 +300,7 @@
         Outcome::Unknown => Count::Unknown,
     };
     node.borrow_mut().metrics.add(count, 1);
+    active.count(end.outcome);
     let body = refusal::body(end, Some(text));
     // After a malformed head, the framing of what follows cannot be trusted.
     let last = matches!(
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -9,6 +9,8 @@
 
 use crate::metrics::Count;
 use crate::node::Node;
+use crate::quota::Division;
+use crate::quota::Quota;
 use crate::service;
 use crate::service::Service;
 
@@ -38,6 +40,32 @@
         }
     }
 
+    /// How limits are divided over the fleet now.
+    pub(crate) fn division(&self) -> Division {
+        Division {
+            members: self.members_alive,
+            ceiling: DEFAULT_VM_CEILING,
+        }
+    }
+
+    /// Brings quotas in line with the entries in force and the fleet.
+    pub(crate) fn divide(&mut self) {
+        let now = self.clock.now();
+        let division = self.division();
+        let entries = self.routes.services().flat_map(|(_, entries)| entries);
+        for (name, entry) in entries {
+            let limits = &entry.limits;
+            let key = *self.entries.entry(name.clone()).or_insert_with(|| {
+                self.next_entry += 1;
+                self.quotas
+                    .insert(Quota::new(now, self.next_entry, limits, division))
+            });
+            if let Some(quota) = self.quotas.get_mut(key) {
+                quota.update(now, limits, division);
+            }
+        }
+    }
+
     /// Brings routes and services in line with the catalogue.
     pub(crate) fn apply(&mut self) {
         self.routes = route::Table::build(&self.catalogue);
@@ -65,6 +93,7 @@
                 service.align(bounds);
             }
         }
+        self.divide();
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod pool;
 mod probe;
 mod query;
+mod quota;
 mod race;
 mod refusal;
 mod relay;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -23,6 +23,8 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::probe;
+use crate::quota;
+use crate::quota::Quota;
 use crate::service;
 use crate::service::Service;
 use crate::service::Slot;
@@ -47,8 +49,13 @@
     pub(crate) catalogue: Catalogue,
     pub(crate) services: SlotMap<service::Key, Service>,
     pub(crate) names: Map<Box<str>, service::Key>,
+    pub(crate) quotas: SlotMap<quota::Key, Quota>,
+    pub(crate) entries: Map<Box<str>, quota::Key>,
     pub(crate) calls: Map<Call, Slot>,
     pub(crate) next_call: u64,
+    pub(crate) next_entry: u32,
+    /// Members known to be alive, this VM included.
+    pub(crate) members_alive: u64,
     pub(crate) rng: SmallRng,
     pub(crate) probes: mpsc::UnboundedSender<probe::Order>,
     /// Wakes the timer task when a service needs an earlier tick.
@@ -78,8 +85,12 @@
             catalogue: Catalogue::default(),
             services: SlotMap::with_key(),
             names: Map::default(),
+            quotas: SlotMap::with_key(),
+            entries: Map::default(),
             calls: Map::default(),
             next_call: 0,
+            next_entry: 0,
+            members_alive: 1,
             rng,
             probes,
             timer: Rc::new(Notify::new()),
--- /dev/null
+++ b/crates/daemon/src/quota.rs
@@ -0,0 +1,116 @@
+//! What the requests of one entry consume on this VM.
+
+use oriolecleat_core::entry::Limits;
+use oriolecleat_core::limit;
+use oriolecleat_core::limit::Bucket;
+use oriolecleat_core::limit::Gate;
+use oriolecleat_core::limit::Rate;
+use oriolecleat_core::request::Outcome;
+use oriolecleat_core::time::Instant;
+
+use crate::node::Shared;
+
+slotmap::new_key_type! {
+    /// Names the quota of an entry.
+    pub(crate) struct Key;
+}
+
+/// How the limits of an entry are divided over the fleet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Division {
+    /// Members known to be alive, this VM included.
+    pub(crate) members: u64,
+    /// Largest number of entry VM processes alive at once.
+    pub(crate) ceiling: u64,
+}
+
+/// Rate and concurrency of one entry on this VM.
+pub(crate) struct Quota {
+    /// Tells the entry apart in the balancer.
+    pub(crate) number: u32,
+    pub(crate) rate: Bucket,
+    pub(crate) gate: Gate,
+    pub(crate) rate_refused: u64,
+    pub(crate) gate_refused: u64,
+    /// Requests by outcome: ran, not run, unknown.
+    pub(crate) outcomes: [u64; 3],
+}
+
+impl Quota {
+    pub(crate) fn new(now: Instant, number: u32, limits: &Limits, division: Division) -> Self {
+        Self {
+            number,
+            rate: Bucket::new(now, rate(limits, division)),
+            gate: Gate::new(share(limits, division)),
+            rate_refused: 0,
+            gate_refused: 0,
+            outcomes: [0; 3],
+        }
+    }
+
+    /// Takes over changed limits or a changed fleet.
+    pub(crate) fn update(&mut self, now: Instant, limits: &Limits, division: Division) {
+        self.rate.update(now, rate(limits, division));
+        self.gate.update(share(limits, division));
+    }
+
+    fn enter(&mut self, now: Instant) -> bool {
+        if !self.gate.enter() {
+            self.gate_refused += 1;
+            return false;
+        }
+        let taken = self.rate.take(now, 1);
+        if !taken {
+            self.gate.leave();
+            self.rate_refused += 1;
+        }
+        taken
+    }
+}
+
+fn rate(limits: &Limits, division: Division) -> Rate {
+    Rate::shared(
+        limits.rate_per_s,
+        limits.rate_burst,
+        division.members,
+        division.ceiling,
+    )
+}
+
+fn share(limits: &Limits, division: Division) -> u64 {
+    limit::share(limits.concurrency, division.members, division.ceiling)
+}
+
+/// One request inside the limits of its entry; leaves them when it is dropped.
+pub(crate) struct Pass {
+    node: Shared,
+    key: Key,
+}
+
+impl Pass {
+    /// Lets a request in, or none if a limit of the entry is reached.
+    pub(crate) fn enter(node: &Shared, key: Key) -> Option<Self> {
+        let mut state = node.borrow_mut();
+        let now = state.clock.now();
+        let entered = state.quotas.get_mut(key)?.enter(now);
+        entered.then(|| Self {
+            node: node.clone(),
+            key,
+        })
+    }
+
+    /// Counts what became of the request.
+    pub(crate) fn count(&self, outcome: Outcome) {
+        if let Some(quota) = self.node.borrow_mut().quotas.get_mut(self.key) {
+            quota.outcomes[outcome as usize] += 1;
+        }
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        if let Some(quota) = self.node.borrow_mut().quotas.get_mut(self.key) {
+            quota.gate.leave();
+        }
+    }
+}
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -23,6 +23,7 @@
 use tokio::time::Sleep;
 
 use crate::framing::Scanner;
+use crate::quota::Pass;
 use crate::refusal;
 use crate::visit::Visit;
 
@@ -61,6 +62,8 @@
     /// Whether the lengths in its head contradict each other.
     pub(crate) conflict: bool,
     pub(crate) visit: Visit,
+    /// Set once the limits of the entry let the request in.
+    pub(crate) pass: Option<Pass>,
 }
 
 impl Active {
@@ -73,6 +76,14 @@
             watch: Rc::clone(watch),
             conflict: watch.conflict.get() == Some(number),
             visit,
+            pass: None,
+        }
+    }
+
+    /// Counts what became of the request.
+    pub(crate) fn count(&self, outcome: Outcome) {
+        if let Some(pass) = &self.pass {
+            pass.count(outcome);
         }
     }
 }
