--- /dev/null
+++ b/crates/daemon/src/caller.rs
@@ -0,0 +1,328 @@
+//! The request path: from a caller's request to a target's answer.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::task::Poll;
+
+use http::request::Parts;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use oriolecleat_core::balance::Ask;
+use oriolecleat_core::entry::Class;
+use oriolecleat_core::entry::Entry;
+use oriolecleat_core::request::Admitted;
+use oriolecleat_core::request::Code;
+use oriolecleat_core::request::End;
+use oriolecleat_core::request::Outcome;
+use oriolecleat_core::request::Received;
+use rand::RngExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::attempt::Line;
+use crate::clock;
+use crate::exchange::Exchange;
+use crate::head;
+use crate::head::Facts;
+use crate::head::Outgoing;
+use crate::metrics::Count;
+use crate::node::Shared;
+use crate::quota;
+use crate::quota::Pass;
+use crate::race::Reply;
+use crate::refusal;
+use crate::relay::Delivery;
+use crate::relay::Download;
+use crate::service;
+use crate::stream::Active;
+use crate::stream::Stream;
+use crate::stream::Watch;
+use crate::ticketed;
+use crate::ticketed::Held;
+use crate::upload;
+use crate::visit::Visit;
+
+/// Headers in one head.
+const HEADERS_MAX: usize = 64;
+
+/// Accepts callers until the process ends.
+pub(crate) async fn serve(node: Shared, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let seat = Seat::new(&open);
+                let limit = node.borrow().settings.http.connections;
+                if open.get() > limit {
+                    tokio::task::spawn_local(turn_away(stream, seat));
+                } else {
+                    tokio::task::spawn_local(connection(node.clone(), stream, seat));
+                }
+            }
+            Err(error) => {
+                log::warn!(cause:% = error; "accepting a caller failed");
+                // Without free file descriptors, accepting fails at once until one is closed.
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
+
+/// Counts one connection of a caller while it is open.
+struct Seat(Rc<Cell<u64>>);
+
+impl Seat {
+    fn new(open: &Rc<Cell<u64>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Refuses a connection above the limit. No request was read, so the outcome of a ticket that it
+/// may carry is not known.
+async fn turn_away(mut stream: TcpStream, _seat: Seat) {
+    let answer = refusal::raw(Code::Overloaded, Outcome::Unknown);
+    // The answer is a courtesy: the caller may be gone.
+    let _ = stream.try_write(&answer);
+    let _ = stream.shutdown().await;
+    log::info!(code = Code::Overloaded.as_str(); "connection refused, too many are open");
+}
+
+async fn connection(node: Shared, stream: TcpStream, _seat: Seat) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(cause:% = error; "caller's connection is gone");
+        return;
+    }
+    let http = node.borrow().settings.http.clone();
+    let head = usize::try_from(http.head_bytes).unwrap_or(usize::MAX);
+    let watch = Rc::new(Watch::default());
+    let idle = clock::duration(http.body_idle);
+    let stream = Stream::new(stream, Rc::clone(&watch), head, idle);
+    let service = service_fn(move |request| {
+        let active = Active::new(&watch, Visit::enter(&node));
+        handle(node.clone(), active, request)
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(clock::duration(http.head_timeout))
+        .max_buf_size(head)
+        .max_headers(HEADERS_MAX)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!(cause:% = error; "caller's connection ended");
+    }
+}
+
+async fn handle(
+    node: Shared,
+    mut active: Active,
+    request: Request<Incoming>,
+) -> Result<Response<Download>, Infallible> {
+    let (parts, body) = request.into_parts();
+    node.borrow_mut().metrics.add(Count::Calls, 1);
+    let id = head::request_id(&parts.headers).unwrap_or_else(|| new_id(&node));
+    let admitted = admit(&node, &active, &parts);
+    let prepared = admitted.and_then(|(service, admitted, ask, quota)| {
+        active.pass = Pass::enter(&node, quota);
+        if active.pass.is_none() {
+            let outcome = ticketed::history(&node.borrow(), &parts.headers);
+            let code = Code::RateLimited;
+            return Err(End { code, outcome });
+        }
+        let held = match ask.class {
+            Class::Once => Held::claim(&node, &parts.headers)?,
+            Class::Interactive | Class::Batch => Held::none(&node),
+        };
+        Ok((service, admitted, ask, held))
+    });
+    let (service, admitted, ask, held) = match prepared {
+        Ok(prepared) => prepared,
+        Err(end) => return Ok(refuse(&node, active, end, id)),
+    };
+    let depth = admitted.terms().depth;
+    let end = ask.deadline;
+    active.visit.wait_until(end);
+    let left = clock::duration(end.since(node.borrow().clock.now()));
+    let deadline = tokio::time::Instant::now() + left;
+    active.watch.limit(deadline);
+    let idle = clock::duration(node.borrow().settings.http.body_idle);
+    let mut exchange = Exchange {
+        node: node.clone(),
+        service,
+        line: Line::new(&node, service, ask, id.clone()),
+        outgoing: Outgoing::new(parts, depth, id.clone()),
+        body: upload::Shared::new(body, idle),
+        held,
+        end,
+        deadline: Box::pin(tokio::time::sleep_until(deadline)),
+    };
+    let mut response = match exchange.run(admitted).await {
+        Ok((reply, outcome)) => deliver(exchange, active, reply, outcome, id).await,
+        Err(end) => refuse(&node, active, end, id),
+    };
+    if !node.borrow().phase().is_named() {
+        close(&mut response);
+    }
+    Ok(response)
+}
+
+/// Checks the head and finds the entry.
+fn admit(
+    node: &Shared,
+    active: &Active,
+    parts: &Parts,
+) -> Result<(service::Key, Admitted, Ask, quota::Key), End> {
+    let history = || ticketed::history(&node.borrow(), &parts.headers);
+    // The ticket may have been used by an earlier request.
+    let refused = |code| End {
+        code,
+        outcome: history(),
+    };
+    if active.conflict {
+        return Err(refused(Code::LengthConflict));
+    }
+    if !node.borrow().phase().accepts() {
+        return Err(refused(Code::Stopping));
+    }
+    let facts = head::check(parts).map_err(|cause| {
+        log::info!(cause; "malformed head");
+        refused(Code::BadRequest)
+    })?;
+    enter(node, parts, &facts).map_err(|end| refused(end.code))
+}
+
+fn enter(
+    node: &Shared,
+    parts: &Parts,
+    facts: &Facts,
+) -> Result<(service::Key, Admitted, Ask, quota::Key), End> {
+    let mut node = node.borrow_mut();
+    let call = node.new_call();
+    let received = Received::new(node.clock.now(), facts.limit, facts.depth);
+    let key = node.names.get(&facts.service).copied();
+    let found = node.routes.find(&facts.service, parts.method.as_str());
+    let (Some(key), Some((name, entry))) = (key, found) else {
+        return Err(received.refuse(Code::UnknownService));
+    };
+    let quota = node.entries.get(name).copied().unwrap_or_default();
+    let number = node.quotas.get(quota).map_or(0, |quota| quota.number);
+    let admitted = received.admit(entry)?;
+    let terms = admitted.terms();
+    let ask = Ask {
+        call,
+        class: terms.class,
+        deadline: terms.deadline,
+        entry: number,
+        hedge_percent: hedge_percent(entry),
+    };
+    Ok((key, admitted, ask, quota))
+}
+
+/// An id for a request that came without one.
+fn new_id(node: &Shared) -> HeaderValue {
+    let id: u128 = node.borrow_mut().rng.random();
+    let text = format!("{id:032x}");
+    HeaderValue::try_from(text).expect("hexadecimal digits form a header value")
+}
+
+fn hedge_percent(entry: &Entry) -> u8 {
+    if entry.hedge.enabled {
+        u8::try_from(entry.hedge.budget_percent).unwrap_or(u8::MAX)
+    } else {
+        0
+    }
+}
+
+/// Passes a target's answer on.
+async fn deliver(
+    exchange: Exchange,
+    active: Active,
+    reply: Reply,
+    outcome: Outcome,
+    id: HeaderValue,
+) -> Response<Download> {
+    exchange.node.borrow_mut().metrics.add(Count::Ran, 1);
+    active.count(outcome);
+    let idle = exchange.idle();
+    let (mut parts, body) = reply.response.into_parts();
+    head::answer(&mut parts.headers, id, outcome.as_str());
+    let mut delivery = Box::new(Delivery {
+        node: exchange.node,
+        body,
+        connection: Some(reply.connection),
+        attempt: Some(reply.attempt),
+        failed: parts.status.is_server_error(),
+        held: exchange.held,
+        line: exchange.line,
+        deadline: exchange.deadline,
+        idle,
+        waiting: None,
+        active,
+    });
+    std::future::poll_fn(|context| {
+        delivery.complete_if_empty(context);
+        Poll::Ready(())
+    })
+    .await;
+    Response::from_parts(parts, Download::Target(delivery))
+}
+
+/// Answers a request that has no answer of a target.
+fn refuse(node: &Shared, active: Active, end: End, id: HeaderValue) -> Response<Download> {
+    let text = id.to_str().unwrap_or_default();
+    log::info!(
+        id = text,
+        code = end.code.as_str(),
+        outcome = end.outcome.as_str();
+        "request refused: {}", refusal::message(end.code)
+    );
+    let count = match end.outcome {
+        Outcome::Ran => Count::Ran,
+        Outcome::NotRun => Count::NotRun,
+        Outcome::Unknown => Count::Unknown,
+    };
+    node.borrow_mut().metrics.add(count, 1);
+    active.count(end.outcome);
+    let body = refusal::body(end, Some(text));
+    // After a malformed head, the framing of what follows cannot be trusted.
+    let last = matches!(
+        end.code,
+        Code::BadRequest | Code::LengthConflict | Code::Stopping
+    );
+    let mut response = Response::new(Download::Own {
+        bytes: Some(body),
+        _active: active,
+    });
+    let (status, mut headers) = refusal::head(end);
+    headers.insert("oriolecleat-request-id", id);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    if last {
+        close(&mut response);
+    }
+    response
+}
+
+/// Tells the caller to use a new connection for its next request.
+fn close(response: &mut Response<Download>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,109 @@
+//! The one owner of the daemon's state.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use oriolecleat_core::balance::Call;
+use oriolecleat_core::catalogue::Catalogue;
+use oriolecleat_core::map::Map;
+use oriolecleat_core::route;
+use oriolecleat_core::settings::Settings;
+use oriolecleat_core::stop::Phase;
+use oriolecleat_core::target::Place;
+use oriolecleat_core::ticket;
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::clock::Clock;
+use crate::halt::Phases;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::probe;
+use crate::quota;
+use crate::quota::Quota;
+use crate::service;
+use crate::service::Service;
+use crate::service::Slot;
+use crate::visit::Visits;
+
+const LEDGER_CAPACITY: usize = 100_000;
+
+/// State shared by the tasks of the loop; no borrow lives across an await.
+pub(crate) type Shared = Rc<RefCell<Node>>;
+
+/// State of the daemon.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) incarnation: u64,
+    pub(crate) routes: route::Table,
+    pub(crate) issuer: ticket::Issuer,
+    pub(crate) ledger: ticket::Ledger,
+    pub(crate) pool: Pool,
+    pub(crate) revision: u64,
+    pub(crate) metrics: Metrics,
+    pub(crate) catalogue: Catalogue,
+    pub(crate) services: SlotMap<service::Key, Service>,
+    pub(crate) names: Map<Box<str>, service::Key>,
+    pub(crate) quotas: SlotMap<quota::Key, Quota>,
+    pub(crate) entries: Map<Box<str>, quota::Key>,
+    pub(crate) calls: Map<Call, Slot>,
+    pub(crate) next_call: u64,
+    pub(crate) next_entry: u32,
+    /// Members known to be alive, this VM included.
+    pub(crate) members_alive: u64,
+    pub(crate) rng: SmallRng,
+    pub(crate) probes: mpsc::UnboundedSender<probe::Order>,
+    /// Wakes the timer task when a service needs an earlier tick.
+    pub(crate) timer: Rc<Notify>,
+    pub(crate) visits: Visits,
+    pub(crate) phases: Phases,
+}
+
+impl Node {
+    pub(crate) fn new(
+        settings: Settings,
+        clock: Clock,
+        rng: SmallRng,
+        probes: mpsc::UnboundedSender<probe::Order>,
+    ) -> Self {
+        let incarnation = clock::wall_ms();
+        Self {
+            issuer: ticket::Issuer::new(settings.fleet_key.as_bytes()),
+            ledger: ticket::Ledger::new(&settings.vm, incarnation, LEDGER_CAPACITY),
+            metrics: Metrics::new(settings.statsd, &settings.vm),
+            settings,
+            clock,
+            incarnation,
+            routes: route::Table::default(),
+            pool: Pool::default(),
+            revision: 0,
+            catalogue: Catalogue::default(),
+            services: SlotMap::with_key(),
+            names: Map::default(),
+            quotas: SlotMap::with_key(),
+            entries: Map::default(),
+            calls: Map::default(),
+            next_call: 0,
+            next_entry: 0,
+            members_alive: 1,
+            rng,
+            probes,
+            timer: Rc::new(Notify::new()),
+            visits: Visits::default(),
+            phases: Rc::new(watch::Sender::new(Phase::default())),
+        }
+    }
+
+    /// Where this VM stands.
+    pub(crate) fn place(&self) -> Place {
+        Place {
+            region: self.settings.region.clone(),
+            data_center: self.settings.data_center.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay.rs
@@ -0,0 +1,172 @@
+//! Streams answers of targets to callers.
+
+use std::error::Error;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use hyper::body::Incoming;
+use oriolecleat_core::balance::Ending;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+use crate::attempt::Attempt;
+use crate::attempt::Line;
+use crate::node::Shared;
+use crate::pool::Connection;
+use crate::stream::Active;
+use crate::ticketed::Held;
+
+/// Why an answer was cut.
+type Fault = Box<dyn Error + Send + Sync>;
+
+/// Body of an answer to a caller.
+pub(crate) enum Download {
+    /// An answer of the balancer itself.
+    Own {
+        bytes: Option<Bytes>,
+        _active: Active,
+    },
+    /// An answer of a target.
+    Target(Box<Delivery>),
+}
+
+/// An answer of a target on its way to the caller.
+pub(crate) struct Delivery {
+    pub(crate) node: Shared,
+    pub(crate) body: Incoming,
+    pub(crate) connection: Option<Connection>,
+    pub(crate) attempt: Option<Attempt>,
+    /// Whether the target answered with a server error.
+    pub(crate) failed: bool,
+    pub(crate) held: Held,
+    pub(crate) line: Line,
+    pub(crate) deadline: Pin<Box<Sleep>>,
+    pub(crate) idle: Duration,
+    pub(crate) waiting: Option<Pin<Box<Sleep>>>,
+    pub(crate) active: Active,
+}
+
+impl Delivery {
+    /// The answer was read whole.
+    pub(crate) fn complete(&mut self, context: &mut Context<'_>) {
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        if let Some(connection) = self.connection.take() {
+            let mut node = self.node.borrow_mut();
+            node.pool.put(connection, context);
+        }
+        self.held.ran();
+        attempt.answered(self.failed);
+        self.line.close();
+    }
+
+    /// Ends the exchange if the answer has no body, which hyper drops without reading it.
+    pub(crate) fn complete_if_empty(&mut self, context: &mut Context<'_>) {
+        if self.body.is_end_stream() {
+            self.complete(context);
+        }
+    }
+
+    fn cut(&mut self, ending: Ending, cause: Fault) -> Fault {
+        log::info!(cause:% = cause, id = self.line.id(); "answer cut");
+        self.connection = None;
+        if let Some(attempt) = self.attempt.take() {
+            attempt.end(ending);
+        }
+        self.active.watch.cut();
+        cause
+    }
+
+    fn poll_body(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if polled.is_ready() {
+            return polled;
+        }
+        if let Some(connection) = &mut self.connection {
+            connection.drive(context);
+        }
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn poll_late(&mut self, context: &mut Context<'_>) -> Poll<Fault> {
+        if self.deadline.as_mut().poll(context).is_ready() {
+            return Poll::Ready(self.cut(Ending::Cancelled, "the deadline passed".into()));
+        }
+        let idle = self.idle;
+        let waiting = self
+            .waiting
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(Instant::now() + idle)));
+        if waiting.as_mut().poll(context).is_ready() {
+            let cause = "the target sent its answer too slowly".into();
+            return Poll::Ready(self.cut(Ending::Broken { written: true }, cause));
+        }
+        Poll::Pending
+    }
+
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        match self.poll_body(context) {
+            Poll::Pending => self.poll_late(context).map(|fault| Some(Err(fault))),
+            Poll::Ready(None) => {
+                self.complete(context);
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Ok(frame))) => {
+                self.waiting = None;
+                if self.body.is_end_stream() {
+                    self.complete(context);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                let fault = self.cut(Ending::Broken { written: true }, error.into());
+                Poll::Ready(Some(Err(fault)))
+            }
+        }
+    }
+}
+
+impl Body for Download {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        match self.get_mut() {
+            Self::Own { bytes, .. } => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Target(delivery) => delivery.poll(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Own { bytes, .. } => bytes.is_none(),
+            Self::Target(delivery) => delivery.attempt.is_none() && delivery.body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Own { bytes, .. } => SizeHint::with_exact(
+                bytes
+                    .as_ref()
+                    .map_or(0, |bytes| u64::try_from(bytes.len()).unwrap_or(u64::MAX)),
+            ),
+            Self::Target(delivery) => delivery.body.size_hint(),
+        }
+    }
+}
