Offer catalogue contents by full key in the daemon

Change: the daemon takes versions from Catalogue::version, passes the full key and handles the verdicts Conflict and Refused.

--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -1,11 +1,10 @@
 //! Takes catalogue changes into use.
 
+use oriolecleat_core::catalogue::Source;
 use oriolecleat_core::catalogue::Verdict;
 use oriolecleat_core::leaving;
 use oriolecleat_core::map::Set;
 use oriolecleat_core::route;
-use oriolecleat_core::version::Version;
-use serde_json::Value;
 
 use crate::metrics::Count;
 use crate::node::Node;
@@ -20,13 +19,10 @@
 impl Node {
     /// Offers catalogue content read from the configuration service.
     pub(crate) fn offer(&mut self, key: &str, revision: u64, text: Option<&str>) {
-        let generation = text.map_or(0, generation);
-        let version = Version {
-            generation,
-            revision,
-        };
-        match self.catalogue.offer(key, version, text) {
-            Verdict::Accepted => {
+        let version = self.catalogue.version(key, revision, text);
+        let verdict = self.catalogue.offer(key, version, text, Source::Service);
+        match verdict {
+            Verdict::Accepted | Verdict::Conflict { kept: true } => {
                 log::info!(key, revision; "catalogue change accepted");
                 self.metrics.add(Count::CatalogueAccepted, 1);
                 self.apply();
@@ -36,7 +32,11 @@
                 log::warn!(key, revision, faults = faults.as_str(); "catalogue change rejected");
                 self.metrics.add(Count::CatalogueRejected, 1);
             }
-            Verdict::Known | Verdict::Behind => {}
+            Verdict::Refused(reason) => {
+                log::warn!(key, revision, reason = &*reason; "catalogue change refused");
+                self.metrics.add(Count::CatalogueRejected, 1);
+            }
+            Verdict::Known | Verdict::Behind | Verdict::Conflict { kept: false } => {}
         }
     }
 
@@ -96,9 +96,3 @@
         self.divide();
     }
 }
-
-/// The generation written in the text of an entry, zero if there is none.
-fn generation(text: &str) -> u64 {
-    let value: Value = serde_json::from_str(text).unwrap_or_default();
-    value.get("generation").and_then(Value::as_u64).unwrap_or(0)
-}
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -119,12 +119,9 @@
 fn offer(node: &Shared, pair: &Pair, deleted: bool) -> Result<(), Failure> {
     let key = String::from_utf8(STANDARD.decode(&*pair.key)?)?;
     let value = String::from_utf8(STANDARD.decode(&*pair.value)?)?;
-    let name = key
-        .strip_prefix(ENTRY_PREFIX)
-        .ok_or("key outside of the prefix")?;
     let revision = pair.mod_revision.parse()?;
     node.borrow_mut()
-        .offer(name, revision, (!deleted).then_some(value.as_str()));
+        .offer(&key, revision, (!deleted).then_some(value.as_str()));
     Ok(())
 }
 
