Add the operator's command-line tool

Cause: operators could neither check files before use nor see what is in effect and why. Change: oriolecleat has check-settings, check-catalogue, status, explain, fleet and audit, with exit codes 0, 1 and 2; docs/command-line.md describes them. form_urlencoded and jiff, already in the lock file, escape queries and print times.

--- /dev/null
+++ b/crates/cli/src/audit.rs
@@ -0,0 +1,91 @@
+//! Shows audit records.
+
+use std::thread;
+use std::time::Duration;
+
+use error_stack::Report;
+use form_urlencoded::Serializer;
+use jiff::Timestamp;
+use serde_json::Value;
+
+use crate::Finding;
+use crate::answer::Audit;
+use crate::answer::Record;
+use crate::answer::Shown;
+use crate::arguments::Filter;
+use crate::arguments::Format;
+use crate::arguments::Operator;
+use crate::failure::Failure;
+use crate::operator;
+use crate::print;
+
+const FOLLOW_INTERVAL_MS: u64 = 1_000;
+const HEAD: [&str; 7] = [
+    "TIME", "VM", "KIND", "SUBJECT", "VERSION", "SOURCE", "CAUSE",
+];
+
+/// Prints the records that match, and with `follow` new ones until interrupted.
+pub(crate) fn show(target: &Operator, filter: &Filter) -> Result<Finding, Report<Failure>> {
+    let mut cursor = None;
+    loop {
+        let answer = operator::ask(target.operator, &path(filter, cursor.as_deref()))?;
+        let audit: Audit = operator::parse(&answer)?;
+        print::lines(&lines(target.format, &answer, &audit, cursor.is_none()))?;
+        if !filter.follow {
+            return Ok(Finding::Fine);
+        }
+        cursor = Some(audit.cursor);
+        thread::sleep(Duration::from_millis(FOLLOW_INTERVAL_MS));
+    }
+}
+
+fn path(filter: &Filter, cursor: Option<&str>) -> String {
+    let parameters = [
+        ("subject", filter.subject.as_deref()),
+        ("kind", filter.kind.as_deref()),
+        ("after", cursor),
+    ];
+    let mut query = Serializer::new(String::new());
+    for (name, value) in parameters {
+        if let Some(value) = value {
+            query.append_pair(name, value);
+        }
+    }
+    match query.finish() {
+        query if query.is_empty() => "/v1/audit".to_owned(),
+        query => format!("/v1/audit?{query}"),
+    }
+}
+
+fn lines(format: Format, answer: &Value, audit: &Audit, is_first: bool) -> Vec<String> {
+    if format == Format::Json {
+        let records = answer["records"].as_array().into_iter().flatten();
+        return records.map(Value::to_string).collect();
+    }
+    let rows: Vec<Vec<String>> = audit.records.iter().map(row).collect();
+    let mut lines = print::table(&HEAD, &rows);
+    if !is_first {
+        lines.remove(0);
+    }
+    lines
+}
+
+fn row(record: &Record) -> Vec<String> {
+    let optional = |text: &Option<Box<str>>| text.as_deref().unwrap_or("-").to_owned();
+    vec![
+        time(record.wall_ms),
+        format!("{} #{}", record.vm, record.seq),
+        record.kind.to_string(),
+        record.subject.to_string(),
+        Shown(record.version).to_string(),
+        optional(&record.source),
+        optional(&record.cause),
+    ]
+}
+
+/// Wall-clock time in UTC.
+fn time(wall_ms: u64) -> String {
+    let time = i64::try_from(wall_ms).ok();
+    let time = time.and_then(|millis| Timestamp::from_millisecond(millis).ok());
+    time.map_or_else(|| "-".to_owned(), |time| format!("{time:.3}"))
+}
--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,65 @@
+//! Shows the members of the fleet.
+
+use error_stack::Report;
+
+use crate::Finding;
+use crate::answer::Fleet;
+use crate::answer::Member;
+use crate::arguments::Format;
+use crate::arguments::Operator;
+use crate::failure::Failure;
+use crate::operator;
+use crate::print;
+
+const HEAD: [&str; 9] = [
+    "VM",
+    "STATE",
+    "REGION",
+    "DATA CENTRE",
+    "VIEW AGE",
+    "READER",
+    "HEARD",
+    "UP",
+    "BUILD",
+];
+
+/// Prints the members with the age of their view.
+pub(crate) fn show(target: &Operator) -> Result<Finding, Report<Failure>> {
+    let answer = operator::ask(target.operator, "/v1/fleet")?;
+    if target.format == Format::Json {
+        print::lines(&[answer.to_string()])?;
+        return Ok(Finding::Fine);
+    }
+    let mut fleet: Fleet = operator::parse(&answer)?;
+    let place = |member: &Member| {
+        (
+            member.region.clone(),
+            member.data_center.clone(),
+            member.vm.clone(),
+        )
+    };
+    fleet.members.sort_by_key(place);
+    print::lines(&table(&fleet.members))?;
+    Ok(Finding::Fine)
+}
+
+/// Members as aligned rows.
+pub(crate) fn table(members: &[Member]) -> Vec<String> {
+    let row = |member: &Member| {
+        let reader = member
+            .reader
+            .map_or("-", |reader| if reader { "yes" } else { "no" });
+        vec![
+            member.vm.to_string(),
+            member.state.to_string(),
+            member.region.to_string(),
+            member.data_center.to_string(),
+            print::age(member.view_age_ms),
+            reader.to_owned(),
+            print::age(member.heard_age_ms),
+            print::age(member.uptime_ms),
+            member.build.to_string(),
+        ]
+    };
+    print::table(&HEAD, &members.iter().map(row).collect::<Vec<_>>())
+}
