--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -1,11 +1,10 @@
 //! Takes catalogue changes into use.
 
+use oriolecleat_core::catalogue::Source;
 use oriolecleat_core::catalogue::Verdict;
 use oriolecleat_core::leaving;
 use oriolecleat_core::map::Set;
 use oriolecleat_core::route;
-use oriolecleat_core::version::Version;
-use serde_json::Value;
 
 use crate::metrics::Count;
 use crate::node::Node;
@@ -15,18 +14,14 @@
 use crate::service::Service;
 
 /// Largest number of entry VM processes alive at once until the catalogue states it.
-pub(crate) const DEFAULT_VM_CEILING: u64 = 64;
+const DEFAULT_VM_CEILING: u64 = 64;
 
 impl Node {
     /// Offers catalogue content read from the configuration service.
     pub(crate) fn offer(&mut self, key: &str, revision: u64, text: Option<&str>) {
-        let generation = text.map_or(0, generation);
-        let version = Version {
-            generation,
-            revision,
-        };
-        match self.catalogue.offer(key, version, text) {
-            Verdict::Accepted => {
+        let version = self.catalogue.version(key, revision, text);
+        match self.catalogue.offer(key, version, text, Source::Service) {
+            Verdict::Accepted | Verdict::Conflict { kept: true } => {
                 log::info!(key, revision; "catalogue change accepted");
                 self.metrics.add(Count::CatalogueAccepted, 1);
                 self.apply();
@@ -36,15 +31,25 @@
                 log::warn!(key, revision, faults = faults.as_str(); "catalogue change rejected");
                 self.metrics.add(Count::CatalogueRejected, 1);
             }
-            Verdict::Known | Verdict::Behind => {}
+            Verdict::Refused(reason) => {
+                log::warn!(key, revision, reason = &*reason; "catalogue change refused");
+                self.metrics.add(Count::CatalogueRejected, 1);
+            }
+            Verdict::Known | Verdict::Behind | Verdict::Conflict { kept: false } => {}
         }
     }
 
+    /// Largest number of entry VM processes alive at once.
+    pub(crate) fn vm_ceiling(&self) -> u64 {
+        let constants = self.catalogue.constants();
+        constants.map_or(DEFAULT_VM_CEILING, |constants| constants.vm_ceiling)
+    }
+
     /// How limits are divided over the fleet now.
     pub(crate) fn division(&self) -> Division {
         Division {
             members: self.members_alive,
-            ceiling: DEFAULT_VM_CEILING,
+            ceiling: self.vm_ceiling(),
         }
     }
 
@@ -71,10 +76,11 @@
         self.routes = route::Table::build(&self.catalogue);
         let now = self.clock.now();
         let place = self.place();
+        let ceiling = self.vm_ceiling();
         let bounds = leaving::Bounds::from(&self.settings.evidence);
         let mut named = Set::default();
         for (name, entries) in self.routes.services() {
-            let limits = service::limits(entries, DEFAULT_VM_CEILING);
+            let limits = service::limits(entries, ceiling);
             let targets = service::targets(entries);
             let key = *self.names.entry(name.into()).or_insert_with(|| {
                 self.services
@@ -96,9 +102,3 @@
         self.divide();
     }
 }
-
-/// The generation written in the text of an entry, zero if there is none.
-fn generation(text: &str) -> u64 {
-    let value: Value = serde_json::from_str(text).unwrap_or_default();
-    value.get("generation").and_then(Value::as_u64).unwrap_or(0)
-}
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -19,7 +19,6 @@
 use tokio::time::Sleep;
 
 use crate::attempt::Line;
-use crate::change::DEFAULT_VM_CEILING;
 use crate::clock;
 use crate::head::Outgoing;
 use crate::metrics::Count;
@@ -179,6 +178,7 @@
     ) -> impl Future<Output = Result<Connection, Unconnected>> + use<> {
         let (taken, limit, left) = {
             let mut node = self.node.borrow_mut();
+            let ceiling = node.vm_ceiling();
             let targets = node
                 .services
                 .get(self.service)
@@ -187,7 +187,7 @@
             let slots = target.map_or(1, |target| target.spec.slots);
             let http = &node.settings.http;
             let limit = http.connect_timeout;
-            let share = http.connections_per_target / DEFAULT_VM_CEILING;
+            let share = http.connections_per_target / ceiling;
             let connections = share.max(CONNECTIONS_PER_SLOT * slots);
             let bounds = Bounds {
                 head: usize::try_from(http.head_bytes).unwrap_or(usize::MAX),
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -20,8 +20,9 @@
 use crate::node::Shared;
 
 const RETRY_DELAY_MS: u64 = 200;
-const ENTRY_PREFIX: &str = "entries/";
-const ENTRY_PREFIX_END: &str = "entries0";
+/// First key read; the range reaches from the entries to the key `fleet`.
+const FIRST_KEY: &str = "entries/";
+const RANGE_END: &str = "fleet\0";
 
 /// A read that failed.
 type Failure = Box<dyn std::error::Error>;
@@ -77,7 +78,7 @@
 }
 
 async fn read(node: &Shared, address: SocketAddr) -> Result<(), Failure> {
-    let bounds = json!({ "key": encode(ENTRY_PREFIX), "range_end": encode(ENTRY_PREFIX_END) });
+    let bounds = json!({ "key": encode(FIRST_KEY), "range_end": encode(RANGE_END) });
     let response = post(address, "/v3/kv/range", bounds.to_string()).await?;
     let bytes = response.into_body().collect().await?.to_bytes();
     let range: Range = serde_json::from_slice(&bytes)?;
@@ -91,8 +92,8 @@
 
 async fn watch(node: &Shared, address: SocketAddr, start: u64) -> Result<(), Failure> {
     let create = json!({ "create_request": {
-        "key": encode(ENTRY_PREFIX),
-        "range_end": encode(ENTRY_PREFIX_END),
+        "key": encode(FIRST_KEY),
+        "range_end": encode(RANGE_END),
         "start_revision": start.to_string(),
     }});
     let mut body = post(address, "/v3/watch", create.to_string())
@@ -119,12 +120,9 @@
 fn offer(node: &Shared, pair: &Pair, deleted: bool) -> Result<(), Failure> {
     let key = String::from_utf8(STANDARD.decode(&*pair.key)?)?;
     let value = String::from_utf8(STANDARD.decode(&*pair.value)?)?;
-    let name = key
-        .strip_prefix(ENTRY_PREFIX)
-        .ok_or("key outside of the prefix")?;
     let revision = pair.mod_revision.parse()?;
     node.borrow_mut()
-        .offer(name, revision, (!deleted).then_some(value.as_str()));
+        .offer(&key, revision, (!deleted).then_some(value.as_str()));
     Ok(())
 }
 
