--- a/crates/bench/src/fake/target.rs
+++ b/crates/bench/src/fake/target.rs
@@ -95,6 +95,11 @@
         self.state.borrow_mut().honours_queue_limit = honours;
     }
 
+    /// Sets the number of requests that are worked on at once, before any request came.
+    pub fn set_slots(&self, slots: usize) {
+        self.slots.add_permits(slots.saturating_sub(DEFAULT_SLOTS));
+    }
+
     /// How often the request with this `fake-id` header ran.
     #[must_use]
     pub fn runs(&self, id: &str) -> u64 {
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -21,6 +21,8 @@
 use crate::client;
 
 const POLL_INTERVAL_MS: u64 = 20;
+/// The kernel counts processor time in hundredths of a second.
+const MILLIS_PER_TICK: u64 = 10;
 
 /// Ports of one VM on the loopback address.
 #[derive(Clone, Copy, Debug)]
@@ -76,6 +78,15 @@
     })
 }
 
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    /// Processor time in user and kernel mode.
+    pub cpu: Duration,
+    /// Resident memory.
+    pub memory_kib: u64,
+}
+
 /// A running daemon; dropping it kills the process.
 pub struct Daemon {
     child: Child,
@@ -123,6 +134,32 @@
         Ok(signal::kill(Pid::from_raw(id), signal)?)
     }
 
+    /// What the process has used so far.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the kernel's account of the process could not be read.
+    pub fn usage(&self) -> io::Result<Usage> {
+        let id = self.child.id();
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+        let malformed = || io::Error::other("the account of the process does not hold");
+        // The fields after the name in parentheses: user and kernel ticks are the 12th and 13th.
+        let fields = stat.rsplit(')').next().ok_or_else(malformed)?;
+        let ticks: u64 = fields
+            .split_whitespace()
+            .skip(11)
+            .take(2)
+            .filter_map(|field| field.parse::<u64>().ok())
+            .sum();
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let memory = resident.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        Ok(Usage {
+            cpu: Duration::from_millis(ticks * MILLIS_PER_TICK),
+            memory_kib: memory.ok_or_else(malformed)?,
+        })
+    }
+
     /// Waits for the process to end, at most `limit`.
     ///
     /// # Errors
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -110,6 +110,12 @@
         self.standing == Standing::Open && self.ejected.is_none()
     }
 
+    /// Whether the target looks bad and gets only trials.
+    #[must_use]
+    pub fn is_ejected(&self) -> bool {
+        self.ejected.is_some()
+    }
+
     /// Takes the target out of normal use, or back into it.
     pub(crate) fn eject(&mut self, now: Instant, bad: bool) {
         if bad && self.ejected.is_none() {
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -1,13 +1,12 @@
 //! Tells callers which addresses to use.
 
 use salvo::Depot;
+use salvo::FlowCtrl;
 use salvo::Handler;
 use salvo::Request;
 use salvo::Response;
 use salvo::Router;
 use salvo::async_trait;
-use salvo::http::StatusCode;
-use salvo::writing::Json;
 
 use crate::query::Client;
 use crate::query::Question;
@@ -23,15 +22,11 @@
         request: &mut Request,
         _depot: &mut Depot,
         response: &mut Response,
-        _flow: &mut salvo::FlowCtrl,
+        _flow: &mut FlowCtrl,
     ) {
         let service = request.query::<String>("service").unwrap_or_default();
-        match self.client.ask(Question::Addresses(service.into())).await {
-            Some(answer) => response.render(Json(answer)),
-            None => {
-                response.status_code(StatusCode::SERVICE_UNAVAILABLE);
-            }
-        }
+        let answer = self.client.ask(Question::Addresses(service.into())).await;
+        answer.render(response);
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 mod node;
 mod operator;
+mod overview;
 mod platform;
 mod pool;
 mod probe;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,39 +1,82 @@
-//! Pages for operators.
+//! Pages for operators; docs/operator-api.md describes them.
 
 use salvo::Depot;
+use salvo::FlowCtrl;
 use salvo::Handler;
 use salvo::Request;
 use salvo::Response;
 use salvo::Router;
 use salvo::async_trait;
-use salvo::http::StatusCode;
-use salvo::writing::Json;
 
 use crate::query::Client;
+use crate::query::Filter;
 use crate::query::Question;
 
-struct Status {
+const AUDIT_LIMIT: usize = 512;
+const AUDIT_LIMIT_MAX: usize = 4_096;
+
+/// Reads the question of a page from a request.
+type Read = fn(&Request) -> Question;
+
+/// One page.
+struct Page {
     client: Client,
+    question: Read,
 }
 
 #[async_trait]
-impl Handler for Status {
+impl Handler for Page {
     async fn handle(
         &self,
-        _request: &mut Request,
+        request: &mut Request,
         _depot: &mut Depot,
         response: &mut Response,
-        _flow: &mut salvo::FlowCtrl,
+        _flow: &mut FlowCtrl,
     ) {
-        match self.client.ask(Question::Status).await {
-            Some(answer) => response.render(Json(answer)),
-            None => {
-                response.status_code(StatusCode::SERVICE_UNAVAILABLE);
-            }
-        }
+        let question = (self.question)(request);
+        self.client.ask(question).await.render(response);
     }
 }
 
-pub(crate) fn router(client: Client) -> Router {
-    Router::new().push(Router::with_path("v1/status").get(Status { client }))
+pub(crate) fn router(client: &Client) -> Router {
+    let pages: [(&str, Read); 9] = [
+        ("healthz", |_| Question::Health),
+        ("readyz", |_| Question::Readiness),
+        ("v1/status", |_| Question::Status),
+        ("v1/catalogue", |_| Question::Catalogue),
+        ("v1/explain/entry/{name}", |request| {
+            Question::Entry(param(request, "name"))
+        }),
+        ("v1/explain/target/{service}/{name}", |request| {
+            Question::Target(param(request, "service"), param(request, "name"))
+        }),
+        ("v1/explain/vm/{name}", |request| {
+            Question::Vm(param(request, "name"))
+        }),
+        ("v1/fleet", |_| Question::Fleet),
+        ("v1/audit", |request| Question::Audit(filter(request))),
+    ];
+    let page = |(path, question)| {
+        let client = client.clone();
+        Router::with_path(path).get(Page { client, question })
+    };
+    pages
+        .into_iter()
+        .map(page)
+        .fold(Router::new(), Router::push)
+}
+
+fn param(request: &Request, name: &str) -> Box<str> {
+    request.param::<String>(name).unwrap_or_default().into()
+}
+
+fn filter(request: &Request) -> Filter {
+    let text = |name: &str| request.query::<String>(name).map(Into::into);
+    let limit = request.query::<usize>("limit").unwrap_or(AUDIT_LIMIT);
+    Filter {
+        subject: text("subject"),
+        kind: text("kind"),
+        after: text("after"),
+        limit: limit.clamp(1, AUDIT_LIMIT_MAX),
+    }
 }
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -79,7 +79,7 @@
     let (sender, queries) = mpsc::channel(QUERY_QUEUE);
     let client = Client::new(sender);
     spawn_pages(directory, directory::router(client.clone()));
-    spawn_pages(operators, operator::router(client));
+    spawn_pages(operators, operator::router(&client));
     tokio::task::spawn_local(answer(node.clone(), queries));
     tokio::task::spawn_local(platform::follow(node.clone()));
     tokio::task::spawn_local(probe::run(node.clone(), orders));
