Add members, links, messages and the audit trail

Cause: VMs need one view of the fleet that does not depend on the order of messages, and a sparse graph of links that stays connected. Change: core gets member (records ordered by incarnation, sequence number and state; suspicion, flapping, freezes), link (ring per data centre, bridges between data centres and regions, at most 10 links a VM), audit (own ring and copies of peers' records) and message (what VMs tell each other). Nine deliberate faults (no tie break between records, no uptime merge, no hold of a flapping member, no restart of suspicions after a freeze, own death not final, no links between data centres, one bridge, four region successors, audit copies with gaps) each made a test fail.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,10 +5,14 @@
 #[macro_use]
 mod derive;
 
+pub mod audit;
 pub mod balance;
 pub mod catalogue;
 pub mod entry;
+pub mod link;
 pub mod map;
+pub mod member;
+pub mod message;
 pub mod read;
 pub mod request;
 pub mod route;
--- /dev/null
+++ b/crates/core/src/member.rs
@@ -0,0 +1,510 @@
+//! Members of the fleet with incarnations and liveness.
+
+use std::cmp::Ordering;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::map::Map;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// Members that a VM remembers, dead ones included.
+pub const MAX_MEMBERS: usize = 1_024;
+/// Time without a refutation after which a suspected member counts as dead.
+pub const SUSPECT_LIMIT: Span = Span::from_millis(5_000);
+/// Window over which suspicions of one member are counted.
+pub const FLAP_WINDOW: Span = Span::from_millis(60_000);
+/// Time for which a flapping member counts as suspect.
+pub const FLAP_HOLD: Span = Span::from_millis(60_000);
+/// Gap between two ticks that shows that this process was frozen.
+pub const FREEZE_LIMIT: Span = Span::from_millis(1_500);
+/// Time for which a dead member is remembered, so that its old records stay outranked. A region
+/// can be cut off for an hour, and its members are redialled from these records.
+pub const DEAD_KEEP: Span = Span::from_millis(7_200_000);
+
+const FLAP_SUSPICIONS: usize = 3;
+
+key! {
+    /// Liveness of a member; a later state outranks an earlier one of the same sequence number.
+    #[derive(Serialize, Deserialize)]
+    pub enum State {
+        /// Heard from.
+        #[serde(rename = "a")]
+        Alive,
+        /// Not heard from by a neighbour.
+        #[serde(rename = "s")]
+        Suspect,
+        /// In a planned shutdown.
+        #[serde(rename = "l")]
+        Leaving,
+        /// Stopped or lost.
+        #[serde(rename = "d")]
+        Dead,
+    }
+}
+
+data! {
+    /// What the fleet knows of one incarnation of one VM. The field names are short on the wire.
+    #[derive(Serialize, Deserialize)]
+    pub struct Record {
+        /// Name of the VM.
+        #[serde(rename = "v")]
+        pub vm: Box<str>,
+        /// Wall-clock milliseconds at start, raised above any known one of the same name.
+        #[serde(rename = "i")]
+        pub incarnation: u64,
+        /// Raised by the VM itself whenever it restates its record.
+        #[serde(rename = "q")]
+        pub sequence: u64,
+        /// Liveness.
+        #[serde(rename = "s")]
+        pub state: State,
+        /// Address for requests.
+        #[serde(rename = "c")]
+        pub caller: SocketAddr,
+        /// Address of the directory.
+        #[serde(rename = "d")]
+        pub directory: SocketAddr,
+        /// Address for links.
+        #[serde(rename = "p")]
+        pub peer: SocketAddr,
+        /// Region.
+        #[serde(rename = "r")]
+        pub region: Box<str>,
+        /// Data centre.
+        #[serde(rename = "z")]
+        pub data_center: Box<str>,
+        /// Lower bound of the VM's uptime when the record was sent.
+        #[serde(rename = "u")]
+        pub uptime_ms: u64,
+        /// Build version.
+        #[serde(rename = "b", default)]
+        pub build: Box<str>,
+    }
+
+    /// The part of a record that decides which of two is newer.
+    #[derive(Serialize, Deserialize, PartialOrd, Ord)]
+    pub struct Stamp {
+        /// Name of the VM.
+        #[serde(rename = "v")]
+        pub vm: Box<str>,
+        /// Incarnation.
+        #[serde(rename = "i")]
+        pub incarnation: u64,
+        /// Sequence number.
+        #[serde(rename = "q")]
+        pub sequence: u64,
+        /// Liveness.
+        #[serde(rename = "s")]
+        pub state: State,
+    }
+
+    /// What became of a record that was merged.
+    pub enum Merge {
+        /// It is now in effect; the state before is given for a known member.
+        Newer(Option<State>),
+        /// It is known.
+        Known,
+        /// A newer one is in effect.
+        Behind,
+        /// It misstated this VM, which restated its own record.
+        Refuted,
+        /// A newer incarnation of this VM's name serves elsewhere.
+        Superseded,
+        /// There is no room for another member.
+        Full,
+    }
+}
+
+/// One member.
+#[derive(Clone, Debug)]
+pub struct Member {
+    record: Record,
+    rank: u64,
+    received: Instant,
+    since: Instant,
+    suspicions: Vec<Instant>,
+    held_until: Instant,
+}
+
+/// All known members, this VM included.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    own: Box<str>,
+    settled: bool,
+    ticked: Instant,
+    changes: u64,
+    members: Map<Box<str>, Member>,
+}
+
+impl Record {
+    /// The part that decides which of two records is newer.
+    #[must_use]
+    pub fn stamp(&self) -> Stamp {
+        Stamp {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            state: self.state,
+        }
+    }
+
+    fn order(&self, other: &Self) -> Ordering {
+        let position = |record: &Self| (record.incarnation, record.sequence, record.state);
+        position(self).cmp(&position(other))
+    }
+
+    // Breaks ties between records of the same position, so that every order of merging ends alike.
+    fn details(&self) -> impl Ord + '_ {
+        let addresses = (self.caller, self.directory, self.peer);
+        (addresses, &self.region, &self.data_center, &self.build)
+    }
+}
+
+impl Member {
+    fn new(now: Instant, record: Record) -> Self {
+        Self {
+            rank: rank(&record.vm, record.incarnation),
+            record,
+            received: now,
+            since: now,
+            suspicions: Vec::new(),
+            held_until: Instant::default(),
+        }
+    }
+
+    /// The record as last received; its uptime is that of the moment of receipt.
+    #[must_use]
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Position among the members of a data centre.
+    #[must_use]
+    pub fn rank(&self) -> u64 {
+        self.rank
+    }
+
+    /// When the member entered its state, as far as this VM saw it.
+    #[must_use]
+    pub fn since(&self) -> Instant {
+        self.since
+    }
+
+    /// A lower bound of the member's uptime.
+    #[must_use]
+    pub fn uptime(&self, now: Instant) -> Span {
+        Span::from_millis(self.record.uptime_ms) + now.since(self.received)
+    }
+
+    /// Liveness for the choice of addresses: a flapping member counts as suspect for a while.
+    #[must_use]
+    pub fn standing(&self, now: Instant) -> State {
+        if self.record.state == State::Alive && now < self.held_until {
+            return State::Suspect;
+        }
+        self.record.state
+    }
+
+    /// The record with its uptime brought forward to `now`.
+    #[must_use]
+    pub fn current(&self, now: Instant) -> Record {
+        Record {
+            uptime_ms: self.uptime(now).as_millis(),
+            ..self.record.clone()
+        }
+    }
+
+    fn lift_uptime(&mut self, now: Instant, uptime_ms: u64) {
+        if uptime_ms > self.uptime(now).as_millis() {
+            self.record.uptime_ms = uptime_ms;
+            self.received = now;
+        }
+    }
+
+    fn replace(&mut self, now: Instant, record: Record) {
+        let same_incarnation = record.incarnation == self.record.incarnation;
+        let before = if same_incarnation {
+            self.record.state
+        } else {
+            State::Alive
+        };
+        let uptime_ms = if same_incarnation {
+            record.uptime_ms.max(self.uptime(now).as_millis())
+        } else {
+            record.uptime_ms
+        };
+        if record.state != before {
+            self.since = now;
+        }
+        if record.state == State::Suspect && before != State::Suspect {
+            self.count_suspicion(now);
+        }
+        self.rank = rank(&record.vm, record.incarnation);
+        self.record = Record {
+            uptime_ms,
+            ..record
+        };
+        self.received = now;
+    }
+
+    fn count_suspicion(&mut self, now: Instant) {
+        self.suspicions
+            .retain(|earlier| now.since(*earlier) < FLAP_WINDOW);
+        self.suspicions.push(now);
+        if self.suspicions.len() >= FLAP_SUSPICIONS {
+            self.held_until = now + FLAP_HOLD;
+            self.suspicions.clear();
+        }
+    }
+}
+
+impl Fleet {
+    /// A fleet of which only this VM is known.
+    #[must_use]
+    pub fn new(now: Instant, own: Record) -> Self {
+        let mut members = Map::default();
+        let name = own.vm.clone();
+        members.insert(name.clone(), Member::new(now, own));
+        Self {
+            own: name,
+            settled: false,
+            ticked: now,
+            changes: 0,
+            members,
+        }
+    }
+
+    /// This VM.
+    ///
+    /// # Panics
+    ///
+    /// Never: this VM's own member is never removed.
+    #[must_use]
+    pub fn own(&self) -> &Member {
+        self.members.get(&self.own).expect("the own member is kept")
+    }
+
+    /// Fixes the incarnation: from now on, this VM serves under it.
+    pub fn settle(&mut self) {
+        self.settled = true;
+    }
+
+    /// Whether the incarnation is fixed.
+    #[must_use]
+    pub fn settled(&self) -> bool {
+        self.settled
+    }
+
+    /// Counts changes of members, so that derived values can be cached.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// The member named `vm`.
+    #[must_use]
+    pub fn get(&self, vm: &str) -> Option<&Member> {
+        self.members.get(vm)
+    }
+
+    /// All members, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Members that are not dead, in no order.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.iter()
+            .filter(|member| member.record.state != State::Dead)
+    }
+
+    /// A hash of the stamps of all members that are not dead. Dead members are left out, because
+    /// VMs forget them at different times.
+    #[must_use]
+    pub fn root(&self) -> u64 {
+        self.live()
+            .map(|member| stamp_hash(&member.record))
+            .fold(0, |root, hash| root ^ hash)
+    }
+
+    /// Takes over `record` if it is newer than what is known.
+    pub fn merge(&mut self, now: Instant, record: Record) -> Merge {
+        if record.vm == self.own {
+            return self.merge_own(now, &record);
+        }
+        if !self.members.contains_key(&record.vm) && !self.make_room() {
+            return Merge::Full;
+        }
+        let Some(member) = self.members.get_mut(&record.vm) else {
+            self.changes += 1;
+            let name = record.vm.clone();
+            self.members.insert(name, Member::new(now, record));
+            return Merge::Newer(None);
+        };
+        let order = record.order(&member.record);
+        let newer = order.then_with(|| record.details().cmp(&member.record.details()));
+        if record.incarnation == member.record.incarnation {
+            member.lift_uptime(now, record.uptime_ms);
+        }
+        match newer {
+            Ordering::Less => Merge::Behind,
+            Ordering::Equal => Merge::Known,
+            Ordering::Greater => {
+                let before = member.record.state;
+                member.replace(now, record);
+                self.changes += 1;
+                Merge::Newer(Some(before))
+            }
+        }
+    }
+
+    fn merge_own(&mut self, now: Instant, record: &Record) -> Merge {
+        let own = self.own().record.clone();
+        match record.order(&own) {
+            Ordering::Less => Merge::Behind,
+            Ordering::Equal => Merge::Known,
+            Ordering::Greater if record.incarnation > own.incarnation => {
+                if self.settled {
+                    return Merge::Superseded;
+                }
+                self.restate(now, record.incarnation.saturating_add(1), 0, own.state);
+                Merge::Refuted
+            }
+            Ordering::Greater => {
+                let sequence = record.sequence.saturating_add(1);
+                self.restate(now, own.incarnation, sequence, own.state);
+                Merge::Refuted
+            }
+        }
+    }
+
+    /// Announces a new state of this VM itself; `Dead` is final.
+    pub fn announce(&mut self, now: Instant, state: State) {
+        let own = self.own().record.clone();
+        if own.state != State::Dead {
+            let sequence = own.sequence.saturating_add(1);
+            self.restate(now, own.incarnation, sequence, state);
+        }
+    }
+
+    fn restate(&mut self, now: Instant, incarnation: u64, sequence: u64, state: State) {
+        let name = self.own.clone();
+        if let Some(member) = self.members.get_mut(&name) {
+            let record = Record {
+                incarnation,
+                sequence,
+                state,
+                uptime_ms: now.as_micros() / 1_000,
+                ..member.record.clone()
+            };
+            member.replace(now, record);
+            self.changes += 1;
+        }
+    }
+
+    /// Marks a silent neighbour: a member in a planned shutdown is taken for dead, another one is
+    /// suspected. Returns the record to spread.
+    pub fn suspect(&mut self, now: Instant, vm: &str) -> Option<Record> {
+        if vm == &*self.own {
+            return None;
+        }
+        let member = self.members.get_mut(vm)?;
+        let state = match member.record.state {
+            State::Alive => State::Suspect,
+            State::Leaving => State::Dead,
+            State::Suspect | State::Dead => return None,
+        };
+        let record = Record {
+            state,
+            ..member.current(now)
+        };
+        member.replace(now, record);
+        self.changes += 1;
+        Some(member.current(now))
+    }
+
+    /// Declares overdue suspects dead and forgets members that died long ago. Returns the records
+    /// of the new dead.
+    pub fn expire(&mut self, now: Instant) -> Vec<Record> {
+        let mut dead = Vec::new();
+        for member in self.members.values_mut() {
+            if member.record.state == State::Suspect && now.since(member.since) >= SUSPECT_LIMIT {
+                let record = Record {
+                    state: State::Dead,
+                    ..member.current(now)
+                };
+                member.replace(now, record.clone());
+                dead.push(record);
+            }
+        }
+        self.changes += dead.len() as u64;
+        let own = &self.own;
+        self.members.retain(|name, member| {
+            name == own || member.record.state != State::Dead || now.since(member.since) < DEAD_KEEP
+        });
+        dead.sort_by(|left, right| left.vm.cmp(&right.vm));
+        dead
+    }
+
+    /// Notes that time passed. After a freeze, this VM restates its record under a higher sequence
+    /// number and starts every suspicion anew, because refutations may wait unread. Returns
+    /// whether there was a freeze.
+    pub fn tick(&mut self, now: Instant) -> bool {
+        let frozen = now.since(self.ticked) > FREEZE_LIMIT;
+        self.ticked = now;
+        if frozen {
+            for member in self.members.values_mut() {
+                if member.record.state == State::Suspect {
+                    member.since = now;
+                }
+            }
+            let state = self.own().record.state;
+            self.announce(now, state);
+        }
+        frozen
+    }
+
+    fn make_room(&mut self) -> bool {
+        if self.members.len() < MAX_MEMBERS {
+            return true;
+        }
+        let oldest = self
+            .members
+            .values()
+            .filter(|member| member.record.state == State::Dead && member.record.vm != self.own)
+            .min_by_key(|member| member.since)
+            .map(|member| member.record.vm.clone());
+        oldest.is_some_and(|name| self.members.remove(&name).is_some())
+    }
+}
+
+/// Position of an incarnation of a VM in rings and elections; the same on every VM and build.
+#[must_use]
+pub fn rank(vm: &str, incarnation: u64) -> u64 {
+    hash(&[vm.as_bytes(), &incarnation.to_be_bytes()])
+}
+
+fn stamp_hash(record: &Record) -> u64 {
+    let state = [record.state as u8];
+    let incarnation = record.incarnation.to_be_bytes();
+    let sequence = record.sequence.to_be_bytes();
+    hash(&[record.vm.as_bytes(), &incarnation, &sequence, &state])
+}
+
+pub(crate) fn hash(parts: &[&[u8]]) -> u64 {
+    let mut sha = Sha256::new();
+    for part in parts {
+        sha.update((part.len() as u64).to_be_bytes());
+        sha.update(part);
+    }
+    let digest = sha.finalize();
+    digest
+        .iter()
+        .take(8)
+        .fold(0, |value, byte| value << 8 | u64::from(*byte))
+}
--- /dev/null
+++ b/crates/core/tests/link.rs
@@ -0,0 +1,136 @@
+//! The graph of links over any membership view.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use oriolecleat_core::link;
+use oriolecleat_core::link::MAX_DEGREE;
+use oriolecleat_core::link::Place;
+use oriolecleat_core::member;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop_assert;
+use proptest::prelude::prop_assert_eq;
+use proptest::proptest;
+
+#[derive(Clone, Debug)]
+struct Vm {
+    name: String,
+    region: String,
+    data_center: String,
+}
+
+// Data centres are spread over the regions, and VMs at random over the data centres, so that some
+// data centres hold one VM or none.
+fn view() -> impl Strategy<Value = Vec<Vm>> {
+    (1..=7_usize, 1..=19_usize).prop_flat_map(|(regions, centers)| {
+        proptest::collection::vec(0..centers, 1..=200).prop_map(move |placed| {
+            let vm = |(index, center): (usize, usize)| Vm {
+                name: format!("vm-{index}"),
+                region: format!("region-{}", center % regions),
+                data_center: format!("dc-{center}"),
+            };
+            placed.into_iter().enumerate().map(vm).collect()
+        })
+    })
+}
+
+fn places(vms: &[Vm]) -> Vec<Place<'_>> {
+    vms.iter()
+        .map(|vm| Place {
+            region: &vm.region,
+            data_center: &vm.data_center,
+            rank: member::rank(&vm.name, 1),
+            vm: &vm.name,
+        })
+        .collect()
+}
+
+fn adjacency<'a>(places: &[Place<'a>]) -> BTreeMap<&'a str, BTreeSet<&'a str>> {
+    let mut graph: BTreeMap<&str, BTreeSet<&str>> = places
+        .iter()
+        .map(|place| (place.vm, BTreeSet::new()))
+        .collect();
+    for (left, right) in link::edges(places) {
+        graph.entry(left).or_default().insert(right);
+        graph.entry(right).or_default().insert(left);
+    }
+    graph
+}
+
+fn reached(graph: &BTreeMap<&str, BTreeSet<&str>>, lost: Option<&str>) -> usize {
+    let mut seen = BTreeSet::new();
+    let mut open: Vec<&str> = graph
+        .keys()
+        .copied()
+        .filter(|vm| Some(*vm) != lost)
+        .take(1)
+        .collect();
+    while let Some(vm) = open.pop() {
+        if Some(vm) != lost && seen.insert(vm) {
+            open.extend(&graph[vm]);
+        }
+    }
+    seen.len()
+}
+
+proptest! {
+    #![proptest_config(common::fixed(62, 256))]
+
+    // Guards against a VM or region that no message reaches, and against a VM whose number of
+    // links grows with the fleet.
+    #[test]
+    fn connects_every_view_within_the_degree(vms in view()) {
+        let places = places(&vms);
+        let graph = adjacency(&places);
+        prop_assert_eq!(reached(&graph, None), vms.len());
+        for (vm, neighbours) in &graph {
+            prop_assert!(neighbours.len() <= MAX_DEGREE, "{} has {:?}", vm, neighbours);
+        }
+    }
+
+    // Guards against a VM whose loss cuts the fleet in two before the links are recomputed. A data
+    // centre with one VM is left out: losing it loses its region's only bridge.
+    #[test]
+    fn stays_connected_without_any_one_vm(
+        (vms, lost) in (view(), 0..200_usize)
+    ) {
+        let places = places(&vms);
+        let lost = &vms[lost % vms.len()];
+        let mates = vms.iter().filter(|vm| vm.data_center == lost.data_center).count();
+        proptest::prop_assume!(mates >= 2);
+        let graph = adjacency(&places);
+        prop_assert_eq!(reached(&graph, Some(&lost.name)), vms.len() - 1);
+    }
+
+    // Guards against links that one end wants and the other closes.
+    #[test]
+    fn both_ends_agree((vms, own) in (view(), 0..200_usize)) {
+        let places = places(&vms);
+        let own = &vms[own % vms.len()].name;
+        let neighbours: Vec<&str> = adjacency(&places)[own.as_str()].iter().copied().collect();
+        prop_assert_eq!(link::neighbours(&places, own), neighbours);
+    }
+}
+
+// Guards against more links between regions than the bridges need: their traffic is billed.
+#[test]
+fn few_links_run_between_regions() {
+    let vms: Vec<Vm> = (0..200)
+        .map(|index| Vm {
+            name: format!("vm-{index}"),
+            region: format!("region-{}", index % 19 % 7),
+            data_center: format!("dc-{}", index % 19),
+        })
+        .collect();
+    let region: BTreeMap<&str, &str> = vms
+        .iter()
+        .map(|vm| (vm.name.as_str(), vm.region.as_str()))
+        .collect();
+    let crossing = link::edges(&places(&vms))
+        .into_iter()
+        .filter(|(left, right)| region[left] != region[right])
+        .count();
+    assert!(crossing <= 7 * 4, "{crossing} links between regions");
+}
