Decide who reads the configuration service and how often

Cause: few VMs may read the configuration service, its rate is shared by all of them, and a reader must not miss a change over cut or compacted watches.

--- /dev/null
+++ b/crates/core/tests/reader.rs
@@ -0,0 +1,262 @@
+//! Who reads the configuration service and how often it is called.
+
+mod common;
+
+use oriolecleat_core::member::Fleet;
+use oriolecleat_core::member::Record;
+use oriolecleat_core::member::State;
+use oriolecleat_core::reader;
+use oriolecleat_core::reader::BACKOFF_MAX;
+use oriolecleat_core::reader::BACKOFF_MIN;
+use oriolecleat_core::reader::Backoff;
+use oriolecleat_core::reader::Budget;
+use oriolecleat_core::reader::Reader;
+use oriolecleat_core::reader::Step;
+use oriolecleat_core::reader::TAKEOVER_HOLD;
+use oriolecleat_core::settings::View;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+use proptest::prelude::prop_assert;
+use proptest::proptest;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const LIMITS: View = View {
+    stale_after: Span::from_millis(30_000),
+    takeover_after: Span::from_millis(10_000),
+    peer_wait: Span::from_millis(1_000),
+    readers_per_data_center: 2,
+};
+
+fn at(millis: u64) -> Instant {
+    Instant::default() + Span::from_millis(millis)
+}
+
+fn record(vm: &str, data_center: &str, state: State) -> Record {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    Record {
+        vm: vm.into(),
+        incarnation: 1,
+        sequence: 0,
+        state,
+        caller: address,
+        directory: address,
+        peer: address,
+        region: "cai".into(),
+        data_center: data_center.into(),
+        uptime_ms: 0,
+        build: "".into(),
+    }
+}
+
+fn fleet(own: &str, vms: &[(String, State)]) -> Fleet {
+    let mut fleet = Fleet::new(at(0), record(own, "cai-1", State::Alive));
+    for (vm, state) in vms {
+        fleet.merge(at(0), record(vm, "cai-1", *state));
+    }
+    fleet.merge(at(0), record("elsewhere", "cai-2", State::Alive));
+    fleet
+}
+
+fn random(seed: u64) -> SmallRng {
+    SmallRng::seed_from_u64(seed)
+}
+
+// Guards against a data centre with no reader, or with as many readers as VMs.
+#[test]
+fn few_live_members_are_designated() {
+    let mut vms: Vec<(String, State)> = (0..9)
+        .map(|index| (format!("vm-{index}"), State::Alive))
+        .collect();
+    let chosen = |vms: &[(String, State)]| -> Vec<String> {
+        let live = vms.iter().filter(|(_, state)| *state == State::Alive);
+        live.filter(|(vm, _)| reader::designated(&fleet(vm, vms), 2))
+            .map(|(vm, _)| vm.clone())
+            .collect()
+    };
+    let before = chosen(&vms);
+    assert_eq!(before.len(), 2);
+    for (vm, state) in &mut vms {
+        if *vm == before[0] {
+            *state = State::Suspect;
+        }
+    }
+    let after = chosen(&vms);
+    assert_eq!(after.len(), 2);
+    assert!(after.contains(&before[1]) && !after.contains(&before[0]));
+}
+
+// Guards against calls above the service's rate when all VMs start at once while the service is
+// down, each believing that it is alone.
+#[test]
+fn a_start_of_all_vms_stays_under_the_rate() {
+    for (vms, calls_per_s, ceiling, known) in [
+        (200, 2_000, 210, true),
+        (18, 2_000, 30, true),
+        (900, 2_000, 900, false),
+    ] {
+        let mut calls: Vec<u64> = Vec::new();
+        for vm in 0..vms {
+            let mut random = random(vm);
+            let alone = Fleet::new(at(0), record(&format!("vm-{vm}"), "cai-1", State::Alive));
+            let mut reader = Reader::new(at(0), LIMITS, &mut random);
+            if known {
+                reader.budget().share(at(0), calls_per_s, ceiling);
+            }
+            let mut reading = false;
+            for millis in (0..20_000).step_by(20) {
+                reading |= reader.step(at(millis), &alone, &mut random) == Some(Step::Open);
+                // The harshest shell calls as soon as the budget allows it, and every call fails.
+                if reading && reader.budget().spend(at(millis)) {
+                    calls.push(millis);
+                    reader.end(at(millis), &mut random);
+                    reading = false;
+                }
+            }
+        }
+        calls.sort_unstable();
+        let most = (0..calls.len())
+            .map(|first| calls[first..].partition_point(|call| *call < calls[first] + 1_000))
+            .max();
+        assert!(
+            most.is_some_and(|most| most as u64 <= calls_per_s),
+            "{most:?} calls in a second"
+        );
+        assert!(!calls.is_empty());
+    }
+}
+
+proptest! {
+    #![proptest_config(common::fixed(63, 256))]
+
+    // Guards against a share that is exceeded in some second, whatever the pattern of calls.
+    #[test]
+    fn no_second_exceeds_the_share(
+        (calls_per_s, ceiling, gaps) in
+            (2_u64..3_000, 1_u64..1_000, proptest::collection::vec(0_u64..400_000, 1..400))
+    ) {
+        let mut budget = Budget::new(at(0));
+        budget.share(at(0), calls_per_s, ceiling);
+        let mut now = Instant::default();
+        let mut spent: Vec<u64> = Vec::new();
+        for gap in gaps {
+            now = now + Span::from_micros(gap);
+            while budget.spend(now) {
+                spent.push(now.as_micros());
+            }
+        }
+        let share = (calls_per_s / ceiling).max(1);
+        for (index, first) in spent.iter().enumerate() {
+            let within = spent[index..].partition_point(|call| *call < first + 1_000_000);
+            prop_assert!(within as u64 <= share, "{} calls, share {}", within, share);
+        }
+    }
+}
+
+// Guards against a waiting watch that is free of charge.
+#[test]
+fn a_waiting_watch_counts_as_one_call_a_second() {
+    let calls = |pending| {
+        let mut budget = Budget::new(at(0));
+        budget.share(at(0), 100, 10);
+        budget.watch(at(0), pending);
+        (0..100_u64)
+            .map(|tenth| at(tenth * 100))
+            .filter(|now| budget.spend(*now))
+            .count()
+    };
+    let (free, waiting) = (calls(false), calls(true));
+    assert!(
+        free - waiting >= 9 && free - waiting <= 11,
+        "{free} and {waiting}"
+    );
+}
+
+// Guards against VMs that retry in step, and against a wait without a bound.
+#[test]
+fn backoff_doubles_up_to_a_limit_with_full_jitter() {
+    let mut random = random(1);
+    for failures in 0..12_u32 {
+        let limit = (BACKOFF_MIN.as_micros() << failures).min(BACKOFF_MAX.as_micros());
+        let waits: Vec<u64> = (0..400)
+            .map(|_| {
+                let mut backoff = Backoff::default();
+                for _ in 0..failures {
+                    backoff.fail(&mut random);
+                }
+                backoff.fail(&mut random).as_micros()
+            })
+            .collect();
+        assert!(waits.iter().all(|wait| *wait <= limit));
+        assert!(waits.iter().any(|wait| *wait < limit / 10));
+        assert!(waits.iter().any(|wait| *wait > limit / 10 * 9));
+    }
+}
+
+// Guards against a data centre whose readers are all lost or cut off: any other VM takes over.
+#[test]
+fn any_vm_takes_over_an_old_view() {
+    let lower: Vec<(String, State)> = (0..40)
+        .map(|index| (format!("vm-{index}"), State::Alive))
+        .collect();
+    let own = lower
+        .iter()
+        .map(|(vm, _)| vm)
+        .find(|vm| !reader::designated(&fleet(vm, &lower), 2))
+        .expect("a VM that is not designated");
+    let fleet = fleet(own, &lower);
+    let mut random = random(2);
+    let mut reader = Reader::new(at(0), LIMITS, &mut random);
+    reader.confirm(at(5_000), Span::ZERO);
+    assert_eq!(reader.step(at(15_000), &fleet, &mut random), None);
+    let mut opened = None;
+    for millis in (15_000..25_000).step_by(100) {
+        if reader.step(at(millis), &fleet, &mut random) == Some(Step::Open) {
+            opened = Some(millis);
+            break;
+        }
+    }
+    let opened = opened.expect("the view is older than any jitter allows");
+    reader.confirm(at(opened), Span::ZERO);
+    // Reading refreshes the view, which must not end the reading at once.
+    assert_eq!(reader.step(at(opened + 1_000), &fleet, &mut random), None);
+    let released = at(opened) + TAKEOVER_HOLD;
+    reader.confirm(released, Span::ZERO);
+    assert_eq!(
+        reader.step(released, &fleet, &mut random),
+        Some(Step::Close)
+    );
+}
+
+// Guards against a starting VM that asks the service before its peers could answer, and against a
+// resumed VM that takes buffered messages for the present.
+#[test]
+fn waits_for_peers_and_reopens_after_a_freeze() {
+    let fleet = Fleet::new(at(0), record("own", "cai-1", State::Alive));
+    let mut random = random(3);
+    let mut reader = Reader::new(at(0), LIMITS, &mut random);
+    assert_eq!(reader.resume(at(0)), None);
+    assert_eq!(reader.step(at(999), &fleet, &mut random), None);
+    assert_eq!(
+        reader.step(at(1_000), &fleet, &mut random),
+        Some(Step::Open)
+    );
+    assert_eq!(reader.resume(at(2_000)), Some(Step::Close));
+    assert_eq!(
+        reader.step(at(2_000), &fleet, &mut random),
+        Some(Step::Open)
+    );
+}
+
+// Guards against a view that is reported as current although nobody confirmed it.
+#[test]
+fn the_view_ages_until_it_is_confirmed() {
+    let mut reader = Reader::new(at(0), LIMITS, &mut random(4));
+    assert_eq!(reader.age(at(1)), None);
+    assert!(!reader.stale(at(30_000)));
+    assert!(reader.stale(at(30_001)));
+    reader.confirm(at(40_000), Span::from_millis(5_000));
+    reader.confirm(at(40_000), Span::from_millis(9_000));
+    assert_eq!(reader.age(at(41_000)), Some(Span::from_millis(6_000)));
+    assert!(!reader.stale(at(41_000)));
+}
