--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,202 @@
+//! Frames: a tag, a sequence number, a kind and a body in CBOR.
+
+use std::fmt;
+
+use hmac::Hmac;
+use hmac::Mac;
+use oriolecleat_core::message::Message;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sha2::Sha256;
+
+use crate::bytes::LENGTH;
+
+/// Largest frame in bytes: a catalogue value of 1 MB with its versions fits.
+pub const MAX_BYTES: usize = 1_500_000;
+
+const FIRST_SEQUENCE: u64 = 1;
+// The deepest message has six levels; unknown fields of a newer release may nest further.
+const MAX_DEPTH: usize = 32;
+
+/// A frame as received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Frame {
+    /// A message of a known kind.
+    Known(Message),
+    /// A frame of a kind that this release does not know.
+    Unknown(u64),
+}
+
+/// Why a frame is refused; the link has to be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The frame is larger than [`MAX_BYTES`].
+    TooLarge,
+    /// The tag does not fit the frame and the link.
+    Tag,
+    /// The sequence number is not the next one.
+    Sequence,
+    /// The body is malformed.
+    Malformed,
+}
+
+/// Seals the frames of one direction of a link.
+pub struct Sealer {
+    mac: Hmac<Sha256>,
+    protocol: u64,
+    next: u64,
+}
+
+/// Opens the frames of one direction of a link.
+pub struct Opener {
+    mac: Hmac<Sha256>,
+    next: u64,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::TooLarge => "frame is too large",
+            Self::Tag => "frame has a wrong tag",
+            Self::Sequence => "frame has a sequence number that is not the next one",
+            Self::Malformed => "frame is malformed",
+        })
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl Sealer {
+    pub(crate) fn new(mac: Hmac<Sha256>, protocol: u64) -> Self {
+        Self {
+            mac,
+            protocol,
+            next: FIRST_SEQUENCE,
+        }
+    }
+
+    /// The next frame with `message`, or none if the peer's release does not know its kind.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the frame would be too large; the link is still usable.
+    pub fn seal(&mut self, message: &Message) -> Result<Option<Vec<u8>>, Fault> {
+        let (kind, since) = kind(message);
+        if since > self.protocol {
+            return Ok(None);
+        }
+        let frame = match message {
+            Message::Members(body) => self.frame(kind, body),
+            Message::Roster(body) => self.frame(kind, body),
+            Message::Digest(body) => self.frame(kind, body),
+            Message::Versions(body) => self.frame(kind, body),
+            Message::Want(body) => self.frame(kind, body),
+            Message::Entries(body) => self.frame(kind, body),
+            Message::Leaving(body) => self.frame(kind, body),
+            Message::Load(body) => self.frame(kind, body),
+            Message::Audit(body) => self.frame(kind, body),
+            Message::Beat(body) => self.frame(kind, body),
+        };
+        frame.map(Some)
+    }
+
+    /// The next frame of any kind.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the frame would be too large; the link is still usable.
+    pub fn frame(&mut self, kind: u64, body: &impl Serialize) -> Result<Vec<u8>, Fault> {
+        let mut frame = vec![0; LENGTH];
+        write(&self.next, &mut frame);
+        write(&kind, &mut frame);
+        write(body, &mut frame);
+        if frame.len() > MAX_BYTES {
+            return Err(Fault::TooLarge);
+        }
+        self.next += 1;
+        let mut mac = self.mac.clone();
+        mac.update(&frame[LENGTH..]);
+        frame[..LENGTH].copy_from_slice(&mac.finalize().into_bytes());
+        Ok(frame)
+    }
+}
+
+impl Opener {
+    pub(crate) fn new(mac: Hmac<Sha256>) -> Self {
+        Self {
+            mac,
+            next: FIRST_SEQUENCE,
+        }
+    }
+
+    /// Checks and decodes the next frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the frame is refused; the link has to be closed.
+    pub fn open(&mut self, frame: &[u8]) -> Result<Frame, Fault> {
+        if frame.len() > MAX_BYTES {
+            return Err(Fault::TooLarge);
+        }
+        let (tag, mut body) = frame.split_at_checked(LENGTH).ok_or(Fault::Tag)?;
+        let mut mac = self.mac.clone();
+        mac.update(body);
+        mac.verify_slice(tag).map_err(|_| Fault::Tag)?;
+        if read::<u64>(&mut body)? != self.next {
+            return Err(Fault::Sequence);
+        }
+        self.next += 1;
+        decode(body)
+    }
+}
+
+/// Number of a message's kind and the first protocol that knows it.
+fn kind(message: &Message) -> (u64, u64) {
+    match message {
+        Message::Members(_) => (2, 1),
+        Message::Digest(_) => (3, 1),
+        Message::Versions(_) => (4, 1),
+        Message::Entries(_) => (5, 1),
+        Message::Leaving(_) => (6, 1),
+        Message::Load(_) => (7, 1),
+        Message::Audit(_) => (8, 1),
+        Message::Beat(_) => (9, 1),
+        Message::Roster(_) => (10, 1),
+        Message::Want(_) => (11, 1),
+    }
+}
+
+/// Decodes the kind and the body of a frame whose tag and sequence number hold.
+///
+/// # Errors
+///
+/// Returns an error if the body is malformed.
+pub fn decode(mut body: &[u8]) -> Result<Frame, Fault> {
+    let body = &mut body;
+    let message = match read::<u64>(body)? {
+        2 => Message::Members(read(body)?),
+        3 => Message::Digest(read(body)?),
+        4 => Message::Versions(read(body)?),
+        5 => Message::Entries(read(body)?),
+        6 => Message::Leaving(read(body)?),
+        7 => Message::Load(read(body)?),
+        8 => Message::Audit(read(body)?),
+        9 => Message::Beat(read(body)?),
+        10 => Message::Roster(read(body)?),
+        11 => Message::Want(read(body)?),
+        unknown => return Ok(Frame::Unknown(unknown)),
+    };
+    if body.is_empty() {
+        Ok(Frame::Known(message))
+    } else {
+        Err(Fault::Malformed)
+    }
+}
+
+fn write(value: &impl Serialize, frame: &mut Vec<u8>) {
+    ciborium::into_writer(value, frame).expect("messages have a CBOR form");
+}
+
+fn read<T: DeserializeOwned>(body: &mut &[u8]) -> Result<T, Fault> {
+    ciborium::de::from_reader_with_recursion_limit(body, MAX_DEPTH).map_err(|_| Fault::Malformed)
+}
