--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,20 +5,32 @@
 #[macro_use]
 mod derive;
 
+pub mod address;
 pub mod audit;
 pub mod balance;
+pub mod budget;
 pub mod catalogue;
+mod choose;
+mod dispatch;
 pub mod entry;
+pub mod estimate;
+mod flight;
 pub mod gateway;
+pub mod hedge;
+pub mod leaving;
+pub mod limit;
 pub mod link;
 pub mod map;
 pub mod member;
 pub mod message;
+pub mod purse;
+mod queue;
 pub mod read;
 pub mod reader;
 pub mod request;
 pub mod route;
 pub mod settings;
+pub mod stop;
 pub mod target;
 pub mod ticket;
 pub mod time;
