--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod client;
 pub mod fake;
+pub mod network;
 pub mod process;
