--- a/crates/bench/tests/gossip.rs
+++ b/crates/bench/tests/gossip.rs
@@ -7,6 +7,7 @@
 use oriolecleat_bench::network::Faults;
 use oriolecleat_bench::network::Network;
 use oriolecleat_bench::network::sites;
+use oriolecleat_core::catalogue::Record;
 use oriolecleat_core::message::Content;
 use oriolecleat_core::message::Departure;
 use oriolecleat_core::time::Span;
@@ -28,7 +29,7 @@
 const NEWS_MAX_AGE_MS: u64 = 15_000;
 const BYTES_PER_S: u64 = 5_000;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Step {
     Publish {
         vm: usize,
@@ -119,7 +120,7 @@
 
     fn publish(&mut self, vm: usize, key: u8, text: Option<Box<str>>) {
         let content = Content {
-            key: format!("entry-{key}").into(),
+            key: format!("entries/entry-{key}").into(),
             version: Version {
                 generation: 0,
                 revision: self.revision,
@@ -131,15 +132,14 @@
             .act(vm, |gossip, context| gossip.publish(context, vec![content]));
     }
 
+    fn record(&self, vm: usize, key: u8) -> Option<&Record> {
+        let key = format!("entries/entry-{key}");
+        self.network.vms[vm].catalogue.get(&key)
+    }
+
     fn version(&self, vm: usize, key: u8) -> Version {
-        let contents = self.network.vms[vm]
-            .catalogue
-            .contents(&format!("entry-{key}"));
-        contents
-            .iter()
-            .map(|content| content.version)
-            .max()
-            .unwrap_or_default()
+        let newest = self.record(vm, key).and_then(Record::newest);
+        newest.map(|mark| mark.version).unwrap_or_default()
     }
 
     fn take(&mut self, step: Step) {
@@ -259,7 +259,7 @@
             let live: BTreeSet<&str> = live.map(|member| &*member.record().vm).collect();
             assert_eq!(live, names, "members known to {}", state.name());
             for (key, (effective, highest)) in held {
-                let name = format!("entry-{key}");
+                let name = format!("entries/entry-{key}");
                 assert_eq!(
                     self.version(*vm, *key),
                     *highest,
@@ -273,16 +273,8 @@
     }
 
     fn effective(&self, vm: usize, key: u8) -> Option<Version> {
-        let contents = self.network.vms[vm]
-            .catalogue
-            .contents(&format!("entry-{key}"));
-        let valid = contents.into_iter().filter(|content| {
-            content
-                .text
-                .as_ref()
-                .is_none_or(|text| !text.contains("wrong"))
-        });
-        valid.map(|content| content.version).max()
+        let valid = self.record(vm, key).and_then(Record::valid_mark);
+        valid.map(|mark| mark.version)
     }
 
     fn held(&self, part: &BTreeSet<usize>) -> BTreeMap<u8, Seen> {
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -10,6 +10,7 @@
 
 use crate::audit;
 use crate::audit::Change;
+use crate::catalogue;
 use crate::catalogue::Catalogue;
 use crate::catalogue::Verdict;
 use crate::dial::Dials;
@@ -253,21 +254,45 @@
         contents: Vec<Content>,
     ) -> Vec<Action> {
         let source = self.source(from, "configuration service");
+        let mut behind = None;
+        let delivered = match from {
+            Some(_) => catalogue::Source::Peer(source.clone()),
+            None => catalogue::Source::Service,
+        };
         let mut actions = Vec::new();
         let mut fresh = Vec::new();
         for content in contents {
             let text = content.text.as_deref();
-            let verdict = context.catalogue.offer(&content.key, content.version, text);
+            let (key, version) = (&content.key, content.version);
+            let verdict = context
+                .catalogue
+                .offer(key, version, text, delivered.clone());
             let (kind, cause) = match &verdict {
-                Verdict::Known | Verdict::Behind => continue,
+                Verdict::Known => continue,
+                Verdict::Behind => {
+                    behind.get_or_insert(content);
+                    continue;
+                }
                 Verdict::Accepted if text.is_none() => ("catalogue", "deleted"),
                 Verdict::Accepted => ("catalogue", "accepted"),
+                Verdict::Conflict { kept: true } => ("conflict", "kept"),
+                Verdict::Conflict { kept: false } => ("conflict", "not kept"),
                 Verdict::Rejected(_) => ("rejected", "entry is not valid"),
+                Verdict::Refused(reason) => ("refused", &**reason),
             };
             let change = Change::new(kind, &content.key, &source, cause).at(content.version);
             context.audit.record(context.wall_ms, change);
+            let spreads = verdict.is_news();
             actions.push(Action::Offered(content.key.clone(), verdict));
-            fresh.push(content);
+            if spreads {
+                fresh.push(content);
+            }
+        }
+        // One record stands for a whole read of a service that lags or was restored.
+        if let Some(content) = behind.filter(|_| from.is_none()) {
+            let cause = "older than what is in effect";
+            let change = Change::new("behind", &content.key, &source, cause).at(content.version);
+            context.audit.record(context.wall_ms, change);
         }
         if !fresh.is_empty() {
             let message = Message::Entries(Entries { contents: fresh });
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -13,6 +13,7 @@
 use serde::de::Visitor;
 
 use crate::audit;
+use crate::catalogue;
 use crate::member;
 use crate::version::Version;
 
@@ -76,21 +77,7 @@
         pub buckets: Vec<u64>,
         /// All keys of these buckets.
         #[serde(rename = "k", deserialize_with = "bounded")]
-        pub keys: Vec<Held>,
-    }
-
-    /// A catalogue key as the sender holds it.
-    #[derive(Serialize, Deserialize)]
-    pub struct Held {
-        /// Key.
-        #[serde(rename = "k")]
-        pub key: Box<str>,
-        /// Hash of all that the sender holds of the key: versions and contents.
-        #[serde(rename = "h")]
-        pub hash: u64,
-        /// Highest version that the sender holds.
-        #[serde(rename = "v", with = "pair")]
-        pub version: Version,
+        pub keys: Vec<catalogue::Stamp>,
     }
 
     /// What the sender lacks.
--- a/crates/core/src/news.rs
+++ b/crates/core/src/news.rs
@@ -17,7 +17,7 @@
 const RENEW_AFTER: Span = Span::from_millis(5_000);
 // News that is about to run out is no longer repaired, because VMs forget it at slightly different
 // times.
-const REPAIR_SHARE_PERCENT: u64 = 75;
+const UNREPAIRED_PERCENT: u64 = 25;
 
 /// Hash of no news; zero stands for "not stated" on the wire.
 const EMPTY_ROOT: u64 = 1;
@@ -26,7 +26,9 @@
 #[derive(Debug)]
 pub struct News {
     hold: Span,
-    heard: Map<(SocketAddr, Box<str>), Instant>,
+    /// Time until which each piece holds. The time of the evidence itself may lie before the start
+    /// of this process.
+    until: Map<(SocketAddr, Box<str>), Instant>,
 }
 
 impl News {
@@ -35,7 +37,7 @@
     pub fn new(hold: Span) -> Self {
         Self {
             hold,
-            heard: Map::default(),
+            until: Map::default(),
         }
     }
 
@@ -46,16 +48,16 @@
             return false;
         }
         let key = (departure.target, departure.source.clone());
-        let moment = now - age;
-        let room = self.heard.len() < MAX_NEWS;
-        match self.heard.entry(key) {
-            Entry::Occupied(known) if moment < *known.get() + RENEW_AFTER => false,
+        let until = now + self.hold.less(age);
+        let room = self.until.len() < MAX_NEWS;
+        match self.until.entry(key) {
+            Entry::Occupied(known) if until < *known.get() + RENEW_AFTER => false,
             Entry::Occupied(mut known) => {
-                known.insert(moment);
+                known.insert(until);
                 true
             }
             Entry::Vacant(unknown) if room => {
-                unknown.insert(moment);
+                unknown.insert(until);
                 true
             }
             Entry::Vacant(_) => false,
@@ -64,8 +66,7 @@
 
     /// Forgets news that no longer holds.
     pub fn expire(&mut self, now: Instant) {
-        let hold = self.hold;
-        self.heard.retain(|_, moment| now.since(*moment) < hold);
+        self.until.retain(|_, until| now < *until);
     }
 
     /// Hash of the news that peers should know.
@@ -82,10 +83,10 @@
     #[must_use]
     pub fn departures(&self, now: Instant) -> Vec<Departure> {
         let departure =
-            |((target, source), moment): (&(SocketAddr, Box<str>), &Instant)| Departure {
+            |((target, source), until): (&(SocketAddr, Box<str>), &Instant)| Departure {
                 target: *target,
                 source: source.clone(),
-                age_ms: now.since(*moment).as_millis(),
+                age_ms: self.hold.less(until.since(now)).as_millis(),
             };
         let mut found: Vec<Departure> = self.current(now).map(departure).collect();
         found
@@ -94,9 +95,9 @@
     }
 
     fn current(&self, now: Instant) -> impl Iterator<Item = (&(SocketAddr, Box<str>), &Instant)> {
-        let limit = Span::from_micros(self.hold.as_micros() / 100 * REPAIR_SHARE_PERCENT);
-        self.heard
+        let rest = Span::from_micros(self.hold.as_micros() / 100 * UNREPAIRED_PERCENT);
+        self.until
             .iter()
-            .filter(move |(_, moment)| now.since(**moment) < limit)
+            .filter(move |(_, until)| until.since(now) > rest)
     }
 }
--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -6,9 +6,10 @@
 use crate::member::Fleet;
 use crate::member::MAX_MEMBERS;
 use crate::member::State;
-use crate::settings::View;
+use crate::settings;
 use crate::time::Instant;
 use crate::time::Span;
+use crate::view::View;
 
 /// Shortest limit of the wait after a failed call.
 pub const BACKOFF_MIN: Span = Span::from_millis(200);
@@ -76,10 +77,10 @@
 /// Decides when this VM reads, and knows how old its view is.
 #[derive(Debug)]
 pub struct Reader {
-    limits: View,
+    limits: settings::View,
     started: Instant,
     jitter: Span,
-    confirmed: Option<Instant>,
+    view: View,
     taken_until: Instant,
     phase: Phase,
     backoff: Backoff,
@@ -162,14 +163,14 @@
 impl Reader {
     /// A reader that first leaves its peers time to tell what they know.
     #[must_use]
-    pub fn new(now: Instant, limits: View, random: &mut dyn Rng) -> Self {
+    pub fn new(now: Instant, limits: settings::View, random: &mut dyn Rng) -> Self {
         let next = now + limits.peer_wait;
         let jitter = jitter(&limits, random);
         Self {
             limits,
             started: now,
             jitter,
-            confirmed: None,
+            view: View::default(),
             taken_until: Instant::default(),
             phase: Phase::Idle { next },
             backoff: Backoff::default(),
@@ -185,10 +186,7 @@
     /// Notes that the view was complete `age` ago, as this VM's own reading or a peer with the
     /// same catalogue showed.
     pub fn confirm(&mut self, now: Instant, age: Span) {
-        let moment = now - age;
-        if self.confirmed.is_none_or(|confirmed| confirmed < moment) {
-            self.confirmed = Some(moment);
-        }
+        self.view.confirm(now, age);
     }
 
     /// Notes that the service responded.
@@ -199,13 +197,13 @@
     /// Age of the view; none before the first confirmation.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Span> {
-        self.confirmed.map(|confirmed| now.since(confirmed))
+        self.view.age(now)
     }
 
     /// Whether the view is too old to be reported as current.
     #[must_use]
     pub fn stale(&self, now: Instant) -> bool {
-        now.since(self.confirmed.unwrap_or(self.started)) > self.limits.stale_after
+        self.age_or_uptime(now) > self.limits.stale_after
     }
 
     /// Whether this VM should be reading now; called at every tick.
@@ -243,9 +241,16 @@
         Some(Step::Close)
     }
 
+    // A view that was never confirmed counts from the start, so that a starting VM does not take
+    // over at once.
+    fn age_or_uptime(&self, now: Instant) -> Span {
+        let uptime = now.since(self.started);
+        self.view.age(now).unwrap_or(uptime)
+    }
+
     fn take_over(&mut self, now: Instant, random: &mut dyn Rng) -> bool {
-        let seen = self.confirmed.unwrap_or(self.started);
-        if now >= self.taken_until && now.since(seen) > self.limits.takeover_after + self.jitter {
+        let limit = self.limits.takeover_after + self.jitter;
+        if now >= self.taken_until && self.age_or_uptime(now) > limit {
             self.taken_until = now + TAKEOVER_HOLD;
             self.jitter = jitter(&self.limits, random);
         }
@@ -253,6 +258,6 @@
     }
 }
 
-fn jitter(limits: &View, random: &mut dyn Rng) -> Span {
+fn jitter(limits: &settings::View, random: &mut dyn Rng) -> Span {
     Span::from_micros(random.random_range(0..=limits.takeover_after.half().as_micros()))
 }
--- a/crates/core/src/repair.rs
+++ b/crates/core/src/repair.rs
@@ -1,16 +1,16 @@
 //! What to tell a peer whose catalogue or members differ.
 
+use crate::catalogue;
+use crate::catalogue::BUCKETS;
 use crate::catalogue::Catalogue;
-use crate::map::Map;
+use crate::catalogue::Stamp;
 use crate::map::Set;
 use crate::member;
 use crate::member::Fleet;
-use crate::member::Stamp;
 use crate::member::State;
-use crate::message::Content;
+use crate::message;
 use crate::message::Digest;
 use crate::message::Entries;
-use crate::message::Held;
 use crate::message::Members;
 use crate::message::Message;
 use crate::message::Roster;
@@ -43,7 +43,7 @@
     for (bucket, hash) in catalogue.digest().iter().enumerate() {
         if theirs.hashes.get(bucket) != Some(hash) {
             versions.buckets.push(bucket as u64);
-            versions.keys.extend(held(catalogue, bucket));
+            versions.keys.extend(catalogue.versions(bucket));
         }
     }
     (!versions.buckets.is_empty()).then_some(Message::Versions(versions))
@@ -51,60 +51,59 @@
 
 /// What the peer lacks of the buckets that it listed, and what this VM lacks of them.
 pub(crate) fn exchange(catalogue: &Catalogue, theirs: &Versions) -> Vec<Message> {
-    let known: Map<&str, &Held> = theirs.keys.iter().map(|held| (&*held.key, held)).collect();
-    let buckets = catalogue.digest().len();
-    let mut own: Map<Box<str>, Held> = Map::default();
-    for bucket in &theirs.buckets {
-        match usize::try_from(*bucket) {
-            Ok(bucket) if bucket < buckets => {
-                let held = held(catalogue, bucket);
-                own.extend(held.into_iter().map(|held| (held.key.clone(), held)));
-            }
-            Ok(_) | Err(_) => {}
-        }
-    }
-    // With equal versions and different hashes, each side may hold what the other lacks.
-    let ahead = |held: &Held, other: Option<&Held>| {
-        other.is_none_or(|other| held.hash != other.hash && held.version >= other.version)
-    };
-    let mut sent: Vec<&str> = own
-        .values()
-        .filter(|held| ahead(held, known.get(&*held.key).copied()))
-        .map(|held| &*held.key)
+    let listed: Set<usize> = theirs
+        .buckets
+        .iter()
+        .filter_map(|bucket| usize::try_from(*bucket).ok())
+        .filter(|bucket| *bucket < BUCKETS)
         .collect();
-    sent.sort_unstable();
-    let mut messages = entries(catalogue, sent);
-    let wanted: Vec<Box<str>> = theirs
-        .keys
+    let mut contents: Vec<catalogue::Content> = listed
         .iter()
-        .filter(|held| ahead(held, own.get(&held.key)))
-        .map(|held| held.key.clone())
+        .flat_map(|bucket| catalogue.lacking(*bucket, &theirs.keys))
         .collect();
-    if !wanted.is_empty() {
-        messages.push(Message::Want(Want {
-            keys: wanted,
-            members: Vec::new(),
-        }));
+    contents.sort_by_key(|content| (content.key, content.version));
+    let mut messages = batches(contents);
+    let wanted = theirs.keys.iter().filter(|stamp| lacks(catalogue, stamp));
+    let keys: Vec<Box<str>> = wanted.map(|stamp| stamp.key.clone()).collect();
+    if !keys.is_empty() {
+        let members = Vec::new();
+        messages.push(Message::Want(Want { keys, members }));
     }
     messages
 }
 
+fn lacks(catalogue: &Catalogue, theirs: &Stamp) -> bool {
+    let own = catalogue.get(&theirs.key);
+    let valid = own.and_then(catalogue::Record::valid_mark);
+    let rejected = own.and_then(catalogue::Record::rejected_mark);
+    (theirs.valid > valid && theirs.valid != rejected) || theirs.rejected > valid.max(rejected)
+}
+
 /// The contents of `keys`, in messages of bounded size.
 pub(crate) fn entries<'a>(
-    catalogue: &Catalogue,
+    catalogue: &'a Catalogue,
     keys: impl IntoIterator<Item = &'a str>,
 ) -> Vec<Message> {
+    let keys = keys.into_iter();
+    batches(keys.flat_map(|key| catalogue.contents(key)).collect())
+}
+
+fn batches(contents: Vec<catalogue::Content>) -> Vec<Message> {
     let mut messages = Vec::new();
     let mut batch = Entries::default();
     let mut bytes = 0;
-    for content in keys.into_iter().flat_map(|key| contents(catalogue, key)) {
-        let size = content.text.as_ref().map_or(0, |text| text.len());
+    for content in contents {
+        let size = content.text.map_or(0, str::len);
         if bytes + size > ENTRIES_BYTES && !batch.contents.is_empty() {
             messages.push(Message::Entries(std::mem::take(&mut batch)));
             bytes = 0;
         }
         bytes += size;
-        batch.contents.push(content);
+        batch.contents.push(message::Content {
+            key: content.key.into(),
+            version: content.version,
+            text: content.text.map(Into::into),
+        });
     }
     if !batch.contents.is_empty() {
         messages.push(Message::Entries(batch));
@@ -112,17 +111,10 @@
     messages
 }
 
-fn held(catalogue: &Catalogue, bucket: usize) -> Vec<Held> {
-    catalogue.versions(bucket)
-}
-
-fn contents(catalogue: &Catalogue, key: &str) -> Vec<Content> {
-    catalogue.contents(key)
-}
-
 /// The stamps of all members that are not dead.
 pub(crate) fn roster(fleet: &Fleet) -> Message {
-    let mut stamps: Vec<Stamp> = fleet.live().map(|member| member.record().stamp()).collect();
+    let mut stamps: Vec<member::Stamp> =
+        fleet.live().map(|member| member.record().stamp()).collect();
     stamps.sort_unstable();
     Message::Roster(Roster { stamps })
 }
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -1,13 +1,15 @@
 //! Takes catalogue changes into use.
 
+use oriolecleat_core::catalogue::Source;
 use oriolecleat_core::catalogue::Verdict;
+use oriolecleat_core::leaving;
 use oriolecleat_core::map::Set;
 use oriolecleat_core::route;
-use oriolecleat_core::version::Version;
-use serde_json::Value;
 
 use crate::metrics::Count;
 use crate::node::Node;
+use crate::quota::Division;
+use crate::quota::Quota;
 use crate::service;
 use crate::service::Service;
 
@@ -17,13 +19,9 @@
 impl Node {
     /// Offers catalogue content read from the configuration service.
     pub(crate) fn offer(&mut self, key: &str, revision: u64, text: Option<&str>) {
-        let generation = text.map_or(0, generation);
-        let version = Version {
-            generation,
-            revision,
-        };
-        match self.catalogue.offer(key, version, text) {
-            Verdict::Accepted => {
+        let version = self.catalogue.version(key, revision, text);
+        match self.catalogue.offer(key, version, text, Source::Service) {
+            Verdict::Accepted | Verdict::Conflict { kept: true } => {
                 log::info!(key, revision; "catalogue change accepted");
                 self.metrics.add(Count::CatalogueAccepted, 1);
                 self.apply();
@@ -33,7 +31,43 @@
                 log::warn!(key, revision, faults = faults.as_str(); "catalogue change rejected");
                 self.metrics.add(Count::CatalogueRejected, 1);
             }
-            Verdict::Known | Verdict::Behind => {}
+            Verdict::Refused(reason) => {
+                log::warn!(key, revision, reason = &*reason; "catalogue change refused");
+                self.metrics.add(Count::CatalogueRejected, 1);
+            }
+            Verdict::Known | Verdict::Behind | Verdict::Conflict { kept: false } => {}
+        }
+    }
+
+    /// Largest number of entry VM processes alive at once.
+    pub(crate) fn vm_ceiling(&self) -> u64 {
+        let constants = self.catalogue.constants();
+        constants.map_or(DEFAULT_VM_CEILING, |constants| constants.vm_ceiling)
+    }
+
+    /// How limits are divided over the fleet now.
+    pub(crate) fn division(&self) -> Division {
+        Division {
+            members: self.members_alive,
+            ceiling: self.vm_ceiling(),
+        }
+    }
+
+    /// Brings quotas in line with the entries in force and the fleet.
+    pub(crate) fn divide(&mut self) {
+        let now = self.clock.now();
+        let division = self.division();
+        let entries = self.routes.services().flat_map(|(_, entries)| entries);
+        for (name, entry) in entries {
+            let limits = &entry.limits;
+            let key = *self.entries.entry(name.clone()).or_insert_with(|| {
+                self.next_entry += 1;
+                self.quotas
+                    .insert(Quota::new(now, self.next_entry, limits, division))
+            });
+            if let Some(quota) = self.quotas.get_mut(key) {
+                quota.update(now, limits, division);
+            }
         }
     }
 
@@ -42,9 +76,11 @@
         self.routes = route::Table::build(&self.catalogue);
         let now = self.clock.now();
         let place = self.place();
+        let ceiling = self.vm_ceiling();
+        let bounds = leaving::Bounds::from(&self.settings.evidence);
         let mut named = Set::default();
         for (name, entries) in self.routes.services() {
-            let limits = service::limits(entries, DEFAULT_VM_CEILING);
+            let limits = service::limits(entries, ceiling);
             let targets = service::targets(entries);
             let key = *self.names.entry(name.into()).or_insert_with(|| {
                 self.services
@@ -54,18 +90,15 @@
             if let Some(service) = self.services.get_mut(key) {
                 service.balancer.limit(limits);
                 service.balancer.update(now, &targets);
+                service.align(bounds);
             }
         }
         for (key, service) in &mut self.services {
             if !named.contains(&key) {
                 service.balancer.update(now, &[]);
+                service.align(bounds);
             }
         }
+        self.divide();
     }
 }
-
-/// The generation written in the text of an entry, zero if there is none.
-fn generation(text: &str) -> u64 {
-    let value: Value = serde_json::from_str(text).unwrap_or_default();
-    value.get("generation").and_then(Value::as_u64).unwrap_or(0)
-}
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -9,6 +9,8 @@
 use common::hello;
 use common::link;
 use oriolecleat_core::audit;
+use oriolecleat_core::catalogue::Mark;
+use oriolecleat_core::catalogue::Stamp;
 use oriolecleat_core::member;
 use oriolecleat_core::member::State;
 use oriolecleat_core::message::Audit;
@@ -17,7 +19,6 @@
 use oriolecleat_core::message::Departure;
 use oriolecleat_core::message::Digest;
 use oriolecleat_core::message::Entries;
-use oriolecleat_core::message::Held;
 use oriolecleat_core::message::Leaving;
 use oriolecleat_core::message::Load;
 use oriolecleat_core::message::MAX_LIST;
@@ -96,10 +97,14 @@
 }
 
 fn catalogue() -> impl Strategy<Value = Message> {
-    let held = (text(), any::<u64>(), version()).prop_map(|(key, hash, version)| Held {
+    let mark = || {
+        let mark = (version(), any::<[u8; 32]>());
+        proptest::option::of(mark.prop_map(|(version, digest)| Mark { version, digest }))
+    };
+    let held = (text(), mark(), mark()).prop_map(|(key, valid, rejected)| Stamp {
         key,
-        hash,
-        version,
+        valid,
+        rejected,
     });
     let content = (text(), version(), proptest::option::of(text()))
         .prop_map(|(key, version, text)| Content { key, version, text });
