--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod client;
 pub mod fake;
 pub mod load;
+pub mod network;
 pub mod process;
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -67,7 +67,6 @@
             "ready": reasons.is_empty(),
             "reasons": reasons,
             "view": self.view_status(),
-            "vm_list": self.vm_list_status(),
             "catalogue": {
                 "entries": self.catalogue.entries().count(),
                 "tombstones": tombstones,
@@ -78,7 +77,7 @@
                     constants.map(|constants| constants.configuration_calls_per_s),
             },
             "members": self.member_counts(),
-            "links": self.links(),
+            "links": self.gossip.linked().count(),
             "requests": {
                 "in_flight": self.visits.in_flight(),
                 "waiting": self.services.values().map(waiting).sum::<usize>(),
@@ -191,7 +190,7 @@
         ])
     }
 
-    fn standing(&self, service: &Service, target: &str) -> &'static str {
+    pub(crate) fn standing(&self, service: &Service, target: &str) -> &'static str {
         let now = self.clock.now();
         let Some(key) = service.balancer.targets().find(target) else {
             return "unconfirmed";
