--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod client;
 pub mod fake;
+pub mod load;
+pub mod network;
 pub mod process;
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -14,14 +14,13 @@
 use crate::service::Service;
 
 /// Largest number of entry VM processes alive at once until the catalogue states it.
-pub(crate) const DEFAULT_VM_CEILING: u64 = 64;
+const DEFAULT_VM_CEILING: u64 = 64;
 
 impl Node {
     /// Offers catalogue content read from the configuration service.
     pub(crate) fn offer(&mut self, key: &str, revision: u64, text: Option<&str>) {
         let version = self.catalogue.version(key, revision, text);
-        let verdict = self.catalogue.offer(key, version, text, Source::Service);
-        match verdict {
+        match self.catalogue.offer(key, version, text, Source::Service) {
             Verdict::Accepted | Verdict::Conflict { kept: true } => {
                 log::info!(key, revision; "catalogue change accepted");
                 self.metrics.add(Count::CatalogueAccepted, 1);
@@ -40,11 +39,17 @@
         }
     }
 
+    /// Largest number of entry VM processes alive at once.
+    pub(crate) fn vm_ceiling(&self) -> u64 {
+        let constants = self.catalogue.constants();
+        constants.map_or(DEFAULT_VM_CEILING, |constants| constants.vm_ceiling)
+    }
+
     /// How limits are divided over the fleet now.
     pub(crate) fn division(&self) -> Division {
         Division {
             members: self.members_alive,
-            ceiling: DEFAULT_VM_CEILING,
+            ceiling: self.vm_ceiling(),
         }
     }
 
@@ -71,10 +76,11 @@
         self.routes = route::Table::build(&self.catalogue);
         let now = self.clock.now();
         let place = self.place();
+        let ceiling = self.vm_ceiling();
         let bounds = leaving::Bounds::from(&self.settings.evidence);
         let mut named = Set::default();
         for (name, entries) in self.routes.services() {
-            let limits = service::limits(entries, DEFAULT_VM_CEILING);
+            let limits = service::limits(entries, ceiling);
             let targets = service::targets(entries);
             let key = *self.names.entry(name.into()).or_insert_with(|| {
                 self.services
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,9 +3,13 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use oriolecleat_core::audit;
 use oriolecleat_core::balance::Call;
 use oriolecleat_core::catalogue::Catalogue;
+use oriolecleat_core::gossip::Gossip;
 use oriolecleat_core::map::Map;
+use oriolecleat_core::member;
+use oriolecleat_core::reader::Reader;
 use oriolecleat_core::route;
 use oriolecleat_core::settings::Settings;
 use oriolecleat_core::stop::Phase;
@@ -54,12 +58,19 @@
     pub(crate) calls: Map<Call, Slot>,
     pub(crate) next_call: u64,
     pub(crate) next_entry: u32,
+    /// Address answers given, so that the VMs named take turns.
+    pub(crate) turn: usize,
     /// Members known to be alive, this VM included.
     pub(crate) members_alive: u64,
     pub(crate) rng: SmallRng,
     pub(crate) probes: mpsc::UnboundedSender<probe::Order>,
     /// Wakes the timer task when a service needs an earlier tick.
     pub(crate) timer: Rc<Notify>,
+    /// This VM's part in the fleet.
+    pub(crate) gossip: Gossip,
+    pub(crate) audit: audit::Ring,
+    /// When to read the configuration service, and how old the view is.
+    pub(crate) reader: Reader,
     pub(crate) visits: Visits,
     pub(crate) phases: Phases,
 }
@@ -68,15 +79,18 @@
     pub(crate) fn new(
         settings: Settings,
         clock: Clock,
-        rng: SmallRng,
+        mut rng: SmallRng,
         probes: mpsc::UnboundedSender<probe::Order>,
     ) -> Self {
         let incarnation = clock::wall_ms();
+        let now = clock.now();
+        let hold = settings.evidence.leaving_hold;
+        let own = record(&settings, incarnation);
+        let reader = Reader::new(now, settings.view.clone(), &mut rng);
         Self {
             issuer: ticket::Issuer::new(settings.fleet_key.as_bytes()),
             ledger: ticket::Ledger::new(&settings.vm, incarnation, LEDGER_CAPACITY),
             metrics: Metrics::new(settings.statsd, &settings.vm),
-            settings,
             clock,
             incarnation,
             routes: route::Table::default(),
@@ -90,12 +104,17 @@
             calls: Map::default(),
             next_call: 0,
             next_entry: 0,
+            turn: 0,
             members_alive: 1,
             rng,
             probes,
             timer: Rc::new(Notify::new()),
+            gossip: Gossip::new(now, own, settings.seeds.clone(), hold),
+            audit: audit::Ring::new(&settings.vm, incarnation),
+            reader,
             visits: Visits::default(),
             phases: Rc::new(watch::Sender::new(Phase::default())),
+            settings,
         }
     }
 
@@ -107,3 +126,20 @@
         }
     }
 }
+
+/// The member record of this VM as it starts.
+fn record(settings: &Settings, incarnation: u64) -> member::Record {
+    member::Record {
+        vm: settings.vm.clone(),
+        incarnation,
+        sequence: 0,
+        state: member::State::Alive,
+        caller: settings.listen.caller,
+        directory: settings.listen.directory,
+        peer: settings.listen.peer,
+        region: settings.region.clone(),
+        data_center: settings.data_center.clone(),
+        uptime_ms: 0,
+        build: env!("CARGO_PKG_VERSION").into(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/overview.rs
@@ -0,0 +1,204 @@
+//! What the operator pages say of the view, the fleet and the audit trail.
+
+use oriolecleat_core::address;
+use oriolecleat_core::address::Candidate;
+use oriolecleat_core::address::Place;
+use oriolecleat_core::audit;
+use oriolecleat_core::member::Member;
+use oriolecleat_core::member::State;
+use oriolecleat_core::ticket::Ticket;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+use rand::RngExt;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::halt;
+use crate::node::Node;
+use crate::query::Answer;
+use crate::query::Filter;
+
+impl Node {
+    /// Why this VM should not be used; nothing if it should.
+    pub(crate) fn unready(&self) -> Vec<&'static str> {
+        let mut reasons = Vec::new();
+        if self.catalogue.records().next().is_none() {
+            reasons.push("no_catalogue");
+        }
+        if self.reader.stale(self.clock.now()) {
+            reasons.push("view_stale");
+        }
+        if !self.phase().is_named() {
+            reasons.push(halt::name(self.phase()));
+        }
+        reasons
+    }
+
+    pub(crate) fn view_age_ms(&self) -> Option<u64> {
+        let age = self.reader.age(self.clock.now());
+        age.map(Span::as_millis)
+    }
+
+    pub(crate) fn view_status(&self) -> Value {
+        let stale = self.reader.stale(self.clock.now());
+        json!({ "age_ms": self.view_age_ms(), "stale": stale })
+    }
+
+    pub(crate) fn member_counts(&self) -> Value {
+        let now = self.clock.now();
+        let count = |state: State| {
+            let members = self.gossip.fleet().iter();
+            members
+                .filter(|member| member.standing(now) == state)
+                .count()
+        };
+        json!({
+            "alive": count(State::Alive),
+            "suspect": count(State::Suspect),
+            "leaving": count(State::Leaving),
+            "dead": count(State::Dead),
+        })
+    }
+
+    pub(crate) fn explain_vm(&self, name: &str) -> Answer {
+        let member = self
+            .gossip
+            .fleet()
+            .get(name)
+            .map(|member| self.member(member));
+        let mut targets = Vec::new();
+        for service in self.services.values() {
+            for (_, target) in service.balancer.targets().iter() {
+                if *target.spec.vm == *name {
+                    targets.push(json!({
+                        "service": service.name,
+                        "name": target.spec.name,
+                        "standing": self.standing(service, &target.spec.name),
+                    }));
+                }
+            }
+        }
+        if member.is_none() && targets.is_empty() {
+            return Answer::unknown(&format!("no VM named {name}"));
+        }
+        Answer::ok(json!({ "name": name, "member": member, "targets": targets }))
+    }
+
+    pub(crate) fn fleet_page(&self) -> Value {
+        let members = self.gossip.fleet().iter().map(|member| self.member(member));
+        json!({ "vm": self.settings.vm, "members": members.collect::<Vec<Value>>() })
+    }
+
+    fn member(&self, member: &Member) -> Value {
+        let now = self.clock.now();
+        let record = member.record();
+        json!({
+            "vm": record.vm,
+            "incarnation": record.incarnation,
+            "sequence": record.sequence,
+            "state": state(member.standing(now)),
+            "region": record.region,
+            "data_center": record.data_center,
+            "directory": record.directory.to_string(),
+            "caller": record.caller.to_string(),
+            "peer": record.peer.to_string(),
+            "uptime_ms": member.uptime(now).as_millis(),
+            "build": record.build,
+            "link": self.gossip.linked().any(|vm| *vm == *record.vm),
+        })
+    }
+
+    pub(crate) fn audit_page(&self, filter: &Filter) -> Value {
+        let query = audit::Query {
+            subject: filter.subject.clone(),
+            kind: filter.kind.clone(),
+            after_ms: filter
+                .after
+                .as_ref()
+                .and_then(|after| after.parse().ok())
+                .unwrap_or(0),
+            newest: filter.limit,
+        };
+        let records = self.audit.query(&query);
+        let cursor = records.iter().map(|record| record.wall_ms).max();
+        let cursor = cursor.unwrap_or(query.after_ms).to_string();
+        let rows: Vec<Value> = records.iter().map(audit_row).collect();
+        json!({ "cursor": cursor, "records": rows })
+    }
+
+    pub(crate) fn addresses(&mut self, service: &str) -> Answer {
+        let now = self.clock.now();
+        let candidates = self.candidates(now);
+        let place = Place {
+            region: &self.settings.region,
+            data_center: &self.settings.data_center,
+        };
+        self.turn = self.turn.wrapping_add(1);
+        let ttl = self.settings.stop.address_ttl;
+        let mut addresses = Vec::new();
+        for candidate in address::choose(place, &candidates, self.turn) {
+            let Some(member) = self.gossip.fleet().get(&candidate.vm) else {
+                continue;
+            };
+            let ticket = Ticket {
+                vm: candidate.vm.clone(),
+                incarnation: candidate.incarnation,
+                id: self.rng.random(),
+                expires_us: (member.uptime(now) + ttl).as_micros(),
+            };
+            addresses.push(json!({
+                "vm": candidate.vm,
+                "address": candidate.address.to_string(),
+                "ticket": self.issuer.sign(&ticket),
+            }));
+        }
+        Answer::ok(json!({
+            "service": service,
+            "ttl_ms": ttl.as_millis(),
+            "addresses": addresses,
+        }))
+    }
+
+    fn candidates(&self, now: Instant) -> Vec<Candidate> {
+        let candidate = |member: &Member| {
+            let record = member.record();
+            Candidate {
+                vm: record.vm.clone(),
+                incarnation: record.incarnation,
+                address: record.caller,
+                region: record.region.clone(),
+                data_center: record.data_center.clone(),
+                state: match member.standing(now) {
+                    State::Alive => address::State::Alive,
+                    State::Suspect => address::State::Suspect,
+                    State::Leaving => address::State::Leaving,
+                    State::Dead => address::State::Dead,
+                },
+            }
+        };
+        self.gossip.fleet().iter().map(candidate).collect()
+    }
+}
+
+fn audit_row(record: &audit::Record) -> Value {
+    json!({
+        "seq": record.seq,
+        "vm": record.vm,
+        "incarnation": record.incarnation,
+        "wall_ms": record.wall_ms,
+        "kind": record.kind,
+        "subject": record.subject,
+        "version": record.version,
+        "source": record.source,
+        "cause": record.cause,
+    })
+}
+
+const fn state(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Leaving => "leaving",
+        State::Dead => "dead",
+    }
+}
