--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -154,7 +154,6 @@
 const PAUSE: Span = Span::from_millis(500);
 const TICK_WAITING: Span = Span::from_millis(2);
 const TICK_RUNNING: Span = Span::from_millis(20);
-const PROBE_AGAIN: Span = Span::from_millis(500);
 
 /// Queue and targets of one service.
 #[derive(Debug)]
@@ -170,6 +169,7 @@
     pub(crate) hedges: Map<u32, hedge::Budget>,
     pub(crate) latency: hedge::Quantile,
     last: Instant,
+    arrived: Option<Instant>,
 }
 
 impl Balancer {
@@ -187,6 +187,7 @@
             hedges: Map::default(),
             latency: hedge::Quantile::default(),
             last: Instant::default(),
+            arrived: None,
             limits,
         }
     }
@@ -234,9 +235,11 @@
     /// A call arrived, or a call that was over is offered again.
     pub fn arrive(&mut self, now: Instant, ask: Ask, rng: &mut SmallRng, out: &mut Vec<Action>) {
         self.pass(now);
+        self.arrived = Some(now);
         let arrived = now;
         self.admit(now, Waiting { ask, arrived }, out);
         self.dispatch(now, rng, out);
+        self.confirm(now, out);
     }
 
     /// `target` reported its load; the report is `age` old. Goes before the `finish` of the
@@ -294,6 +297,12 @@
         }
     }
 
+    /// Whether the measuring budget can ever pay for a probe.
+    #[must_use]
+    pub fn can_probe(&self) -> bool {
+        self.limits.measuring_burst >= PROBE_BYTES && self.limits.measuring_rate > 0
+    }
+
     /// Measuring bytes were spent apart from the balancer's own actions, as on load frames.
     pub fn charge(&mut self, now: Instant, bytes: u64) {
         self.measuring.charge(now, bytes);
@@ -321,12 +330,9 @@
     /// The latest moment for the next `tick`, as seen from `now`.
     #[must_use]
     pub fn next_tick(&self, now: Instant) -> Option<Instant> {
-        let unconfirmed = |(_, target): (_, &target::Target)| {
-            target.standing == Standing::Unconfirmed || target.probe.is_some()
-        };
         if let Some(latest) = self.queue.latest() {
             Some(latest.max(now).min(now + TICK_WAITING))
-        } else if !self.flights.is_empty() || self.targets.iter().any(unconfirmed) {
+        } else if !self.flights.is_empty() || self.wants_probes(now) {
             Some(now + TICK_RUNNING)
         } else {
             None
@@ -352,20 +358,4 @@
             target.in_flight = target.in_flight.saturating_sub(1);
         }
     }
-
-    fn confirm(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let measuring = &mut self.measuring;
-        for (key, target) in self.targets.iter_mut() {
-            let waits = target
-                .probe
-                .is_some_and(|sent| now.since(sent) < PROBE_AGAIN);
-            if target.standing == Standing::Unconfirmed && !waits {
-                let price = if target.remote { 2 } else { 1 } * PROBE_BYTES;
-                if measuring.take(now, price, 0) {
-                    target.probe = Some(now);
-                    out.push(Action::Probe { target: key });
-                }
-            }
-        }
-    }
 }
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -7,6 +7,7 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use oriolecleat_core::settings::Settings;
+use oriolecleat_core::stop::Phase;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use salvo::Router;
@@ -20,12 +21,15 @@
 use crate::caller;
 use crate::clock::Clock;
 use crate::directory;
+use crate::halt;
 use crate::node::Node;
 use crate::node::Shared;
 use crate::operator;
 use crate::platform;
+use crate::probe;
 use crate::query::Client;
 use crate::query::Query;
+use crate::timer;
 
 const QUERY_QUEUE: usize = 256;
 
@@ -68,20 +72,27 @@
         .await
         .change_context(Failure("the operator port could not be opened"))?;
     let vm = settings.vm.clone();
-    let node = Node::new(
-        settings,
-        Clock::start(),
-        SmallRng::from_rng(&mut rand::rng()),
-    );
+    let rng = SmallRng::from_rng(&mut rand::rng());
+    let (probes, orders) = mpsc::unbounded_channel();
+    let node = Node::new(settings, Clock::start(), rng, probes);
     let node: Shared = Rc::new(RefCell::new(node));
     let (sender, queries) = mpsc::channel(QUERY_QUEUE);
     let client = Client::new(sender);
     spawn_pages(directory, directory::router(client.clone()));
-    spawn_pages(operators, operator::router(client));
+    spawn_pages(operators, operator::router(&client));
     tokio::task::spawn_local(answer(node.clone(), queries));
     tokio::task::spawn_local(platform::follow(node.clone()));
+    tokio::task::spawn_local(probe::run(node.clone(), orders));
+    tokio::task::spawn_local(timer::run(node.clone()));
     log::info!(vm:% = vm, caller:% = listen.caller, directory:% = listen.directory; "serving");
-    caller::serve(node, callers).await;
+    let mut phases = node.borrow().phases.subscribe();
+    tokio::task::spawn_local(halt::listen(node.clone()));
+    tokio::task::spawn_local(caller::serve(node, callers));
+    // The node holds the sender, so the channel is open until the process ends.
+    let _ = phases
+        .wait_for(|phase| matches!(phase, Phase::Stopped(_)))
+        .await;
+    log::info!("stopped");
     Ok(())
 }
 
