--- a/crates/bench/src/model/drive.rs
+++ b/crates/bench/src/model/drive.rs
@@ -12,6 +12,7 @@
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 
+use super::policy;
 use super::run::ATTEMPTS;
 use super::run::Answer;
 use super::run::Attempt;
@@ -120,7 +121,7 @@
         let Some(target) = balancer.targets().get(key) else {
             return;
         };
-        let target = Self::index(&target.spec.name);
+        let target = policy::index(&target.spec.name);
         let queue = queue.as_micros();
         self.send(now, request(call), target, Some(key), queue, report);
     }
@@ -132,7 +133,7 @@
         let Some(target) = balancer.targets().get(key) else {
             return;
         };
-        let target = Self::index(&target.spec.name);
+        let target = policy::index(&target.spec.name);
         let delay = self
             .world
             .delay(self.world.vms[vm], self.world.targets[target]);
@@ -150,7 +151,7 @@
     pub(super) fn probed(&mut self, vm: usize, target: usize) {
         if let Some(balancer) = &mut self.vms[vm].balancer {
             let named = |(_, known): &(target::Key, &target::Target)| {
-                Self::index(&known.spec.name) == target
+                policy::index(&known.spec.name) == target
             };
             let found = balancer.targets().iter().find(named).map(|(key, _)| key);
             if let Some(key) = found {
--- a/crates/bench/src/model/policy.rs
+++ b/crates/bench/src/model/policy.rs
@@ -5,6 +5,7 @@
 use oriolecleat_core::balance::Balancer;
 use oriolecleat_core::balance::Limits;
 use oriolecleat_core::estimate::Report;
+use oriolecleat_core::time::Span;
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
@@ -108,3 +109,21 @@
     };
     Balancer::new(world.place(vm), limits)
 }
+
+/// Tells the balancer the round trips, as a daemon measures them when it opens connections.
+pub fn measure(world: &World, vm: usize, balancer: &mut Balancer) {
+    let keys: Vec<_> = balancer.targets().iter().map(|(key, _)| key).collect();
+    for key in keys {
+        let name = balancer.targets().get(key).map(|target| &target.spec.name);
+        let site = world.targets[name.map_or(0, |name| index(name))];
+        let delay = world.delay(world.vms[vm], site);
+        balancer.round_trip(key, Span::from_micros(2 * delay));
+    }
+}
+
+/// Index of the target whose name in the catalogue is `name`.
+#[must_use]
+pub fn index(name: &str) -> usize {
+    let number = name.trim_start_matches('t').split('-').next();
+    number.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
--- a/crates/bench/src/model/run.rs
+++ b/crates/bench/src/model/run.rs
@@ -139,6 +139,7 @@
             if let Some(balancer) = &mut balancer {
                 let specs = world.specs(&vec![0; targets]);
                 balancer.update(Instant::from_micros(0), &specs);
+                policy::measure(world, index, balancer);
             }
             Vm {
                 balancer,
@@ -393,16 +394,11 @@
         self.servers[target].cold = COLD_REQUESTS;
         self.lives[target] += 1;
         let specs = self.world.specs(&self.lives);
-        for vm in &mut self.vms {
+        for (index, vm) in self.vms.iter_mut().enumerate() {
             if let Some(balancer) = &mut vm.balancer {
                 balancer.update(Instant::from_micros(now), &specs);
+                policy::measure(self.world, index, balancer);
             }
         }
     }
-
-    /// Index of the target whose name in the catalogue is `name`.
-    pub(super) fn index(name: &str) -> usize {
-        let number = name.trim_start_matches('t').split('-').next();
-        number.and_then(|text| text.parse().ok()).unwrap_or(0)
-    }
 }
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -100,7 +100,12 @@
         let capacity = slots * SECONDS * 1_000 / 40;
         assert!(summary.good * 100 >= capacity * 95, "{}", summary.good);
         assert_eq!(summary.failed, 0);
-        assert!(summary.latest_refusal <= plan.deadline / 2);
+        assert!(
+            summary.latest_refusal <= plan.deadline / 2,
+            "{}: {}",
+            world.name,
+            summary.latest_refusal
+        );
     }
 }
 
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -157,8 +157,8 @@
         trial: bool,
         out: &mut Vec<Action>,
     ) {
+        let (first, queue) = self.attempt(now, &waiting, target, trial);
         let Waiting { ask, arrived } = waiting;
-        let (first, queue) = self.attempt(now, &ask, target, trial);
         let call = ask.call;
         let report = first.report > 0;
         out.push(Action::Assign {
@@ -182,7 +182,7 @@
     fn attempt(
         &mut self,
         now: Instant,
-        ask: &Ask,
+        waiting: &Waiting,
         target: target::Key,
         trial: bool,
     ) -> (Attempt, Span) {
@@ -195,8 +195,14 @@
             due = crowded || target.estimate.report_due(now, REPORT_EVERY * typical);
             factor = if target.remote { 2 } else { 1 };
         }
+        // A call that a target sheds has to be back before half of its time has passed.
+        let round_trip = self
+            .targets
+            .get(target)
+            .map_or(0.0, |target| target.round_trip);
+        let back = waiting.latest() - span(round_trip);
         let refusal = factor * REFUSED_BYTES;
-        let may_refuse = self.measuring.take(now, refusal, 0);
+        let may_refuse = now < back && self.measuring.take(now, refusal, 0);
         let reserved = if may_refuse { refusal } else { 0 };
         let price = factor * REPORT_BYTES;
         let keep = self.limits.measuring_burst / KEPT_FOR_REFUSALS;
@@ -204,12 +210,10 @@
         if report && let Some(target) = self.targets.get_mut(target) {
             target.estimate.report_asked(now);
         }
-        let unbounded = unbounded(now, ask);
-        let patience = span(PATIENCE * typical);
         let queue = if may_refuse {
-            patience.min(unbounded)
+            span(PATIENCE * typical).min(back.since(now))
         } else {
-            unbounded
+            unbounded(now, &waiting.ask)
         };
         let attempt = Attempt {
             target,
@@ -246,13 +250,17 @@
         if !budget.take() {
             return;
         }
-        let ask = &flight.ask;
+        let waiting = Waiting {
+            ask: flight.ask.clone(),
+            arrived: flight.arrived,
+        };
+        let ask = &waiting.ask;
         let call = ask.call;
         let Some(target) = self.pick(now, ask, Some(flight.first.target), rng) else {
             self.hedges.entry(ask.entry).or_default().refund();
             return;
         };
-        let (copy, queue) = self.attempt(now, ask, target, false);
+        let (copy, queue) = self.attempt(now, &waiting, target, false);
         let report = copy.report > 0;
         out.push(Action::Hedge {
             call,
