Keep full targets from being ejected and reports from starving

Change: a queue in the target explains a longer latency, and refusals leave half of the burst for reports. Tests bound ejections and trials.

--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -124,7 +124,8 @@
         let typical = self.typical();
         if self.answers >= ANSWERS_TO_COMPARE * means.len() {
             for (_, target) in targets.iter_mut() {
-                target.estimate.compare(typical);
+                let (in_flight, slots) = (target.in_flight, target.spec.slots);
+                target.estimate.compare(typical, in_flight, slots);
             }
         }
         self.usual = usual(now, targets, typical);
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -29,8 +29,9 @@
 /// latency; more frequent reports did not lower p99 in the load table. While calls wait, each answer
 /// has to carry a report, as the room in the targets is shared by them.
 const REPORT_EVERY: f64 = 8.0;
-/// Share of the measuring burst that reports leave for refusals: one of this many.
-const KEPT_FOR_REFUSALS: u64 = 4;
+/// Share of the measuring burst that refusals leave for reports: one of this many. Under overload,
+/// reservations for refusals would take all of it, and full targets would look like slow ones.
+const KEPT_FOR_REPORTS: u64 = 2;
 /// A trial falls to a call of class `once` only if no other call came for this much longer.
 const ONCE_TRIAL_AFTER: Span = Span::from_millis(10_000);
 
@@ -202,11 +203,11 @@
             .map_or(0.0, |target| target.round_trip);
         let back = waiting.latest() - span(round_trip);
         let refusal = factor * REFUSED_BYTES;
-        let may_refuse = now < back && self.measuring.take(now, refusal, 0);
-        let reserved = if may_refuse { refusal } else { 0 };
         let price = factor * REPORT_BYTES;
-        let keep = self.limits.measuring_burst / KEPT_FOR_REFUSALS;
-        let report = due && self.measuring.take(now, price, keep);
+        let report = due && self.measuring.take(now, price, 0);
+        let keep = self.limits.measuring_burst / KEPT_FOR_REPORTS;
+        let may_refuse = now < back && self.measuring.take(now, refusal, keep);
+        let reserved = if may_refuse { refusal } else { 0 };
         if report && let Some(target) = self.targets.get_mut(target) {
             target.estimate.report_asked(now);
         }
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -183,8 +183,13 @@
         (self.done >= 1.0).then(|| self.busy / self.done)
     }
 
-    /// Compares the speed with the `typical` mean latency of the others.
-    pub fn compare(&mut self, typical: f64) {
+    /// Compares the speed with the `typical` mean latency of the others. A queue in the target,
+    /// with `in_flight` own requests and `slots`, explains a longer latency: in overload, targets
+    /// that are only fuller than others must not be ejected.
+    pub fn compare(&mut self, typical: f64, in_flight: u64, slots: u64) {
+        let others = self.others.map_or(0.0, |(_, others)| others);
+        let crowding = (number(in_flight) + others) / number(slots.max(1));
+        let typical = typical * crowding.max(1.0);
         let mean = (self.busy + ASSUMED_RESULTS * typical) / (self.done + ASSUMED_RESULTS);
         if self.outlier {
             self.outlier = mean > OUTLIER_BELOW * typical;
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -208,3 +208,71 @@
         assert_eq!(bench.balancer.next_tick(at(now)), None);
     }
 }
+
+/// Ends `calls` calls in turn; those at the targets in `bad` fail.
+fn work(bench: &mut Bench, bad: &[&str], calls: std::ops::Range<u64>) {
+    for call in calls {
+        bench.out.clear();
+        bench.arrive(call, ask(call, Class::Interactive, call + 1_000));
+        for action in std::mem::take(&mut bench.out) {
+            let Action::Assign { call, target, .. } = action else {
+                continue;
+            };
+            let name = bench.balancer.targets().get(target).map(|t| &*t.spec.name);
+            let ending = Ending::Answered {
+                latency: Span::from_millis(1),
+                failed: bad.contains(&name.expect("target is known")),
+            };
+            let (rng, out) = (&mut bench.rng, &mut bench.out);
+            let now = at(call.0 + 1);
+            assert_eq!(
+                bench.balancer.finish(now, call, target, ending, rng, out),
+                Fate::Over
+            );
+        }
+    }
+}
+
+fn ejected(bench: &Bench) -> Vec<Box<str>> {
+    let targets = bench.balancer.targets().iter();
+    let bad = targets.filter(|(_, target)| target.is_ejected());
+    bad.map(|(_, target)| target.spec.name.clone()).collect()
+}
+
+/// Guards against ejections that take away more than a third of the slots, and against evidence
+/// that leaves no target when all look bad.
+#[test]
+fn ejection_removes_at_most_a_third_and_nothing_if_all_fail() {
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let cases: [(&[&str], usize); 4] = [(&[], 0), (&["a"], 1), (&["a", "b", "c"], 2), (&names, 0)];
+    for (bad, most) in cases {
+        let mut bench = Bench::new(&names, 10);
+        work(&mut bench, bad, 1..400);
+        assert_eq!(ejected(&bench).len(), most, "{bad:?}");
+    }
+}
+
+/// Guards against a trial at a failing target that is leaving, too.
+#[test]
+fn leaving_target_gets_no_trial() {
+    let mut bench = Bench::new(&["a", "b", "c"], 10);
+    work(&mut bench, &["a"], 1..400);
+    assert_eq!(ejected(&bench), ["a".into()]);
+    let key = bench
+        .balancer
+        .targets()
+        .find("a")
+        .expect("target a is known");
+    let assigned = |bench: &Bench| {
+        let to =
+            |action: &Action| matches!(action, Action::Assign { target, .. } if *target == key);
+        bench.out.iter().any(to)
+    };
+    bench.balancer.stand(key, Standing::Leaving);
+    bench.out.clear();
+    bench.arrive(60_000, ask(1_000, Class::Interactive, 61_000));
+    assert!(!assigned(&bench));
+    bench.balancer.stand(key, Standing::Open);
+    bench.arrive(60_001, ask(1_001, Class::Interactive, 61_000));
+    assert!(assigned(&bench), "a trial is due");
+}
