--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -90,7 +90,8 @@
     }
 }
 
-/// Guards against goodput that breaks down under overload, and against late refusals.
+/// Guards against goodput that breaks down under overload, against late refusals, and against
+/// measuring beyond the budget when calls wait.
 #[test]
 fn overload_keeps_goodput_and_refuses_early() {
     for world in [World::nilewing(), World::ninera()] {
@@ -100,6 +101,8 @@
         let capacity = slots * SECONDS * 1_000 / 40;
         assert!(summary.good * 100 >= capacity * 95, "{}", summary.good);
         assert_eq!(summary.failed, 0);
+        let budget = plan.measuring * SECONDS + plan.measuring;
+        assert!(summary.measuring <= budget, "{}", summary.measuring);
         assert!(
             summary.latest_refusal <= plan.deadline / 2,
             "{}: {}",
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -276,3 +276,22 @@
     bench.arrive(60_001, ask(1_001, Class::Interactive, 61_000));
     assert!(assigned(&bench), "a trial is due");
 }
+
+/// Guards against shedding a call of a higher class while one of a lower class waits.
+#[test]
+fn mixed_queue_sheds_by_class() {
+    let mut bench = Bench::new(&["a"], 2);
+    let mut call = 0;
+    while bench.balancer.waiting() == 0 {
+        call += 1;
+        bench.arrive(0, ask(call, Class::Interactive, 60_000));
+    }
+    bench.arrive(0, ask(100, Class::Batch, 60_000));
+    assert_eq!(bench.refused(), []);
+    bench.arrive(0, ask(101, Class::Once, 60_000));
+    assert_eq!(bench.refused(), [(100, Refusal::Overloaded)]);
+    bench.arrive(0, ask(102, Class::Once, 60_000));
+    assert_eq!(bench.refused()[1..], [(call, Refusal::Overloaded)]);
+    bench.arrive(0, ask(103, Class::Once, 60_000));
+    assert_eq!(bench.refused()[2..], [(103, Refusal::Overloaded)]);
+}
