--- a/crates/bench/examples/load_table.rs
+++ b/crates/bench/examples/load_table.rs
@@ -31,6 +31,9 @@
     /// Bytes a second for measuring, over all VMs
     #[bpaf(fallback(65_536))]
     measuring: u64,
+    /// Bytes a second between regions, over all VMs
+    #[bpaf(fallback(262_144))]
+    cross_region: u64,
     /// Copies permitted, as a percentage of the calls
     #[bpaf(fallback(2))]
     hedge_percent: u8,
@@ -77,6 +80,7 @@
     plan.mean = f64::from(options.mean_ms) / 1_000.0;
     plan.deadline = u64::from(options.mean_ms) * 50_000;
     plan.measuring = options.measuring;
+    plan.cross_region = options.cross_region;
     plan.hedge_percent = options.hedge_percent;
     if options.quick {
         plan.end = WARM_UP + (plan.end - WARM_UP) / 5;
