Close idle connections when the VM drains or a target is gone

Cause: a caller that kept an idle connection could send a request on it in the moment the process exited, and connections to targets that the catalogue no longer names stayed open. Change: draining shuts each caller connection down once it is idle; a catalogue change closes idle connections to targets that are gone. Result: the demonstration's daemons exit with status 0 as before; the race itself was not reproduced.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -23,10 +23,12 @@
 use oriolecleat_core::request::End;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::request::Received;
+use oriolecleat_core::stop::Phase;
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use crate::attempt::Line;
 use crate::clock;
@@ -111,6 +113,7 @@
         return;
     }
     let http = node.borrow().settings.http.clone();
+    let phases = node.borrow().phases.subscribe();
     let head = usize::try_from(http.head_bytes).unwrap_or(usize::MAX);
     let watch = Rc::new(Watch::default());
     let idle = clock::duration(http.body_idle);
@@ -119,18 +122,34 @@
         let active = Active::new(&watch, Visit::enter(&node));
         handle(node.clone(), active, request)
     });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(clock::duration(http.head_timeout))
-        .max_buf_size(head)
-        .max_headers(HEADERS_MAX)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let mut serving = std::pin::pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(clock::duration(http.head_timeout))
+            .max_buf_size(head)
+            .max_headers(HEADERS_MAX)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    let served = tokio::select! {
+        biased;
+        served = serving.as_mut() => served,
+        () = refusing(phases) => {
+            // Closes the connection once it is idle.
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
     if let Err(error) = served {
         log::debug!(cause:% = error; "caller's connection ended");
     }
 }
 
+/// Waits until the VM refuses new requests.
+async fn refusing(mut phases: watch::Receiver<Phase>) {
+    // The channel ends only with the process.
+    let _ = phases.wait_for(|phase| !phase.accepts()).await;
+}
+
 async fn handle(
     node: Shared,
     mut active: Active,
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -100,5 +100,9 @@
             }
         }
         self.divide();
+        let services = self.services.values();
+        let targets = services.flat_map(|service| service.balancer.targets().iter());
+        let addresses = targets.map(|(_, target)| target.spec.address).collect();
+        self.pool.retain(&addresses);
     }
 }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -15,6 +15,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use oriolecleat_core::map::Map;
+use oriolecleat_core::map::Set;
 use tokio::net::TcpStream;
 
 use crate::socket::Socket;
@@ -155,6 +156,16 @@
         Taken::New(Permit(Seat { address, open }, bounds.head))
     }
 
+    /// Closes the idle connections to other targets than those at `addresses`.
+    pub(crate) fn retain(&mut self, addresses: &Set<SocketAddr>) {
+        for (address, lane) in &mut self.lanes {
+            if !addresses.contains(address) {
+                lane.idle.clear();
+            }
+        }
+        self.lanes.retain(|_, lane| lane.open.get() > 0);
+    }
+
     /// Keeps a connection if its last exchange left nothing behind, else closes it.
     pub(crate) fn put(&mut self, mut connection: Connection, context: &mut Context<'_>) {
         let address = connection.seat.address;
