Test that lost pushes are repaired and that links settle

Cause: the stateful test passed without the repair of leaving news and without closing links that nobody wants. Change: the test loses the pushes of fresh news before it settles, and a second test compares the links of 30 VMs with the graph.

--- a/crates/bench/tests/gossip.rs
+++ b/crates/bench/tests/gossip.rs
@@ -8,6 +8,7 @@
 use oriolecleat_bench::network::Network;
 use oriolecleat_bench::network::sites;
 use oriolecleat_core::catalogue::Record;
+use oriolecleat_core::link;
 use oriolecleat_core::message::Content;
 use oriolecleat_core::message::Departure;
 use oriolecleat_core::time::Span;
@@ -315,6 +316,14 @@
 
     fn settle_parts(&mut self, whole: bool) {
         let parts = self.parts();
+        // News whose pushes are all lost spreads by repairs alone.
+        self.network.faults.lost = 100;
+        for part in &parts {
+            let vm = part.first().copied().unwrap_or_default();
+            let target = u8::try_from(200 + vm).unwrap_or(u8::MAX);
+            self.take(Step::Depart { vm, target });
+        }
+        self.network.faults.lost = 0;
         let held: Vec<_> = parts.iter().map(|part| self.held(part)).collect();
         let mut fresh = BTreeSet::new();
         for vm in parts.iter().flatten() {
@@ -358,6 +367,19 @@
     }
 }
 
+// Guards against links that stay open when no end wants them any more, and against neighbours that
+// never link: seeds would keep a link to every VM.
+#[test]
+fn links_settle_on_the_neighbours() {
+    let mut network = Network::new(&sites(1, 1, 30), 1, false);
+    network.run(Span::from_millis(40_000));
+    for vm in &network.vms {
+        let places = link::places(vm.gossip.fleet());
+        let wanted: BTreeSet<&str> = link::neighbours(&places, vm.name()).into_iter().collect();
+        assert_eq!(vm.gossip.linked().collect::<BTreeSet<_>>(), wanted);
+    }
+}
+
 fn fixed(seed: u64, cases: u32) -> Config {
     let asked = std::env::var("PROPTEST_CASES").ok();
     Config {
