--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use oriolecleat_core::time::Span;
 use serde::Deserialize;
 use serde_json::json;
 use tokio::net::TcpStream;
@@ -111,7 +112,10 @@
             for event in &watch.result.events {
                 offer(node, &event.kv, &*event.kind == "DELETE")?;
             }
-            node.borrow_mut().revision = watch.result.header.revision.parse()?;
+            let mut node = node.borrow_mut();
+            node.revision = watch.result.header.revision.parse()?;
+            let now = node.clock.now();
+            node.reader.confirm(now, Span::ZERO);
         }
     }
     Ok(())
