Link the daemons and read the configuration service by role

Cause: each VM read the configuration service by itself and knew no peers. Change: the daemon gets peer (WebSocket links with bounded queues) and fleet (passes events to the core and carries out its actions). platform reads only while this VM is a reader, within the budget of calls, and confirms the view by progress messages. A VM waits for its peers before it serves, tells them that targets are leaving, and announces its own planned stop.

--- a/crates/bench/src/network.rs
+++ b/crates/bench/src/network.rs
@@ -429,7 +429,7 @@
         if near == far || blocked || !self.vms[far].running {
             let target = address(far);
             return self.act(near, |gossip, context| {
-                gossip.failed(context, target);
+                gossip.failed(context.now, target, context.random);
                 Vec::new()
             });
         }
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -213,6 +213,42 @@
         self.offer(context, None, contents)
     }
 
+    /// Takes a read of the whole catalogue at `revision` whose keys were published before: keys that
+    /// it lacks are deleted. See [`Catalogue::snapshot`].
+    pub fn snapshot(
+        &mut self,
+        context: &mut Context,
+        revision: u64,
+        present: &[(&str, u64)],
+    ) -> Vec<Action> {
+        let deletions = match context.catalogue.snapshot(revision, present) {
+            Ok(deletions) => deletions,
+            Err(restored) => {
+                let cause = "the service serves an older content than it had";
+                context.note("behind", &restored.key, "configuration service", cause);
+                return Vec::new();
+            }
+        };
+        let mut actions = Vec::new();
+        let mut contents = Vec::new();
+        for deletion in deletions {
+            let source = "configuration service";
+            let change = Change::new("catalogue", &deletion.key, source, "deleted");
+            let change = change.at(deletion.version);
+            context.audit.record(context.wall_ms, change);
+            actions.push(Action::Offered(deletion.key.clone(), Verdict::Accepted));
+            contents.push(Content {
+                key: deletion.key,
+                version: deletion.version,
+                text: None,
+            });
+        }
+        if !contents.is_empty() {
+            actions.extend(self.push(None, Message::Entries(Entries { contents })));
+        }
+        actions
+    }
+
     /// Takes own evidence that targets are leaving.
     pub fn depart(&mut self, context: &mut Context, departures: Vec<Departure>) -> Vec<Action> {
         self.hear(context, None, departures)
--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use rand::Rng;
 use rand::RngExt;
 
 use crate::gossip::Action;
@@ -79,8 +80,8 @@
     }
 
     /// A dial did not lead to a link.
-    pub fn failed(&mut self, context: &mut Context, address: SocketAddr) {
-        self.dials.fail(context.now, address, context.random);
+    pub fn failed(&mut self, now: Instant, address: SocketAddr, random: &mut dyn Rng) {
+        self.dials.fail(now, address, random);
     }
 
     /// Time passed; called several times a second.
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -136,6 +136,7 @@
             let target = &*target.spec.name;
             log::info!(service = &*found.name, target, cause; "target is leaving");
         }
+        self.note_departure(service, target);
     }
 
     /// A call is not wanted any more, whether it waits or runs.
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -1,12 +1,9 @@
 //! Takes catalogue changes into use.
 
-use oriolecleat_core::catalogue::Source;
-use oriolecleat_core::catalogue::Verdict;
 use oriolecleat_core::leaving;
 use oriolecleat_core::map::Set;
 use oriolecleat_core::route;
 
-use crate::metrics::Count;
 use crate::node::Node;
 use crate::quota::Division;
 use crate::quota::Quota;
@@ -17,28 +14,6 @@
 const DEFAULT_VM_CEILING: u64 = 64;
 
 impl Node {
-    /// Offers catalogue content read from the configuration service.
-    pub(crate) fn offer(&mut self, key: &str, revision: u64, text: Option<&str>) {
-        let version = self.catalogue.version(key, revision, text);
-        match self.catalogue.offer(key, version, text, Source::Service) {
-            Verdict::Accepted | Verdict::Conflict { kept: true } => {
-                log::info!(key, revision; "catalogue change accepted");
-                self.metrics.add(Count::CatalogueAccepted, 1);
-                self.apply();
-            }
-            Verdict::Rejected(faults) => {
-                let faults = format!("{faults:?}");
-                log::warn!(key, revision, faults = faults.as_str(); "catalogue change rejected");
-                self.metrics.add(Count::CatalogueRejected, 1);
-            }
-            Verdict::Refused(reason) => {
-                log::warn!(key, revision, reason = &*reason; "catalogue change refused");
-                self.metrics.add(Count::CatalogueRejected, 1);
-            }
-            Verdict::Known | Verdict::Behind | Verdict::Conflict { kept: false } => {}
-        }
-    }
-
     /// Largest number of entry VM processes alive at once.
     pub(crate) fn vm_ceiling(&self) -> u64 {
         let constants = self.catalogue.constants();
--- a/crates/daemon/src/evidence.rs
+++ b/crates/daemon/src/evidence.rs
@@ -1,5 +1,7 @@
 //! Evidence about the targets of a service, and what it means for the balancer.
 
+use std::net::SocketAddr;
+
 use oriolecleat_core::leaving;
 use oriolecleat_core::leaving::Evidence;
 use oriolecleat_core::leaving::Probe;
@@ -74,6 +76,17 @@
         evidence.is_some_and(|evidence| evidence.probed(now, sent, probe))
     }
 
+    /// A peer told that the target at `address` is leaving. The gossip has told the other peers.
+    pub(crate) fn heard(&mut self, now: Instant, address: SocketAddr, news: leaving::News) {
+        for (key, target) in self.balancer.targets().iter() {
+            if target.spec.address == address
+                && let Some(evidence) = self.evidence.get_mut(key)
+            {
+                let _ = evidence.heard(now, news);
+            }
+        }
+    }
+
     /// The target refused a connection. Returns whether peers have to be told.
     pub(crate) fn refused(&mut self, now: Instant, target: target::Key) -> bool {
         let evidence = self.evidence.get_mut(target);
--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,342 @@
+//! This VM's part in the fleet: passes events to the core and carries out its actions.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oriolecleat_core::audit::Change;
+use oriolecleat_core::catalogue::Verdict;
+use oriolecleat_core::estimate;
+use oriolecleat_core::gossip::Action;
+use oriolecleat_core::gossip::Context;
+use oriolecleat_core::gossip::Gossip;
+use oriolecleat_core::gossip::Joined;
+use oriolecleat_core::gossip::Link;
+use oriolecleat_core::leaving::News;
+use oriolecleat_core::leaving::Source;
+use oriolecleat_core::map::Map;
+use oriolecleat_core::member::State;
+use oriolecleat_core::message::Departure;
+use oriolecleat_core::message::Message;
+use oriolecleat_core::message::Report;
+use oriolecleat_core::reader::Step;
+use oriolecleat_core::stop::Phase;
+use oriolecleat_core::target;
+use oriolecleat_core::ticket;
+use oriolecleat_core::time::Span;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::metrics::Count;
+use crate::node::LEDGER_CAPACITY;
+use crate::node::Node;
+use crate::node::Shared;
+use crate::peer;
+use crate::peer::Queue;
+use crate::service;
+
+const TICK: Duration = Duration::from_millis(200);
+/// Time in which the tasks of the links send the last messages.
+const PART_WAIT: Duration = Duration::from_millis(200);
+
+/// Links and what the tasks around them wait for.
+pub(crate) struct Links {
+    queues: Map<Link, Queue>,
+    next: u64,
+    /// Own evidence that targets are leaving, to be told at the next tick.
+    pub(crate) departures: Vec<Departure>,
+    /// Whether this VM reads the configuration service.
+    pub(crate) reading: Rc<watch::Sender<bool>>,
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Self {
+            queues: Map::default(),
+            next: 0,
+            departures: Vec::new(),
+            reading: Rc::new(watch::Sender::new(false)),
+        }
+    }
+}
+
+/// Lets time pass in the fleet until the process ends.
+pub(crate) async fn run(node: Shared) {
+    loop {
+        {
+            let mut state = node.borrow_mut();
+            state.announce(&node);
+            let departures = std::mem::take(&mut state.links.departures);
+            state.event(&node, |gossip, context| gossip.depart(context, departures));
+            state.event(&node, Gossip::tick);
+            state.step();
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+/// Waits until peers could tell of an earlier incarnation of this VM, then fixes the own one.
+pub(crate) async fn join(node: &Shared) {
+    let wait = {
+        let node = node.borrow();
+        let alone = node.settings.seeds.is_empty();
+        if alone {
+            Span::ZERO
+        } else {
+            node.settings.view.peer_wait
+        }
+    };
+    tokio::time::sleep(clock::duration(wait)).await;
+    node.borrow_mut().gossip.settle();
+}
+
+/// Tells the peers that this VM has stopped, with its newest audit records.
+pub(crate) async fn part(node: &Shared) {
+    {
+        let mut state = node.borrow_mut();
+        state.event(node, |gossip, context| {
+            gossip.announce(context, State::Dead)
+        });
+        state.event(node, Gossip::tick);
+    }
+    tokio::time::sleep(PART_WAIT).await;
+}
+
+impl Node {
+    /// Tells the peers that this VM is leaving.
+    fn announce(&mut self, node: &Shared) {
+        let serving = matches!(self.phase(), Phase::Serving(_));
+        if !serving && self.gossip.fleet().own().record().state == State::Alive {
+            self.event(node, |gossip, context| {
+                gossip.announce(context, State::Leaving)
+            });
+        }
+    }
+
+    /// Remembers own evidence that a target is leaving until the next tick tells the peers.
+    pub(crate) fn note_departure(&mut self, service: service::Key, target: target::Key) {
+        let now = self.clock.now();
+        let Some(found) = self.services.get(service) else {
+            return;
+        };
+        let address = found
+            .balancer
+            .targets()
+            .get(target)
+            .map(|target| target.spec.address);
+        let evidence = found.evidence.get(target);
+        if let (Some(target), Some(evidence)) = (address, evidence) {
+            let departures = evidence.news(now).map(|news| Departure {
+                target,
+                source: name(news.source).into(),
+                age_ms: news.age.as_millis(),
+            });
+            self.links.departures.extend(departures);
+        }
+    }
+
+    /// Passes an event to the core and carries out the actions that follow.
+    pub(crate) fn event(
+        &mut self,
+        node: &Shared,
+        event: impl FnOnce(&mut Gossip, &mut Context) -> Vec<Action>,
+    ) {
+        let mut context = Context {
+            now: self.clock.now(),
+            wall_ms: clock::wall_ms(),
+            catalogue: &mut self.catalogue,
+            audit: &mut self.audit,
+            reader: &mut self.reader,
+            random: &mut self.rng,
+        };
+        let mut actions: VecDeque<Action> = event(&mut self.gossip, &mut context).into();
+        let mut changed = false;
+        while let Some(action) = actions.pop_front() {
+            match action {
+                Action::Send(links, message) => self.send(node, &links, message),
+                Action::Dial(address) => {
+                    tokio::task::spawn_local(peer::dial(node.clone(), address));
+                }
+                Action::Close(link) => drop(self.links.queues.remove(&link)),
+                Action::Offered(key, verdict) => changed |= self.judged(&key, &verdict),
+                Action::Departed(departure) => self.departed(&departure),
+                Action::Loaded(_, reports) => self.loaded(&reports),
+                Action::Members => self.count_members(),
+                Action::Raised(incarnation) => self.raise(incarnation),
+                Action::Superseded => {
+                    log::error!("a newer incarnation of this VM's name serves: leaving");
+                    self.leave();
+                }
+                Action::Resumed => {
+                    log::warn!("the process was frozen");
+                    let now = self.clock.now();
+                    if self.reader.resume(now).is_some() {
+                        self.links.reading.send_replace(false);
+                    }
+                }
+            }
+        }
+        if changed {
+            self.apply();
+            self.share_budget();
+        }
+    }
+
+    fn send(&mut self, node: &Shared, links: &[Link], message: Message) {
+        let message = Rc::new(message);
+        for link in links {
+            let Some(queue) = self.links.queues.get(link) else {
+                continue;
+            };
+            if queue.try_send(Rc::clone(&message)).is_err() {
+                log::warn!(link = link.0; "a peer does not keep up: its link is closed");
+                self.links.queues.remove(link);
+                let (node, link) = (node.clone(), *link);
+                // The event under way ends first.
+                tokio::task::spawn_local(async move {
+                    node.borrow_mut().link_down(&node, link);
+                });
+            }
+        }
+    }
+
+    /// A link was established; messages to its peer go into `queue`.
+    pub(crate) fn link_up(&mut self, node: &Shared, queue: Queue, joined: Joined) -> Link {
+        self.links.next += 1;
+        let link = Link(self.links.next);
+        self.links.queues.insert(link, queue);
+        self.event(node, |gossip, context| gossip.up(context, link, joined));
+        link
+    }
+
+    /// A link ended.
+    pub(crate) fn link_down(&mut self, node: &Shared, link: Link) {
+        self.links.queues.remove(&link);
+        self.event(node, |gossip, context| gossip.down(context, link));
+    }
+
+    /// The peer of a link sent a frame that does not hold.
+    pub(crate) fn link_fault(&mut self, node: &Shared, link: Link, cause: &str) {
+        let change = Change::new("link", &link.0.to_string(), "peer", cause);
+        self.audit.record(clock::wall_ms(), change);
+        self.link_down(node, link);
+    }
+
+    /// A message arrived over a link.
+    pub(crate) fn receive(&mut self, node: &Shared, link: Link, message: Message) {
+        self.event(node, |gossip, context| {
+            gossip.receive(context, link, message)
+        });
+    }
+
+    /// A dial did not lead to a link.
+    pub(crate) fn dial_failed(&mut self, address: SocketAddr) {
+        let now = self.clock.now();
+        self.gossip.failed(now, address, &mut self.rng);
+    }
+
+    fn judged(&mut self, key: &str, verdict: &Verdict) -> bool {
+        match verdict {
+            Verdict::Accepted | Verdict::Conflict { kept: true } => {
+                log::info!(key; "catalogue change accepted");
+                self.metrics.add(Count::CatalogueAccepted, 1);
+                return true;
+            }
+            Verdict::Rejected(faults) => {
+                let faults = format!("{faults:?}");
+                log::warn!(key, faults = faults.as_str(); "catalogue change rejected");
+                self.metrics.add(Count::CatalogueRejected, 1);
+            }
+            Verdict::Refused(reason) => {
+                log::warn!(key, reason = &**reason; "catalogue change refused");
+                self.metrics.add(Count::CatalogueRejected, 1);
+            }
+            Verdict::Known | Verdict::Behind | Verdict::Conflict { kept: false } => {}
+        }
+        false
+    }
+
+    /// Takes over the share of the configuration service's rate.
+    fn share_budget(&mut self) {
+        if let Some(constants) = self.catalogue.constants() {
+            let now = self.clock.now();
+            let (calls, ceiling) = (constants.configuration_calls_per_s, constants.vm_ceiling);
+            self.reader.budget().share(now, calls, ceiling);
+        }
+    }
+
+    fn departed(&mut self, departure: &Departure) {
+        let now = self.clock.now();
+        let news = News {
+            source: source(&departure.source),
+            age: Span::from_millis(departure.age_ms),
+        };
+        for service in self.services.values_mut() {
+            service.heard(now, departure.target, news);
+        }
+    }
+
+    fn loaded(&mut self, reports: &[Report]) {
+        let now = self.clock.now();
+        for service in self.services.values_mut() {
+            for report in reports {
+                let found = service.balancer.targets().iter();
+                let key = found
+                    .filter(|(_, target)| target.spec.address == report.target)
+                    .map(|(key, _)| key)
+                    .next();
+                if let Some(key) = key {
+                    let load = estimate::Report {
+                        running: report.in_flight,
+                        queued: 0,
+                    };
+                    let age = Span::from_millis(report.age_ms);
+                    service.balancer.peer_load(now, key, load, age);
+                }
+            }
+        }
+    }
+
+    fn count_members(&mut self) {
+        let now = self.clock.now();
+        let members = self.gossip.fleet().iter();
+        let alive = members.filter(|member| member.standing(now) == State::Alive);
+        self.members_alive = (alive.count() as u64).max(1);
+        self.divide();
+    }
+
+    fn raise(&mut self, incarnation: u64) {
+        log::info!(incarnation; "incarnation raised above an earlier one");
+        self.incarnation = incarnation;
+        self.ledger = ticket::Ledger::new(&self.settings.vm, incarnation, LEDGER_CAPACITY);
+    }
+
+    fn step(&mut self) {
+        let now = self.clock.now();
+        let step = self.reader.step(now, self.gossip.fleet(), &mut self.rng);
+        match step {
+            Some(Step::Open) => drop(self.links.reading.send_replace(true)),
+            Some(Step::Close) => drop(self.links.reading.send_replace(false)),
+            None => {}
+        }
+    }
+}
+
+fn name(source: Source) -> &'static str {
+    match source {
+        Source::Drain => "drain",
+        Source::Refused => "refused",
+        Source::List => "list",
+        Source::Removal => "removal",
+    }
+}
+
+/// The source that a departure names; one of a newer release counts as the target's own word.
+fn source(name: &str) -> Source {
+    match name {
+        "refused" => Source::Refused,
+        "list" => Source::List,
+        _ => Source::Drain,
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -23,6 +23,7 @@
 
 use crate::clock;
 use crate::clock::Clock;
+use crate::fleet::Links;
 use crate::halt::Phases;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -34,7 +35,7 @@
 use crate::service::Slot;
 use crate::visit::Visits;
 
-const LEDGER_CAPACITY: usize = 100_000;
+pub(crate) const LEDGER_CAPACITY: usize = 100_000;
 
 /// State shared by the tasks of the loop; no borrow lives across an await.
 pub(crate) type Shared = Rc<RefCell<Node>>;
@@ -68,6 +69,7 @@
     pub(crate) timer: Rc<Notify>,
     /// This VM's part in the fleet.
     pub(crate) gossip: Gossip,
+    pub(crate) links: Links,
     pub(crate) audit: audit::Ring,
     /// When to read the configuration service, and how old the view is.
     pub(crate) reader: Reader,
@@ -110,6 +112,7 @@
             probes,
             timer: Rc::new(Notify::new()),
             gossip: Gossip::new(now, own, settings.seeds.clone(), hold),
+            links: Links::default(),
             audit: audit::Ring::new(&settings.vm, incarnation),
             reader,
             visits: Visits::default(),
--- /dev/null
+++ b/crates/daemon/src/peer.rs
@@ -0,0 +1,231 @@
+//! Links to peers: WebSocket connections with the handshake and frames of `oriolecleat-wire`.
+//!
+//! Each link has one task. It moves frames between its socket and the node; the queue to it is
+//! bounded, and a peer that does not keep up loses its link and repairs over the next one.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use oriolecleat_core::gossip::Joined;
+use oriolecleat_core::gossip::Link;
+use oriolecleat_core::message::Message;
+use oriolecleat_wire::frame;
+use oriolecleat_wire::frame::Frame;
+use oriolecleat_wire::frame::Opener;
+use oriolecleat_wire::frame::Sealer;
+use oriolecleat_wire::handshake::Acceptor;
+use oriolecleat_wire::handshake::Dialer;
+use oriolecleat_wire::handshake::Established;
+use oriolecleat_wire::handshake::Hello;
+use oriolecleat_wire::handshake::Key;
+use rand::RngExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use crate::metrics::Count;
+use crate::node::Shared;
+
+/// Messages that wait for a slow peer before its link is closed.
+const QUEUE: usize = 256;
+/// Connections that have not proved themselves; more wait in the listener's backlog.
+const UNPROVEN: usize = 32;
+const HANDSHAKE_TIMEOUT_MS: u64 = 2_000;
+const WRITE_TIMEOUT_MS: u64 = 5_000;
+const ACCEPT_RETRY_MS: u64 = 100;
+
+type Socket = WebSocketStream<TcpStream>;
+
+/// Why a link was not established or ended.
+type Failure = Box<dyn std::error::Error>;
+
+/// The near end of a link: the queue of its task.
+pub(crate) type Queue = mpsc::Sender<Rc<Message>>;
+
+/// Accepts links until the process ends.
+pub(crate) async fn serve(node: Shared, listener: TcpListener) {
+    let unproven = Arc::new(Semaphore::new(UNPROVEN));
+    loop {
+        let permit = Arc::clone(&unproven).acquire_owned().await;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(cause:% = error; "accepting a link failed");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+                continue;
+            }
+        };
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            let accepted = limited(accept(&node, stream)).await;
+            drop(permit);
+            match accepted {
+                Ok((socket, established)) => run(node, socket, established, None).await,
+                Err(error) => log::warn!(cause:% = error; "a link was refused"),
+            }
+        });
+    }
+}
+
+/// Dials a peer and runs the link.
+pub(crate) async fn dial(node: Shared, address: SocketAddr) {
+    match limited(connect(&node, address)).await {
+        Ok((socket, established)) => run(node, socket, established, Some(address)).await,
+        Err(error) => {
+            log::debug!(address:% = address, cause:% = error; "a peer was not reached");
+            node.borrow_mut().dial_failed(address);
+        }
+    }
+}
+
+async fn limited<T>(handshake: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+    tokio::time::timeout(Duration::from_millis(HANDSHAKE_TIMEOUT_MS), handshake).await?
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(frame::MAX_BYTES))
+        .max_frame_size(Some(frame::MAX_BYTES))
+}
+
+fn identity(node: &Shared) -> (Key, Hello) {
+    let mut node = node.borrow_mut();
+    let nonce = node.rng.random();
+    let settings = &node.settings;
+    let key = Key::new(settings.fleet_key.as_bytes());
+    let (fleet, vm, center) = (&settings.fleet, &settings.vm, &settings.data_center);
+    (key, Hello::new(fleet, vm, node.incarnation, center, nonce))
+}
+
+async fn connect(node: &Shared, address: SocketAddr) -> Result<(Socket, Established), Failure> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let url = format!("ws://{address}/");
+    let (mut socket, _) =
+        tokio_tungstenite::client_async_with_config(url, stream, Some(config())).await?;
+    let (key, own) = identity(node);
+    let (dialer, first) = Dialer::start(key, own);
+    write(&mut socket, first).await?;
+    let second = read(&mut socket).await?;
+    let (established, third) = dialer.receive(&second)?;
+    write(&mut socket, third).await?;
+    Ok((socket, established))
+}
+
+async fn accept(node: &Shared, stream: TcpStream) -> Result<(Socket, Established), Failure> {
+    stream.set_nodelay(true)?;
+    let mut socket = tokio_tungstenite::accept_async_with_config(stream, Some(config())).await?;
+    let first = read(&mut socket).await?;
+    let (key, own) = identity(node);
+    let (acceptor, second) = Acceptor::start(key, &own, &first)?;
+    write(&mut socket, second).await?;
+    let third = read(&mut socket).await?;
+    Ok((socket, acceptor.receive(&third)?))
+}
+
+async fn write(socket: &mut Socket, bytes: Vec<u8>) -> Result<(), Failure> {
+    Ok(socket.send(tungstenite::Message::binary(bytes)).await?)
+}
+
+async fn read(socket: &mut Socket) -> Result<bytes::Bytes, Failure> {
+    match socket.next().await {
+        Some(Ok(tungstenite::Message::Binary(bytes))) => Ok(bytes),
+        Some(Ok(_)) => Err("the peer sent something else than a handshake".into()),
+        Some(Err(error)) => Err(error.into()),
+        None => Err("the peer closed the connection".into()),
+    }
+}
+
+async fn run(node: Shared, socket: Socket, established: Established, dialled: Option<SocketAddr>) {
+    let Established {
+        peer,
+        sealer,
+        opener,
+        protocol,
+    } = established;
+    let (queue, messages) = mpsc::channel(QUEUE);
+    let vm = peer.vm.clone();
+    log::info!(vm:% = vm, protocol; "link is up");
+    let joined = Joined {
+        vm: peer.vm,
+        incarnation: peer.incarnation,
+        data_center: peer.data_center,
+        dialled,
+    };
+    let link = node.borrow_mut().link_up(&node, queue, joined);
+    let (sink, stream) = socket.split();
+    let ended = tokio::select! {
+        ended = send(&node, sink, sealer, messages) => ended,
+        ended = receive(&node, link, stream, opener) => ended,
+    };
+    match ended {
+        Ok(()) => log::info!(vm:% = vm; "link is down"),
+        Err(error) => log::warn!(vm:% = vm, cause:% = error; "link is down"),
+    }
+    node.borrow_mut().link_down(&node, link);
+}
+
+/// Sends messages until the node closes the queue.
+async fn send(
+    node: &Shared,
+    mut sink: impl futures_util::Sink<tungstenite::Message, Error = tungstenite::Error> + Unpin,
+    mut sealer: Sealer,
+    mut messages: mpsc::Receiver<Rc<Message>>,
+) -> Result<(), Failure> {
+    let limit = Duration::from_millis(WRITE_TIMEOUT_MS);
+    while let Some(message) = messages.recv().await {
+        let frame = match sealer.seal(&message) {
+            Ok(Some(frame)) => frame,
+            // The peer's release does not know the kind.
+            Ok(None) => continue,
+            Err(error) => {
+                log::error!(cause:% = error; "a message can't be sent");
+                continue;
+            }
+        };
+        let bytes = frame.len() as u64;
+        tokio::time::timeout(limit, sink.send(tungstenite::Message::binary(frame))).await??;
+        let metrics = &mut node.borrow_mut().metrics;
+        metrics.add(Count::PeerFramesSent, 1);
+        metrics.add(Count::PeerBytesSent, bytes);
+    }
+    Ok(())
+}
+
+/// Hands messages to the node until the link ends.
+async fn receive(
+    node: &Shared,
+    link: Link,
+    mut stream: impl futures_util::Stream<Item = Result<tungstenite::Message, tungstenite::Error>>
+    + Unpin,
+    mut opener: Opener,
+) -> Result<(), Failure> {
+    while let Some(received) = stream.next().await {
+        let tungstenite::Message::Binary(bytes) = received? else {
+            continue;
+        };
+        let result = opener.open(&bytes);
+        let mut state = node.borrow_mut();
+        state
+            .metrics
+            .add(Count::PeerBytesReceived, bytes.len() as u64);
+        match result {
+            Ok(Frame::Known(message)) => state.receive(node, link, message),
+            Ok(Frame::Unknown(kind)) => log::debug!(kind; "a frame of a newer release was skipped"),
+            Err(fault) => {
+                state.metrics.add(Count::PeerFaults, 1);
+                state.link_fault(node, link, &fault.to_string());
+                return Err(fault.into());
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,150 +1,187 @@
-//! Reads the configuration service through the etcd v3 JSON gateway.
+//! Reads the configuration service and the VM list while this VM is a reader.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use oriolecleat_core::catalogue::MAX_TOTAL_BYTES;
+use oriolecleat_core::gateway::Call;
+use oriolecleat_core::gateway::LINE_BYTES;
+use oriolecleat_core::gateway::News;
+use oriolecleat_core::gateway::Session;
+use oriolecleat_core::message::Content;
 use oriolecleat_core::time::Span;
-use serde::Deserialize;
-use serde_json::json;
 use tokio::net::TcpStream;
 
+use crate::metrics::Count;
+use crate::node::Node;
 use crate::node::Shared;
 
-const RETRY_DELAY_MS: u64 = 200;
 /// First key read; the range reaches from the entries to the key `fleet`.
 const FIRST_KEY: &str = "entries/";
 const RANGE_END: &str = "fleet\0";
+const CALL_TIMEOUT_MS: u64 = 5_000;
+const BUDGET_POLL_MS: u64 = 20;
+/// Silence after which a watch is opened anew; the service sends progress more often.
+const WATCH_SILENCE_MS: u64 = 15_000;
 
 /// A read that failed.
-type Failure = Box<dyn std::error::Error>;
+type Failure = Box<dyn std::error::Error + Send + Sync>;
 
-#[derive(Debug, Deserialize)]
-struct Header {
-    revision: Box<str>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Pair {
-    key: Box<str>,
-    #[serde(default)]
-    value: Box<str>,
-    mod_revision: Box<str>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Range {
-    header: Header,
-    #[serde(default)]
-    kvs: Vec<Pair>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Watch {
-    result: Batch,
-}
-
-#[derive(Debug, Deserialize)]
-struct Batch {
-    header: Header,
-    #[serde(default)]
-    events: Vec<Event>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Event {
-    #[serde(default, rename = "type")]
-    kind: Box<str>,
-    kv: Pair,
-}
-
-/// Reads and watches the configuration service until the process ends.
+/// Reads and watches the configuration service whenever this VM is a reader.
 pub(crate) async fn follow(node: Shared) {
     let address = node.borrow().settings.platform.configuration;
+    let mut reading = node.borrow().links.reading.subscribe();
+    let mut session = Session::new(FIRST_KEY, RANGE_END);
     loop {
-        if let Err(error) = read(&node, address).await {
+        // The node holds the sender, so the channel is open until the process ends.
+        let _ = reading.wait_for(|reading| *reading).await;
+        let ended = tokio::select! {
+            ended = read(&node, &mut session, address) => ended,
+            _ = reading.wait_for(|reading| !*reading) => continue,
+        };
+        if let Err(error) = ended {
             log::warn!(cause:% = error; "reading the configuration service failed");
         }
-        tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+        node.borrow_mut().end_reading();
+    }
+}
+
+async fn read(node: &Shared, session: &mut Session, address: SocketAddr) -> Result<(), Failure> {
+    loop {
+        pay(node).await;
+        let asked = node.borrow().clock.now();
+        let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
+        match session.call() {
+            Call::Range(body) => {
+                let response = tokio::time::timeout(timeout, async {
+                    let response = post(address, "/v3/kv/range", &body).await?;
+                    // Base64 adds a third, the frame of each pair the rest.
+                    let body = Limited::new(response.into_body(), 2 * MAX_TOTAL_BYTES);
+                    Ok::<_, Failure>(body.collect().await?.to_bytes())
+                });
+                let news = session.range(&response.await??)?;
+                let age = node.borrow().clock.now().since(asked);
+                node.borrow_mut().learn(node, news, age);
+            }
+            Call::Watch(body) => {
+                let response = post(address, "/v3/watch", &body);
+                let response = tokio::time::timeout(timeout, response).await??;
+                let now = node.borrow().clock.now();
+                node.borrow_mut().reader.budget().watch(now, true);
+                let ended = lines(node, session, response.into_body()).await;
+                node.borrow_mut().reader.budget().watch(now, false);
+                ended?;
+            }
+        }
     }
 }
 
-async fn read(node: &Shared, address: SocketAddr) -> Result<(), Failure> {
-    let bounds = json!({ "key": encode(FIRST_KEY), "range_end": encode(RANGE_END) });
-    let response = post(address, "/v3/kv/range", bounds.to_string()).await?;
-    let bytes = response.into_body().collect().await?.to_bytes();
-    let range: Range = serde_json::from_slice(&bytes)?;
-    for pair in &range.kvs {
-        offer(node, pair, false)?;
+/// Waits until the budget of calls allows another one.
+async fn pay(node: &Shared) {
+    loop {
+        {
+            let mut node = node.borrow_mut();
+            let now = node.clock.now();
+            if node.reader.budget().spend(now) {
+                node.metrics.add(Count::ConfigurationCalls, 1);
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(BUDGET_POLL_MS)).await;
     }
-    let revision: u64 = range.header.revision.parse()?;
-    node.borrow_mut().revision = revision;
-    watch(node, address, revision + 1).await
 }
 
-async fn watch(node: &Shared, address: SocketAddr, start: u64) -> Result<(), Failure> {
-    let create = json!({ "create_request": {
-        "key": encode(FIRST_KEY),
-        "range_end": encode(RANGE_END),
-        "start_revision": start.to_string(),
-    }});
-    let mut body = post(address, "/v3/watch", create.to_string())
-        .await?
-        .into_body();
+/// Takes the lines of a watch until the service ends it.
+async fn lines(node: &Shared, session: &mut Session, mut body: Incoming) -> Result<(), Failure> {
+    let silence = Duration::from_millis(WATCH_SILENCE_MS);
     let mut buffer = Vec::new();
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = tokio::time::timeout(silence, body.frame()).await? {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
         buffer.extend_from_slice(&data);
         while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
             let line: Vec<u8> = buffer.drain(..=end).collect();
-            let watch: Watch = serde_json::from_slice(&line)?;
-            for event in &watch.result.events {
-                offer(node, &event.kv, &*event.kind == "DELETE")?;
+            let news = session.line(&line)?;
+            let ended = news.ended;
+            node.borrow_mut().learn(node, news, Span::ZERO);
+            if ended {
+                return Ok(());
             }
-            let mut node = node.borrow_mut();
-            node.revision = watch.result.header.revision.parse()?;
-            let now = node.clock.now();
-            node.reader.confirm(now, Span::ZERO);
+        }
+        if buffer.len() > LINE_BYTES {
+            return Err("a line of the watch is too long".into());
         }
     }
-    Ok(())
+    Err("the watch ended".into())
 }
 
-fn offer(node: &Shared, pair: &Pair, deleted: bool) -> Result<(), Failure> {
-    let key = String::from_utf8(STANDARD.decode(&*pair.key)?)?;
-    let value = String::from_utf8(STANDARD.decode(&*pair.value)?)?;
-    let revision = pair.mod_revision.parse()?;
-    node.borrow_mut()
-        .offer(&key, revision, (!deleted).then_some(value.as_str()));
-    Ok(())
-}
+impl Node {
+    /// Takes news of the configuration service that were complete `age` ago.
+    fn learn(&mut self, node: &Shared, news: News, age: Span) {
+        let now = self.clock.now();
+        self.reader.respond();
+        let content = |key: Box<str>, revision, text: Option<Box<str>>| Content {
+            version: self.catalogue.version(&key, revision, text.as_deref()),
+            key,
+            text,
+        };
+        let present: Vec<(Box<str>, u64)> = news
+            .changes
+            .iter()
+            .map(|change| (change.key.clone(), change.revision))
+            .collect();
+        let contents: Vec<Content> = news
+            .changes
+            .into_iter()
+            .map(|change| content(change.key, change.revision, change.value))
+            .collect();
+        if let Some(last) = present.iter().map(|(_, revision)| *revision).max() {
+            self.revision = self.revision.max(last);
+        }
+        self.event(node, |gossip, context| gossip.publish(context, contents));
+        if let Some(revision) = news.whole {
+            self.revision = revision;
+            self.event(node, |gossip, context| {
+                let present: Vec<(&str, u64)> = present
+                    .iter()
+                    .map(|(key, revision)| (&**key, *revision))
+                    .collect();
+                gossip.snapshot(context, revision, &present)
+            });
+        }
+        if news.confirmed {
+            self.reader.confirm(now, age);
+        }
+    }
 
-fn encode(text: &str) -> String {
-    STANDARD.encode(text)
+    fn end_reading(&mut self) {
+        let now = self.clock.now();
+        self.reader.end(now, &mut self.rng);
+        self.links.reading.send_replace(false);
+    }
 }
 
-async fn post(
-    address: SocketAddr,
-    path: &str,
-    body: String,
-) -> Result<Response<Incoming>, Failure> {
+async fn post(address: SocketAddr, path: &str, body: &str) -> Result<Response<Incoming>, Failure> {
     let stream = TcpStream::connect(address).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::task::spawn_local(connection);
     let request = Request::post(path)
         .header("host", address.to_string())
         .header("content-type", "application/json")
-        .body(Full::new(Bytes::from(body)))?;
-    Ok(sender.send_request(request).await?)
+        .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))?;
+    let response = sender.send_request(request).await?;
+    if !response.status().is_success() {
+        return Err(format!("the service answered with status {}", response.status()).into());
+    }
+    Ok(response)
 }
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -21,10 +21,12 @@
 use crate::caller;
 use crate::clock::Clock;
 use crate::directory;
+use crate::fleet;
 use crate::halt;
 use crate::node::Node;
 use crate::node::Shared;
 use crate::operator;
+use crate::peer;
 use crate::platform;
 use crate::probe;
 use crate::query::Client;
@@ -71,11 +73,17 @@
         .try_bind()
         .await
         .change_context(Failure("the operator port could not be opened"))?;
+    let peers = TcpListener::bind(listen.peer)
+        .await
+        .change_context(Failure("the peer port could not be opened"))?;
     let vm = settings.vm.clone();
     let rng = SmallRng::from_rng(&mut rand::rng());
     let (probes, orders) = mpsc::unbounded_channel();
     let node = Node::new(settings, Clock::start(), rng, probes);
     let node: Shared = Rc::new(RefCell::new(node));
+    tokio::task::spawn_local(peer::serve(node.clone(), peers));
+    tokio::task::spawn_local(fleet::run(node.clone()));
+    fleet::join(&node).await;
     let (sender, queries) = mpsc::channel(QUERY_QUEUE);
     let client = Client::new(sender);
     spawn_pages(directory, directory::router(client.clone()));
@@ -87,11 +95,13 @@
     log::info!(vm:% = vm, caller:% = listen.caller, directory:% = listen.directory; "serving");
     let mut phases = node.borrow().phases.subscribe();
     tokio::task::spawn_local(halt::listen(node.clone()));
+    let stopping = node.clone();
     tokio::task::spawn_local(caller::serve(node, callers));
     // The node holds the sender, so the channel is open until the process ends.
     let _ = phases
         .wait_for(|phase| matches!(phase, Phase::Stopped(_)))
         .await;
+    fleet::part(&stopping).await;
     log::info!("stopped");
     Ok(())
 }
