Let the tool accept answers with missing fields

Cause: run against the daemon, status and explain failed on fields that the VM does not know yet, and would fail against a VM of another build. Change: fields other than names, states and lists are optional and printed as - when they are missing or null.

--- a/crates/cli/src/answer.rs
+++ b/crates/cli/src/answer.rs
@@ -10,74 +10,109 @@
 #[derive(Debug, Deserialize)]
 pub(crate) struct Status {
     pub(crate) vm: Box<str>,
-    pub(crate) incarnation: u64,
-    pub(crate) build: Box<str>,
-    pub(crate) region: Box<str>,
-    pub(crate) data_center: Box<str>,
-    pub(crate) fleet: Box<str>,
+    #[serde(default)]
+    pub(crate) incarnation: Known<u64>,
+    #[serde(default)]
+    pub(crate) build: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) region: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) data_center: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) fleet: Known<Box<str>>,
     pub(crate) state: Box<str>,
-    pub(crate) uptime_ms: u64,
+    #[serde(default)]
+    pub(crate) uptime_ms: Known<u64>,
     pub(crate) ready: bool,
+    #[serde(default)]
     pub(crate) reasons: Vec<Box<str>>,
+    #[serde(default)]
     pub(crate) view: View,
+    #[serde(default)]
     pub(crate) vm_list: VmList,
+    #[serde(default)]
     pub(crate) catalogue: Catalogue,
+    #[serde(default)]
     pub(crate) members: Members,
-    pub(crate) links: u64,
+    #[serde(default)]
+    pub(crate) links: Known<u64>,
+    #[serde(default)]
     pub(crate) requests: Requests,
+    #[serde(default)]
     pub(crate) services: Vec<Load>,
 }
 
 /// The view of the catalogue.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 pub(crate) struct View {
-    pub(crate) age_ms: Option<u64>,
-    pub(crate) stale: bool,
-    pub(crate) reader: bool,
+    #[serde(default)]
+    pub(crate) age_ms: Known<u64>,
+    #[serde(default)]
+    pub(crate) stale: Known<bool>,
+    #[serde(default)]
+    pub(crate) reader: Known<bool>,
 }
 
 /// The platform's VM list.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 pub(crate) struct VmList {
-    pub(crate) age_ms: Option<u64>,
-    pub(crate) vms: u64,
+    #[serde(default)]
+    pub(crate) age_ms: Known<u64>,
+    #[serde(default)]
+    pub(crate) vms: Known<u64>,
 }
 
 /// Counts of the catalogue.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 pub(crate) struct Catalogue {
-    pub(crate) entries: u64,
-    pub(crate) tombstones: u64,
-    pub(crate) rejected: u64,
-    pub(crate) vm_ceiling: Option<u64>,
-    pub(crate) configuration_calls_per_s: Option<u64>,
+    #[serde(default)]
+    pub(crate) entries: Known<u64>,
+    #[serde(default)]
+    pub(crate) tombstones: Known<u64>,
+    #[serde(default)]
+    pub(crate) rejected: Known<u64>,
+    #[serde(default)]
+    pub(crate) vm_ceiling: Known<u64>,
+    #[serde(default)]
+    pub(crate) configuration_calls_per_s: Known<u64>,
 }
 
 /// Counts of members by state.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 pub(crate) struct Members {
-    pub(crate) alive: u64,
-    pub(crate) suspect: u64,
-    pub(crate) leaving: u64,
-    pub(crate) dead: u64,
+    #[serde(default)]
+    pub(crate) alive: Known<u64>,
+    #[serde(default)]
+    pub(crate) suspect: Known<u64>,
+    #[serde(default)]
+    pub(crate) leaving: Known<u64>,
+    #[serde(default)]
+    pub(crate) dead: Known<u64>,
 }
 
 /// Counts of requests.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 pub(crate) struct Requests {
-    pub(crate) in_flight: u64,
-    pub(crate) waiting: u64,
+    #[serde(default)]
+    pub(crate) in_flight: Known<u64>,
+    #[serde(default)]
+    pub(crate) waiting: Known<u64>,
 }
 
 /// Counts of a service.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Load {
     pub(crate) service: Box<str>,
-    pub(crate) entries: u64,
-    pub(crate) targets: u64,
-    pub(crate) usable: u64,
-    pub(crate) in_flight: u64,
-    pub(crate) waiting: u64,
+    #[serde(default)]
+    pub(crate) entries: Known<u64>,
+    #[serde(default)]
+    pub(crate) targets: Known<u64>,
+    #[serde(default)]
+    pub(crate) usable: Known<u64>,
+    #[serde(default)]
+    pub(crate) in_flight: Known<u64>,
+    #[serde(default)]
+    pub(crate) waiting: Known<u64>,
 }
 
 /// Answer of `/v1/explain/entry/NAME`.
@@ -85,14 +120,20 @@
 pub(crate) struct Entry {
     pub(crate) name: Box<str>,
     pub(crate) state: Box<str>,
-    pub(crate) version: Option<Version>,
-    pub(crate) source: Option<Box<str>>,
-    pub(crate) service: Option<Box<str>>,
-    pub(crate) owner: Option<Box<str>>,
-    pub(crate) class: Option<Box<str>>,
+    #[serde(default)]
+    pub(crate) version: Known<Shown>,
+    #[serde(default)]
+    pub(crate) source: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) service: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) owner: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) class: Known<Box<str>>,
     #[serde(default)]
     pub(crate) methods: Vec<Box<str>>,
-    pub(crate) deadline_ms: Option<u64>,
+    #[serde(default)]
+    pub(crate) deadline_ms: Known<u64>,
     #[serde(default)]
     pub(crate) shadowed_by: Vec<Box<str>>,
     pub(crate) rejected: Option<Rejected>,
@@ -108,7 +149,7 @@
 /// A content that was rejected.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Rejected {
-    pub(crate) version: Version,
+    pub(crate) version: Shown,
     pub(crate) faults: Vec<Fault>,
 }
 
@@ -116,24 +157,32 @@
 #[derive(Debug, Deserialize)]
 pub(crate) struct Limit {
     pub(crate) name: Box<str>,
-    pub(crate) configured: u64,
-    pub(crate) share: u64,
-    pub(crate) used: u64,
-    pub(crate) refused: u64,
+    #[serde(default)]
+    pub(crate) configured: Known<u64>,
+    #[serde(default)]
+    pub(crate) share: Known<u64>,
+    #[serde(default)]
+    pub(crate) used: Known<u64>,
+    #[serde(default)]
+    pub(crate) refused: Known<u64>,
 }
 
 /// Counts of an entry's outcomes.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Outcomes {
-    pub(crate) ran: u64,
-    pub(crate) not_run: u64,
-    pub(crate) unknown: u64,
+    #[serde(default)]
+    pub(crate) ran: Known<u64>,
+    #[serde(default)]
+    pub(crate) not_run: Known<u64>,
+    #[serde(default)]
+    pub(crate) unknown: Known<u64>,
 }
 
 /// A target and whether it gets work.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Candidate {
-    pub(crate) service: Option<Box<str>>,
+    #[serde(default)]
+    pub(crate) service: Known<Box<str>>,
     pub(crate) name: Box<str>,
     pub(crate) standing: Box<str>,
     #[serde(default)]
@@ -144,8 +193,10 @@
 #[derive(Debug, Deserialize)]
 pub(crate) struct Cause {
     pub(crate) reason: Box<str>,
-    pub(crate) age_ms: Option<u64>,
-    pub(crate) source: Option<Box<str>>,
+    #[serde(default)]
+    pub(crate) age_ms: Known<u64>,
+    #[serde(default)]
+    pub(crate) source: Known<Box<str>>,
 }
 
 /// Answer of `/v1/explain/target/SERVICE/NAME`.
@@ -153,43 +204,63 @@
 pub(crate) struct Target {
     pub(crate) service: Box<str>,
     pub(crate) name: Box<str>,
-    pub(crate) address: Box<str>,
-    pub(crate) vm: Box<str>,
-    pub(crate) region: Box<str>,
-    pub(crate) data_center: Box<str>,
-    pub(crate) slots: u64,
+    #[serde(default)]
+    pub(crate) address: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) vm: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) region: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) data_center: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) slots: Known<u64>,
+    #[serde(default)]
     pub(crate) entries: Vec<Box<str>>,
     pub(crate) standing: Box<str>,
+    #[serde(default)]
     pub(crate) chosen: Chosen,
+    #[serde(default)]
     pub(crate) evidence: Vec<Evidence>,
+    #[serde(default)]
     pub(crate) estimate: Estimate,
+    #[serde(default)]
     pub(crate) reasons: Vec<Box<str>>,
 }
 
 /// How often and when a target was last chosen.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 pub(crate) struct Chosen {
-    pub(crate) count: u64,
-    pub(crate) last_age_ms: Option<u64>,
+    #[serde(default)]
+    pub(crate) count: Known<u64>,
+    #[serde(default)]
+    pub(crate) last_age_ms: Known<u64>,
 }
 
 /// One piece of what is known of a target.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Evidence {
     pub(crate) kind: Box<str>,
-    pub(crate) age_ms: Option<u64>,
-    pub(crate) source: Box<str>,
-    pub(crate) detail: Box<str>,
+    #[serde(default)]
+    pub(crate) age_ms: Known<u64>,
+    #[serde(default)]
+    pub(crate) source: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) detail: Known<Box<str>>,
 }
 
 /// What the VM estimates of a target.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 pub(crate) struct Estimate {
-    pub(crate) free_slots: u64,
-    pub(crate) in_flight: u64,
-    pub(crate) latency_ms: Option<u64>,
-    pub(crate) straggler: bool,
-    pub(crate) ejected: bool,
+    #[serde(default)]
+    pub(crate) free_slots: Known<u64>,
+    #[serde(default)]
+    pub(crate) in_flight: Known<u64>,
+    #[serde(default)]
+    pub(crate) latency_ms: Known<u64>,
+    #[serde(default)]
+    pub(crate) straggler: Known<bool>,
+    #[serde(default)]
+    pub(crate) ejected: Known<bool>,
 }
 
 /// Answer of `/v1/explain/vm/NAME`.
@@ -198,18 +269,25 @@
     pub(crate) name: Box<str>,
     pub(crate) member: Option<Member>,
     pub(crate) vm_list: Option<Listed>,
+    #[serde(default)]
     pub(crate) targets: Vec<Candidate>,
+    #[serde(default)]
     pub(crate) reasons: Vec<Box<str>>,
 }
 
 /// The VM list's record of a VM.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Listed {
-    pub(crate) role: Box<str>,
-    pub(crate) state: Box<str>,
-    pub(crate) region: Box<str>,
-    pub(crate) data_center: Box<str>,
-    pub(crate) age_ms: Option<u64>,
+    #[serde(default)]
+    pub(crate) role: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) state: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) region: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) data_center: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) age_ms: Known<u64>,
 }
 
 /// Answer of `/v1/fleet`.
@@ -222,16 +300,25 @@
 #[derive(Debug, Deserialize)]
 pub(crate) struct Member {
     pub(crate) vm: Box<str>,
-    pub(crate) incarnation: u64,
+    #[serde(default)]
+    pub(crate) incarnation: Known<u64>,
     pub(crate) state: Box<str>,
-    pub(crate) region: Box<str>,
-    pub(crate) data_center: Box<str>,
-    pub(crate) caller: Box<str>,
-    pub(crate) uptime_ms: Option<u64>,
-    pub(crate) build: Box<str>,
-    pub(crate) view_age_ms: Option<u64>,
-    pub(crate) reader: Option<bool>,
-    pub(crate) heard_age_ms: Option<u64>,
+    #[serde(default)]
+    pub(crate) region: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) data_center: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) caller: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) uptime_ms: Known<u64>,
+    #[serde(default)]
+    pub(crate) build: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) view_age_ms: Known<u64>,
+    #[serde(default)]
+    pub(crate) reader: Known<bool>,
+    #[serde(default)]
+    pub(crate) heard_age_ms: Known<u64>,
 }
 
 /// Answer of `/v1/catalogue`.
@@ -244,7 +331,8 @@
 #[derive(Debug, Deserialize)]
 pub(crate) struct Held {
     pub(crate) key: Box<str>,
-    pub(crate) version: Option<Version>,
+    #[serde(default)]
+    pub(crate) version: Known<Shown>,
     pub(crate) rejected: Option<Rejected>,
 }
 
@@ -258,24 +346,56 @@
 /// An audit record.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Record {
-    pub(crate) seq: u64,
+    #[serde(default)]
+    pub(crate) seq: Known<u64>,
     pub(crate) vm: Box<str>,
-    pub(crate) wall_ms: u64,
+    #[serde(default)]
+    pub(crate) wall_ms: Known<u64>,
     pub(crate) kind: Box<str>,
     pub(crate) subject: Box<str>,
-    pub(crate) version: Option<Version>,
-    pub(crate) source: Option<Box<str>>,
-    pub(crate) cause: Option<Box<str>>,
+    #[serde(default)]
+    pub(crate) version: Known<Shown>,
+    #[serde(default)]
+    pub(crate) source: Known<Box<str>>,
+    #[serde(default)]
+    pub(crate) cause: Known<Box<str>>,
 }
 
 /// A version as a person reads it.
-pub(crate) struct Shown(pub(crate) Option<Version>);
+#[derive(Debug, Deserialize)]
+#[serde(transparent)]
+pub(crate) struct Shown(Version);
 
 impl fmt::Display for Shown {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0 {
+        write!(formatter, "{}.{}", self.0.generation, self.0.revision)
+    }
+}
+
+/// A field that may be missing or null, because the VM does not know it or is of another build;
+/// printed as `-`.
+#[derive(Debug, Deserialize)]
+#[serde(transparent)]
+pub(crate) struct Known<T>(pub(crate) Option<T>);
+
+impl<T> Default for Known<T> {
+    fn default() -> Self {
+        Self(None)
+    }
+}
+
+impl<T: fmt::Display> fmt::Display for Known<T> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0 {
+            Some(value) => value.fmt(formatter),
             None => formatter.write_str("-"),
-            Some(version) => write!(formatter, "{}.{}", version.generation, version.revision),
         }
     }
 }
+
+impl Known<bool> {
+    /// `text` if the field is set.
+    pub(crate) fn note(&self, text: &'static str) -> &'static str {
+        if self.0 == Some(true) { text } else { "" }
+    }
+}
--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -11,7 +11,6 @@
 use crate::Finding;
 use crate::answer::Audit;
 use crate::answer::Record;
-use crate::answer::Shown;
 use crate::arguments::Filter;
 use crate::arguments::Format;
 use crate::arguments::Operator;
@@ -71,21 +70,20 @@
 }
 
 fn row(record: &Record) -> Vec<String> {
-    let optional = |text: &Option<Box<str>>| text.as_deref().unwrap_or("-").to_owned();
     vec![
-        time(record.wall_ms),
+        time(record.wall_ms.0),
         format!("{} #{}", record.vm, record.seq),
         record.kind.to_string(),
         record.subject.to_string(),
-        Shown(record.version).to_string(),
-        optional(&record.source),
-        optional(&record.cause),
+        record.version.to_string(),
+        record.source.to_string(),
+        record.cause.to_string(),
     ]
 }
 
 /// Wall-clock time in UTC.
-fn time(wall_ms: u64) -> String {
-    let time = i64::try_from(wall_ms).ok();
+fn time(wall_ms: Option<u64>) -> String {
+    let time = wall_ms.and_then(|millis| i64::try_from(millis).ok());
     let time = time.and_then(|millis| Timestamp::from_millisecond(millis).ok());
     time.map_or_else(|| "-".to_owned(), |time| format!("{time:.3}"))
 }
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -7,7 +7,6 @@
 use crate::answer::Cause;
 use crate::answer::Entry;
 use crate::answer::Machine;
-use crate::answer::Shown;
 use crate::answer::Target;
 use crate::arguments::Format;
 use crate::arguments::Operator;
@@ -39,7 +38,6 @@
 }
 
 fn entry(entry: &Entry) -> (Vec<String>, Finding) {
-    let optional = |text: &Option<Box<str>>| text.as_deref().unwrap_or("-").to_owned();
     let methods = match entry.methods.join(", ") {
         methods if methods.is_empty() => "all methods".to_owned(),
         methods => methods,
@@ -47,17 +45,14 @@
     let mut lines = vec![
         format!(
             "entry       {}, {}, version {}, from {}",
-            entry.name,
-            entry.state,
-            Shown(entry.version),
-            optional(&entry.source)
+            entry.name, entry.state, entry.version, entry.source
         ),
         format!(
             "requests    service {}, {methods}, class {}, deadline {}, owner {}",
-            optional(&entry.service),
-            optional(&entry.class),
-            print::age(entry.deadline_ms),
-            optional(&entry.owner)
+            entry.service,
+            entry.class,
+            print::age(&entry.deadline_ms),
+            entry.owner
         ),
     ];
     lines.extend(
@@ -73,7 +68,7 @@
         ));
     }
     if let Some(rejected) = &entry.rejected {
-        let version = Shown(Some(rejected.version));
+        let version = &rejected.version;
         let faults = rejected.faults.iter();
         lines.extend(faults.map(|fault| format!("rejected    {version}: {fault}")));
     }
@@ -97,9 +92,9 @@
     }
     let head = ["LIMIT", "CONFIGURED", "THIS VM", "USED", "REFUSED"];
     let rows = entry.limits.iter().map(|limit| {
-        let counts = [limit.configured, limit.share, limit.used, limit.refused];
+        let counts = [&limit.configured, &limit.share, &limit.used, &limit.refused];
         let mut row = vec![limit.name.to_string()];
-        row.extend(counts.map(|count| count.to_string()));
+        row.extend(counts.map(ToString::to_string));
         row
     });
     section(print::table(&head, &rows.collect::<Vec<_>>()))
@@ -111,7 +106,7 @@
     }
     let head = ["TARGET", "STANDING", "BECAUSE"];
     let row = |target: &Candidate| {
-        let name = match &target.service {
+        let name = match &target.service.0 {
             Some(service) => format!("{service}/{}", target.name),
             None => target.name.to_string(),
         };
@@ -126,7 +121,6 @@
 
 fn target(target: &Target) -> Vec<String> {
     let estimate = &target.estimate;
-    let mark = |is_set: bool, text: &'static str| if is_set { text } else { "" };
     let mut lines = vec![
         format!(
             "target      {}/{}, {}",
@@ -144,22 +138,22 @@
         format!(
             "chosen      {} times, last {} ago",
             target.chosen.count,
-            print::age(target.chosen.last_age_ms)
+            print::age(&target.chosen.last_age_ms)
         ),
         format!(
             "estimate    {} free slots, {} in flight, latency {}{}{}",
             estimate.free_slots,
             estimate.in_flight,
-            print::age(estimate.latency_ms),
-            mark(estimate.straggler, ", straggler"),
-            mark(estimate.ejected, ", ejected")
+            print::age(&estimate.latency_ms),
+            estimate.straggler.note(", straggler"),
+            estimate.ejected.note(", ejected")
         ),
     ];
     lines.extend(reasons(&target.reasons));
     let rows = target.evidence.iter().map(|evidence| {
         vec![
             evidence.kind.to_string(),
-            print::age(evidence.age_ms),
+            print::age(&evidence.age_ms),
             evidence.source.to_string(),
             evidence.detail.to_string(),
         ]
@@ -184,7 +178,7 @@
                 listed.state,
                 listed.region,
                 listed.data_center,
-                print::age(listed.age_ms)
+                print::age(&listed.age_ms)
             )
         },
     );
@@ -211,11 +205,11 @@
 }
 
 fn reason(reason: &Cause) -> String {
-    let source = reason.source.as_deref().unwrap_or("-");
     format!(
-        "{} ({}, {source})",
+        "{} ({}, {})",
         reason.reason,
-        print::age(reason.age_ms)
+        print::age(&reason.age_ms),
+        reason.source
     )
 }
 
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -33,8 +33,8 @@
     let mut fleet: Fleet = operator::parse(&answer)?;
     let place = |member: &Member| {
         (
-            member.region.clone(),
-            member.data_center.clone(),
+            member.region.0.clone(),
+            member.data_center.0.clone(),
             member.vm.clone(),
         )
     };
@@ -46,18 +46,19 @@
 /// Members as aligned rows.
 pub(crate) fn table(members: &[Member]) -> Vec<String> {
     let row = |member: &Member| {
-        let reader = member
-            .reader
-            .map_or("-", |reader| if reader { "yes" } else { "no" });
         vec![
             member.vm.to_string(),
             member.state.to_string(),
             member.region.to_string(),
             member.data_center.to_string(),
-            print::age(member.view_age_ms),
-            reader.to_owned(),
-            print::age(member.heard_age_ms),
-            print::age(member.uptime_ms),
+            print::age(&member.view_age_ms),
+            member
+                .reader
+                .0
+                .map_or("-", |reader| if reader { "yes" } else { "no" })
+                .to_owned(),
+            print::age(&member.heard_age_ms),
+            print::age(&member.uptime_ms),
             member.build.to_string(),
         ]
     };
--- a/crates/cli/src/print.rs
+++ b/crates/cli/src/print.rs
@@ -6,6 +6,7 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 
+use crate::answer::Known;
 use crate::failure::Failure;
 
 /// `text` on one line: control characters become spaces, so that no content of the catalogue can
@@ -50,8 +51,8 @@
 }
 
 /// A duration in milliseconds as a person reads it; `-` if it is not known.
-pub(crate) fn age(millis: Option<u64>) -> String {
-    match millis {
+pub(crate) fn age(millis: &Known<u64>) -> String {
+    match millis.0 {
         None => "-".to_owned(),
         Some(millis @ 0..10_000) => format!("{millis} ms"),
         Some(millis @ 10_000..600_000) => format!("{} s", millis / 1_000),
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -4,7 +4,6 @@
 
 use crate::Finding;
 use crate::answer::Keys;
-use crate::answer::Shown;
 use crate::answer::Status;
 use crate::arguments::Format;
 use crate::arguments::Operator;
@@ -20,13 +19,13 @@
         print::lines(&[answer.to_string()])?;
     } else {
         let mut lines = overview(&status);
-        if status.catalogue.rejected > 0 {
+        if status.catalogue.rejected.0 > Some(0) {
             lines.extend(rejected(target)?);
         }
         lines.extend(services(&status));
         print::lines(&lines)?;
     }
-    let is_fine = status.ready && status.catalogue.rejected == 0;
+    let is_fine = status.ready && status.catalogue.rejected.0.unwrap_or(0) == 0;
     Ok(if is_fine {
         Finding::Fine
     } else {
@@ -40,15 +39,8 @@
     } else {
         format!("not ready: {}", status.reasons.join(", "))
     };
-    let stale = if status.view.stale { ", stale" } else { "" };
-    let reader = if status.view.reader {
-        ", reads the configuration service"
-    } else {
-        ""
-    };
-    let known = |number: Option<u64>| {
-        number.map_or_else(|| "unknown".to_owned(), |number| number.to_string())
-    };
+    let stale = status.view.stale.note(", stale");
+    let reader = status.view.reader.note(", reads the configuration service");
     let catalogue = &status.catalogue;
     let members = &status.members;
     vec![
@@ -64,24 +56,24 @@
         format!(
             "state       {}, {ready}, up {}",
             status.state,
-            print::age(Some(status.uptime_ms))
+            print::age(&status.uptime_ms)
         ),
         format!(
             "view        {} old{stale}{reader}",
-            print::age(status.view.age_ms)
+            print::age(&status.view.age_ms)
         ),
         format!(
             "vm list     {} VMs, {} old",
             status.vm_list.vms,
-            print::age(status.vm_list.age_ms)
+            print::age(&status.vm_list.age_ms)
         ),
         format!(
             "catalogue   {} entries, {} rejected, {} tombstones, VM ceiling {}, {} calls/s",
             catalogue.entries,
             catalogue.rejected,
             catalogue.tombstones,
-            known(catalogue.vm_ceiling),
-            known(catalogue.configuration_calls_per_s)
+            catalogue.vm_ceiling,
+            catalogue.configuration_calls_per_s
         ),
         format!(
             "members     {} alive, {} suspect, {} leaving, {} dead, {} links",
@@ -103,12 +95,10 @@
         let Some(rejected) = key.rejected else {
             continue;
         };
-        let rejected_at = Shown(Some(rejected.version));
-        let stays = Shown(key.version);
         for fault in rejected.faults {
-            let key = &key.key;
             lines.push(format!(
-                "rejected    {key} {rejected_at} ({stays} stays): {fault}"
+                "rejected    {} {} ({} stays): {fault}",
+                key.key, rejected.version, key.version
             ));
         }
     }
@@ -129,14 +119,14 @@
     ];
     let rows = status.services.iter().map(|service| {
         let counts = [
-            service.entries,
-            service.targets,
-            service.usable,
-            service.in_flight,
-            service.waiting,
+            &service.entries,
+            &service.targets,
+            &service.usable,
+            &service.in_flight,
+            &service.waiting,
         ];
         let mut row = vec![service.service.to_string()];
-        row.extend(counts.map(|count| count.to_string()));
+        row.extend(counts.map(ToString::to_string));
         row
     });
     let mut lines = vec![String::new()];
--- a/crates/cli/tests/operator.rs
+++ b/crates/cli/tests/operator.rs
@@ -184,6 +184,37 @@
     }
 }
 
+/// Guards against a tool that needs fields which an older build, or a VM that has just started, does
+/// not send.
+#[test]
+fn unknown_fields_are_printed_as_such() {
+    let (address, _requests) = serve(|target| {
+        let body = match target.split('/').nth(3) {
+            Some("entry") => {
+                r#"{"name": "x", "state": "in_effect", "limits": [{"name": "queue"}]}"#
+            }
+            Some("target") => r#"{"service": "x", "name": "y", "standing": "usable", "more": 1}"#,
+            Some("vm") => r#"{"name": "x", "member": {"vm": "x", "state": "alive"}}"#,
+            _ => r#"{"vm": "x", "state": "serving", "ready": true, "view": {"age_ms": null}}"#,
+        };
+        (200, body.to_owned())
+    });
+    let operator = address.to_string();
+    #[rustfmt::skip]
+    let cases: [(&[&str], &str); 4] = [
+        (&["status"], "view        - old"),
+        (&["explain", "entry", "x"], "queue  -           -        -     -"),
+        (&["explain", "target", "x", "y"], "chosen      - times, last - ago"),
+        (&["explain", "vm", "x"], "x   alive  -       -"),
+    ];
+    for (arguments, expected) in cases {
+        let arguments = [&arguments[..1], &["--operator", &operator], &arguments[1..]].concat();
+        let (code, output, error) = run(&arguments);
+        assert_eq!(code, 0, "{arguments:?}: {error}");
+        assert!(output.contains(expected), "{arguments:?}: {output}");
+    }
+}
+
 /// Guards against failures that look like answers.
 #[test]
 fn failures_of_the_operator_port() {
@@ -227,6 +258,7 @@
     let operator = address.to_string();
     let mut child = tool::tool(&["audit", "--follow", "--operator", &operator])
         .stdout(Stdio::piped())
+        .stderr(Stdio::null())
         .spawn()
         .unwrap();
     let lines = BufReader::new(child.stdout.take().unwrap()).lines();
