Let keys left behind by a restore not stop deletions

Change: only keys of the highest generation prove a restore, since the operator raised the generation after it. The tool lists services by name.

--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -14,7 +14,10 @@
 /// Prints the state; a VM that is not ready or has rejected contents is a fault.
 pub(crate) fn show(target: &Operator) -> Result<Finding, Report<Failure>> {
     let answer = operator::ask(target.operator, "/v1/status")?;
-    let status: Status = operator::parse(&answer)?;
+    let mut status: Status = operator::parse(&answer)?;
+    status
+        .services
+        .sort_by(|left, right| left.service.cmp(&right.service));
     if target.format == Format::Json {
         print::lines(&[answer.to_string()])?;
     } else {
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -152,22 +152,26 @@
     /// # Errors
     ///
     /// Deletes nothing if the read shows an older content of a key than the service had at that
-    /// revision, which proves that the service was restored from a backup.
+    /// revision, which proves that the service was restored from a backup. Keys of lower
+    /// generations prove nothing new, since the generation was raised after a restore.
     pub fn snapshot(
         &mut self,
         revision: u64,
         present: &[(&str, u64)],
     ) -> Result<Vec<Deletion>, Restored> {
+        let marks = self.records.values().filter_map(Record::valid_mark);
+        let generation = marks.map(|mark| mark.version.generation).max();
         let turned_back = |(key, seen): &&(&str, u64)| {
             let newest = self.records.get(*key).and_then(Record::newest);
-            let held = newest.map_or(0, |mark| mark.version.revision);
-            *seen < held && held <= revision
+            newest.is_some_and(|mark| {
+                let held = mark.version.revision;
+                let is_current = Some(mark.version.generation) >= generation;
+                is_current && *seen < held && held <= revision
+            })
         };
         if let Some((key, _)) = present.iter().find(turned_back) {
             return Err(Restored { key: (*key).into() });
         }
-        let marks = self.records.values().filter_map(Record::valid_mark);
-        let generation = marks.map(|mark| mark.version.generation).max();
         let present: Set<&str> = present.iter().map(|(key, _)| *key).collect();
         let lacking = self.records.iter().filter_map(|(key, record)| {
             let version = record.newest()?.version;
