--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -26,6 +26,8 @@
 const OUTLIER_BELOW: f64 = 1.7;
 /// Own results that end the slow start are one for each further slot, times this.
 const RAMP_PER_RESULT: f64 = 0.5;
+/// Typical latencies after which the slow start counts on one more slot without any result.
+const RAMP_LATENCIES: f64 = 8.0;
 
 /// Seconds of `span`.
 #[must_use]
@@ -56,7 +58,9 @@
     errors: f64,
     accrued: Instant,
     slots: f64,
+    added: Instant,
     outlier: bool,
+    asked: Option<Instant>,
 }
 
 impl Estimate {
@@ -71,7 +75,9 @@
             errors: 0.0,
             accrued: now,
             slots: 1.0,
+            added: now,
             outlier: false,
+            asked: None,
         }
     }
 
@@ -139,10 +145,16 @@
         self.others.map(|(_, others)| others)
     }
 
-    /// Time of the newest report.
+    /// Whether the newest report was asked for more than `age` seconds ago.
     #[must_use]
-    pub fn reported(&self) -> Option<Instant> {
-        self.others.map(|(at, _)| at)
+    pub fn report_due(&self, now: Instant, age: f64) -> bool {
+        let past = |asked| seconds(now.since(asked)) > age;
+        self.asked.is_none_or(past)
+    }
+
+    /// A report was asked for.
+    pub fn report_asked(&mut self, now: Instant) {
+        self.asked = Some(now);
     }
 
     /// Other VMs' requests at `now`: the newest report, drawn towards `usual` as it ages; after
@@ -156,10 +168,12 @@
         usual + (others - usual) * weight
     }
 
-    /// Slots that may be counted on, lower than the target's own number during the slow start.
+    /// Slots that may be counted on of `all`, fewer during the slow start. The start ends with
+    /// time, too, as a target that gets no work would stay cold.
     #[must_use]
-    pub fn slots(&self) -> f64 {
-        self.slots
+    pub fn slots(&self, now: Instant, all: u64, typical: f64) -> f64 {
+        let age = seconds(now.since(self.added)) / typical.max(f64::MIN_POSITIVE);
+        (self.slots + age / RAMP_LATENCIES).min(number(all))
     }
 
     /// Mean latency in seconds, by the time spent in flight for each result. Requests still in
