--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -169,7 +169,7 @@
     pub(crate) hedges: Map<u32, hedge::Budget>,
     pub(crate) latency: hedge::Quantile,
     last: Instant,
-    arrived: Option<Instant>,
+    pub(crate) arrived: Option<Instant>,
 }
 
 impl Balancer {
