Read the VM list and stop new work on VMs that leave

Cause: the list of live and leaving VMs was not read, so a target whose VM was about to stop kept getting work until it said so itself. Change: readers watch the list with the same client as the catalogue; targets on a leaving VM get no new work and peers are told; live entry VMs are suggested to the links, and address answers leave out VMs that the list has as leaving. Result: the demonstration's VMs find each other through the list.

--- a/crates/bench/examples/demo.rs
+++ b/crates/bench/examples/demo.rs
@@ -53,6 +53,7 @@
         let name = format!("vm-{index}");
         let ports = Ports::free()?;
         let address = service.address();
+        platform.put(&format!("vms/{name}"), &listed(&ports).to_string());
         let mut settings = process::settings(&name, &ports, address, address);
         settings["stop"] = json!({ "address_ttl_ms": 1_000 });
         let log = logs.join(format!("{name}.log"));
@@ -105,6 +106,20 @@
     platform.put("entries/bookings", &entry("bookings", "once").to_string());
 }
 
+/// The VM list's record of an entry VM.
+fn listed(ports: &Ports) -> Value {
+    json!({
+        "role": "entry",
+        "state": "live",
+        "region": "local",
+        "data_center": "local-a",
+        "directory": ports.directory.to_string(),
+        "caller": ports.caller.to_string(),
+        "peer": ports.peer.to_string(),
+        "operator": ports.operator.to_string(),
+    })
+}
+
 async fn read(daemons: &[Daemon]) -> Outcome<()> {
     let mut answered = 0;
     for index in 0..READS {
--- a/crates/daemon/src/evidence.rs
+++ b/crates/daemon/src/evidence.rs
@@ -4,10 +4,12 @@
 
 use oriolecleat_core::leaving;
 use oriolecleat_core::leaving::Evidence;
+use oriolecleat_core::leaving::Listed;
 use oriolecleat_core::leaving::Probe;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Standing;
 use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
 use slotmap::SecondaryMap;
 
 use crate::service::Service;
@@ -87,6 +89,27 @@
         }
     }
 
+    /// The VM list, `age` old, has `vm` as `listed`. Returns the targets of which peers have to be
+    /// told.
+    pub(crate) fn listed(
+        &mut self,
+        now: Instant,
+        vm: &str,
+        listed: Listed,
+        age: Span,
+    ) -> Vec<target::Key> {
+        let mut news = Vec::new();
+        for (key, target) in self.balancer.targets().iter() {
+            if *target.spec.vm == *vm
+                && let Some(evidence) = self.evidence.get_mut(key)
+                && evidence.listed(now, listed, age)
+            {
+                news.push(key);
+            }
+        }
+        news
+    }
+
     /// The target refused a connection. Returns whether peers have to be told.
     pub(crate) fn refused(&mut self, now: Instant, target: target::Key) -> bool {
         let evidence = self.evidence.get_mut(target);
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -67,6 +67,7 @@
             "ready": reasons.is_empty(),
             "reasons": reasons,
             "view": self.view_status(),
+            "vm_list": self.vm_list_status(),
             "catalogue": {
                 "entries": self.catalogue.entries().count(),
                 "tombstones": tombstones,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -36,6 +36,7 @@
 mod timer;
 mod upload;
 mod visit;
+mod vms;
 
 pub use logs::init as init_logs;
 pub use start::run;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -15,6 +15,7 @@
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::ticket;
+use oriolecleat_core::vmlist;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
@@ -52,6 +53,7 @@
     pub(crate) revision: u64,
     pub(crate) metrics: Metrics,
     pub(crate) catalogue: Catalogue,
+    pub(crate) vm_list: vmlist::List,
     pub(crate) services: SlotMap<service::Key, Service>,
     pub(crate) names: Map<Box<str>, service::Key>,
     pub(crate) quotas: SlotMap<quota::Key, Quota>,
@@ -99,6 +101,7 @@
             pool: Pool::default(),
             revision: 0,
             catalogue: Catalogue::default(),
+            vm_list: vmlist::List::default(),
             services: SlotMap::with_key(),
             names: Map::default(),
             quotas: SlotMap::with_key(),
--- a/crates/daemon/src/overview.rs
+++ b/crates/daemon/src/overview.rs
@@ -44,6 +44,11 @@
         json!({ "age_ms": self.view_age_ms(), "stale": stale })
     }
 
+    pub(crate) fn vm_list_status(&self) -> Value {
+        let age = self.vm_list.age(self.clock.now());
+        json!({ "age_ms": age.map(Span::as_millis), "vms": self.vm_list.iter().count() })
+    }
+
     pub(crate) fn member_counts(&self) -> Value {
         let now = self.clock.now();
         let count = |state: State| {
@@ -78,10 +83,18 @@
                 }
             }
         }
-        if member.is_none() && targets.is_empty() {
+        let listed = self.vm_list.get(name).map(|vm| {
+            json!({
+                "state": vm.state,
+                "region": vm.region,
+                "data_center": vm.data_center,
+                "age_ms": self.vm_list.age(self.clock.now()).map(Span::as_millis),
+            })
+        });
+        if member.is_none() && listed.is_none() && targets.is_empty() {
             return Answer::unknown(&format!("no VM named {name}"));
         }
-        Answer::ok(json!({ "name": name, "member": member, "targets": targets }))
+        Answer::ok(json!({ "name": name, "member": member, "vm_list": listed, "targets": targets }))
     }
 
     pub(crate) fn fleet_page(&self) -> Value {
@@ -169,6 +182,7 @@
                 region: record.region.clone(),
                 data_center: record.data_center.clone(),
                 state: match member.standing(now) {
+                    _ if self.is_listed_leaving(&record.vm) => address::State::Leaving,
                     State::Alive => address::State::Alive,
                     State::Suspect => address::State::Suspect,
                     State::Leaving => address::State::Leaving,
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -18,16 +18,20 @@
 use oriolecleat_core::gateway::News;
 use oriolecleat_core::gateway::Session;
 use oriolecleat_core::message::Content;
+use oriolecleat_core::settings::Platform;
 use oriolecleat_core::time::Span;
+use oriolecleat_core::vmlist;
 use tokio::net::TcpStream;
 
 use crate::metrics::Count;
 use crate::node::Node;
 use crate::node::Shared;
 
-/// First key read; the range reaches from the entries to the key `fleet`.
-const FIRST_KEY: &str = "entries/";
-const RANGE_END: &str = "fleet\0";
+/// First key of the catalogue; the range reaches from the entries to the key `fleet`.
+const CATALOGUE_FIRST: &str = "entries/";
+const CATALOGUE_END: &str = "fleet\0";
+const VM_LIST_END: &str = "vms0";
+const VM_LIST_RETRY_MS: u64 = 1_000;
 const CALL_TIMEOUT_MS: u64 = 5_000;
 const BUDGET_POLL_MS: u64 = 20;
 /// Silence after which a watch is opened anew; the service sends progress more often.
@@ -36,26 +40,59 @@
 /// A read that failed.
 type Failure = Box<dyn std::error::Error + Send + Sync>;
 
-/// Reads and watches the configuration service whenever this VM is a reader.
-pub(crate) async fn follow(node: Shared) {
-    let address = node.borrow().settings.platform.configuration;
+/// What is read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Feed {
+    /// The catalogue in the configuration service.
+    Catalogue,
+    /// The list of live and leaving VMs.
+    VmList,
+}
+
+impl Feed {
+    fn address(self, platform: &Platform) -> SocketAddr {
+        match self {
+            Self::Catalogue => platform.configuration,
+            Self::VmList => platform.vm_list,
+        }
+    }
+
+    fn session(self) -> Session {
+        match self {
+            Self::Catalogue => Session::new(CATALOGUE_FIRST, CATALOGUE_END),
+            Self::VmList => Session::new(vmlist::PREFIX, VM_LIST_END),
+        }
+    }
+}
+
+/// Reads and watches `feed` whenever this VM is a reader.
+pub(crate) async fn follow(node: Shared, feed: Feed) {
+    let address = feed.address(&node.borrow().settings.platform);
     let mut reading = node.borrow().links.reading.subscribe();
-    let mut session = Session::new(FIRST_KEY, RANGE_END);
+    let mut session = feed.session();
     loop {
         // The node holds the sender, so the channel is open until the process ends.
         let _ = reading.wait_for(|reading| *reading).await;
         let ended = tokio::select! {
-            ended = read(&node, &mut session, address) => ended,
+            ended = read(&node, &mut session, address, feed) => ended,
             _ = reading.wait_for(|reading| !*reading) => continue,
         };
         if let Err(error) = ended {
-            log::warn!(cause:% = error; "reading the configuration service failed");
+            log::warn!(cause:% = error, feed:? = feed; "reading the platform failed");
+        }
+        match feed {
+            Feed::Catalogue => node.borrow_mut().end_reading(),
+            Feed::VmList => tokio::time::sleep(Duration::from_millis(VM_LIST_RETRY_MS)).await,
         }
-        node.borrow_mut().end_reading();
     }
 }
 
-async fn read(node: &Shared, session: &mut Session, address: SocketAddr) -> Result<(), Failure> {
+async fn read(
+    node: &Shared,
+    session: &mut Session,
+    address: SocketAddr,
+    feed: Feed,
+) -> Result<(), Failure> {
     loop {
         pay(node).await;
         let asked = node.borrow().clock.now();
@@ -70,15 +107,14 @@
                 });
                 let news = session.range(&response.await??)?;
                 let age = node.borrow().clock.now().since(asked);
-                node.borrow_mut().learn(node, news, age);
+                node.borrow_mut().take(node, feed, news, age);
             }
             Call::Watch(body) => {
                 let response = post(address, "/v3/watch", &body);
                 let response = tokio::time::timeout(timeout, response).await??;
-                let now = node.borrow().clock.now();
-                node.borrow_mut().reader.budget().watch(now, true);
-                let ended = lines(node, session, response.into_body()).await;
-                node.borrow_mut().reader.budget().watch(now, false);
+                node.borrow_mut().watching(feed, true);
+                let ended = lines(node, session, response.into_body(), feed).await;
+                node.borrow_mut().watching(feed, false);
                 ended?;
             }
         }
@@ -101,7 +137,12 @@
 }
 
 /// Takes the lines of a watch until the service ends it.
-async fn lines(node: &Shared, session: &mut Session, mut body: Incoming) -> Result<(), Failure> {
+async fn lines(
+    node: &Shared,
+    session: &mut Session,
+    mut body: Incoming,
+    feed: Feed,
+) -> Result<(), Failure> {
     let silence = Duration::from_millis(WATCH_SILENCE_MS);
     let mut buffer = Vec::new();
     while let Some(frame) = tokio::time::timeout(silence, body.frame()).await? {
@@ -113,7 +154,7 @@
             let line: Vec<u8> = buffer.drain(..=end).collect();
             let news = session.line(&line)?;
             let ended = news.ended;
-            node.borrow_mut().learn(node, news, Span::ZERO);
+            node.borrow_mut().take(node, feed, news, Span::ZERO);
             if ended {
                 return Ok(());
             }
@@ -126,6 +167,24 @@
 }
 
 impl Node {
+    fn take(&mut self, node: &Shared, feed: Feed, news: News, age: Span) {
+        match feed {
+            Feed::Catalogue => self.learn(node, news, age),
+            Feed::VmList => self.list(&news),
+        }
+    }
+
+    /// Counts a pending watch of the configuration service as one call.
+    fn watching(&mut self, feed: Feed, pending: bool) {
+        match feed {
+            Feed::Catalogue => {
+                let now = self.clock.now();
+                self.reader.budget().watch(now, pending);
+            }
+            Feed::VmList => {}
+        }
+    }
+
     /// Takes news of the configuration service that were complete `age` ago.
     fn learn(&mut self, node: &Shared, news: News, age: Span) {
         let now = self.clock.now();
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -28,6 +28,7 @@
 use crate::operator;
 use crate::peer;
 use crate::platform;
+use crate::platform::Feed;
 use crate::probe;
 use crate::query::Client;
 use crate::query::Query;
@@ -89,7 +90,9 @@
     spawn_pages(directory, directory::router(client.clone()));
     spawn_pages(operators, operator::router(&client));
     tokio::task::spawn_local(answer(node.clone(), queries));
-    tokio::task::spawn_local(platform::follow(node.clone()));
+    for feed in [Feed::Catalogue, Feed::VmList] {
+        tokio::task::spawn_local(platform::follow(node.clone(), feed));
+    }
     tokio::task::spawn_local(probe::run(node.clone(), orders));
     tokio::task::spawn_local(timer::run(node.clone()));
     log::info!(vm:% = vm, caller:% = listen.caller, directory:% = listen.directory; "serving");
