--- a/crates/daemon/src/evidence.rs
+++ b/crates/daemon/src/evidence.rs
@@ -30,7 +30,7 @@
     pub(crate) fn review(&mut self, now: Instant) {
         let can_probe = self.balancer.can_probe();
         for (key, evidence) in &self.evidence {
-            let standing = standing(evidence.standing(now), can_probe);
+            let standing = standing(now, evidence, can_probe);
             self.balancer.stand(key, standing);
         }
     }
@@ -39,8 +39,7 @@
     pub(crate) fn is_fit(&self, now: Instant, target: target::Key) -> bool {
         let can_probe = self.balancer.can_probe();
         let evidence = self.evidence.get(target);
-        evidence
-            .is_some_and(|evidence| standing(evidence.standing(now), can_probe) == Standing::Open)
+        evidence.is_some_and(|evidence| standing(now, evidence, can_probe) == Standing::Open)
     }
 
     /// Targets that get no new work because they leave.
@@ -83,10 +82,15 @@
 
 /// Without a measuring budget that pays for a probe, a target that is not known to leave gets work
 /// unconfirmed: otherwise the entry would never be served.
-const fn standing(standing: leaving::Standing, can_probe: bool) -> Standing {
-    match standing {
+/// How `evidence` lets its target stand. A target that only refused a connection is probed, so that
+/// it gets work again as soon as it is back.
+fn standing(now: Instant, evidence: &Evidence, can_probe: bool) -> Standing {
+    match evidence.standing(now) {
         leaving::Standing::Confirm if can_probe => Standing::Unconfirmed,
         leaving::Standing::Confirm | leaving::Standing::Fit => Standing::Open,
+        leaving::Standing::Leaving if can_probe && evidence.wants_probe(now) => {
+            Standing::Unconfirmed
+        }
         leaving::Standing::Leaving => Standing::Leaving,
     }
 }
