--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -154,13 +154,6 @@
 const PAUSE: Span = Span::from_millis(500);
 const TICK_WAITING: Span = Span::from_millis(2);
 const TICK_RUNNING: Span = Span::from_millis(20);
-const PROBE_AGAIN: Span = Span::from_millis(500);
-/// Targets that are kept confirmed while no call waits.
-const WARM_TARGETS: usize = 2;
-/// Probes under way at once.
-const PROBES_AT_ONCE: usize = 3;
-/// Time without a call after which no target is kept confirmed.
-const COLD_AFTER: Span = Span::from_millis(10_000);
 
 /// Queue and targets of one service.
 #[derive(Debug)]
@@ -173,12 +166,12 @@
     pub(crate) chooser: Chooser,
     pub(crate) measuring: Purse,
     /// Measuring bytes held for probes that have not ended, by target.
-    probes: Map<target::Key, u64>,
+    pub(crate) probes: Map<target::Key, u64>,
     pub(crate) remote: Purse,
     pub(crate) hedges: Map<u32, hedge::Budget>,
     pub(crate) latency: hedge::Quantile,
     last: Instant,
-    arrived: Option<Instant>,
+    pub(crate) arrived: Option<Instant>,
 }
 
 impl Balancer {
@@ -259,6 +252,13 @@
         if let Some(target) = self.targets.get_mut(target) {
             let own = target.in_flight.saturating_sub(1);
             target.estimate.report(now - age, report, own);
+            let slots = target.spec.slots;
+            let all: u64 = self
+                .targets
+                .iter()
+                .map(|(_, target)| target.in_flight)
+                .sum();
+            self.chooser.adapt(report, slots, all.saturating_sub(1));
         }
     }
 
@@ -293,7 +293,7 @@
         self.queue.extract(|waiting| waiting.ask.call == call);
         if let Some(flight) = self.flights.remove(&call) {
             for attempt in flight.attempts() {
-                self.release(now, flight.ask.entry, attempt);
+                self.release(now, attempt);
                 let target = attempt.target;
                 out.push(Action::Cancel { call, target });
             }
@@ -336,8 +336,8 @@
     /// The latest moment for the next `tick`, as seen from `now`.
     #[must_use]
     pub fn next_tick(&self, now: Instant) -> Option<Instant> {
-        if self.queue.len() > 0 {
-            Some(now + TICK_WAITING)
+        if let Some(latest) = self.queue.latest() {
+            Some(latest.max(now).min(now + TICK_WAITING))
         } else if !self.flights.is_empty() || self.wants_probes(now) {
             Some(now + TICK_RUNNING)
         } else {
@@ -358,8 +358,7 @@
     }
 
     /// Ends an attempt in the counts without a result.
-    pub(crate) fn release(&mut self, now: Instant, entry: u32, attempt: &Attempt) {
-        self.chooser.left(entry);
+    pub(crate) fn release(&mut self, now: Instant, attempt: &Attempt) {
         self.measuring.give(now, attempt.reserved);
         // The report may be on its way.
         self.measuring.spend(now, attempt.report);
@@ -367,58 +366,4 @@
             target.in_flight = target.in_flight.saturating_sub(1);
         }
     }
-
-    /// Whether a target has to be confirmed now: if calls wait, or to keep a few confirmed.
-    fn wants_probes(&self, now: Instant) -> bool {
-        let standing = |standing| {
-            self.targets
-                .iter()
-                .filter(move |(_, target)| target.standing == standing)
-                .count()
-        };
-        let warm = self
-            .arrived
-            .is_some_and(|arrived| now.since(arrived) < COLD_AFTER);
-        let wanted = self.queue.len() > 0 || (warm && standing(Standing::Open) < WARM_TARGETS);
-        wanted && standing(Standing::Unconfirmed) > 0
-    }
-
-    fn confirm(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if !self.wants_probes(now) {
-            return;
-        }
-        let recent = |target: &target::Target| {
-            target
-                .probe
-                .is_some_and(|sent| now.since(sent) < PROBE_AGAIN)
-        };
-        let under_way = self
-            .targets
-            .iter()
-            .filter(|(_, target)| recent(target))
-            .count();
-        let mut candidates: Vec<(target::Key, f64)> = self
-            .targets
-            .iter()
-            .filter(|(_, target)| target.standing == Standing::Unconfirmed && !recent(target))
-            .map(|(key, target)| (key, target.round_trip))
-            .collect();
-        candidates.sort_by(|left, right| left.1.total_cmp(&right.1));
-        for (key, _) in candidates
-            .into_iter()
-            .take(PROBES_AT_ONCE.saturating_sub(under_way))
-        {
-            let Some(target) = self.targets.get_mut(key) else {
-                continue;
-            };
-            let price = if target.remote { 2 } else { 1 } * PROBE_BYTES;
-            if self.measuring.hold(now, price, 0) {
-                target.probe = Some(now);
-                if let Some(unanswered) = self.probes.insert(key, price) {
-                    self.measuring.spend(now, unanswered);
-                }
-                out.push(Action::Probe { target: key });
-            }
-        }
-    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 pub mod catalogue;
 mod choose;
+mod confirm;
 pub mod constants;
 mod dial;
 mod dispatch;
