Bound the faults kept of one text

Cause: a rejected text of 1 MB with many unknown fields would keep faults of many times its size in memory. Change: the first 1,000 faults of a text are kept, then their number.

--- a/crates/core/src/read.rs
+++ b/crates/core/src/read.rs
@@ -58,10 +58,21 @@
     let faults = faults.take();
     match built {
         Some(built) if faults.is_empty() => Ok(built),
-        Some(_) | None => Err(faults),
+        Some(_) | None => Err(bounded(faults)),
     }
 }
 
+/// At most [`MAX_FAULTS`], so that a rejected text takes no more memory than a valid one.
+fn bounded(mut faults: Vec<Fault>) -> Vec<Fault> {
+    if faults.len() > MAX_FAULTS {
+        let more = faults.len() - MAX_FAULTS;
+        faults.truncate(MAX_FAULTS);
+        faults.push(fault("", &format!("has {more} more faults")));
+        faults.shrink_to_fit();
+    }
+    faults
+}
+
 fn fault(path: &str, reason: &str) -> Fault {
     Fault {
         path: path.into(),
@@ -289,6 +300,7 @@
     }
 }
 
+const MAX_FAULTS: usize = 1_000;
 const TEXT_REASON: &str = "must be a text of 1 to 256 bytes without control characters";
 const NAME_REASON: &str = "must be 1 to 64 characters of a-z, 0-9, - and .";
 const ADDRESS_REASON: &str = "must be an IP number with a port, such as 10.0.0.1:7000";
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -103,6 +103,11 @@
     ];
     assert_eq!(found, expected.map(str::to_owned).into());
     assert_eq!(faults("[]"), ["must be a JSON object"]);
+    let many: Vec<String> = (0..2_000).map(|name| format!("\"f{name}\":1")).collect();
+    let many = faults(&format!("{{{}}}", many.join(",")));
+    assert_eq!(many.len(), 1_001);
+    assert_eq!(many[1_000], "has 1011 more faults");
+    assert!(faults(&"[".repeat(100_000))[0].starts_with("not valid JSON: recursion limit"));
     assert!(faults("{")[0].starts_with("not valid JSON: "));
 }
 
