Write the VM list's records and the constants as JSON

Cause: fakes and tests wrote these values by hand. Change: vmlist::Vm and constants::Constants get to_json, as entries and settings have it.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -1,5 +1,8 @@
 //! The deployment's constants: the catalogue key `fleet`.
 
+use serde_json::Value;
+use serde_json::json;
+
 use crate::read;
 use crate::read::Fault;
 use crate::read::Reader;
@@ -36,3 +39,15 @@
         configuration_calls_per_s: calls?,
     })
 }
+
+impl Constants {
+    /// The constants as an operator writes them, with every field.
+    #[must_use]
+    pub fn to_json(&self) -> Value {
+        json!({
+            "generation": self.generation,
+            "vm_ceiling": self.vm_ceiling,
+            "configuration_calls_per_s": self.configuration_calls_per_s,
+        })
+    }
+}
--- a/crates/core/src/vmlist.rs
+++ b/crates/core/src/vmlist.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+use serde_json::Value;
+use serde_json::json;
+
 use crate::map::Map;
 use crate::read;
 use crate::read::Fault;
@@ -107,6 +110,37 @@
     })
 }
 
+impl Vm {
+    /// The record as the platform writes it.
+    #[must_use]
+    pub fn to_json(&self) -> Value {
+        let place = json!({
+            "state": self.state,
+            "region": self.region,
+            "data_center": self.data_center,
+        });
+        let role = match self.role {
+            Role::Target => json!({ "role": "target" }),
+            Role::Entry(addresses) => json!({
+                "role": "entry",
+                "directory": addresses.directory.to_string(),
+                "caller": addresses.caller.to_string(),
+                "peer": addresses.peer.to_string(),
+                "operator": addresses.operator.to_string(),
+            }),
+        };
+        let parts = [place, role].into_iter();
+        Value::Object(parts.filter_map(object).flatten().collect())
+    }
+}
+
+fn object(value: Value) -> Option<serde_json::Map<String, Value>> {
+    match value {
+        Value::Object(fields) => Some(fields),
+        _ => None,
+    }
+}
+
 /// The VM list as last received.
 #[derive(Default)]
 pub struct List {
--- a/crates/core/tests/entry.rs
+++ b/crates/core/tests/entry.rs
@@ -9,7 +9,6 @@
 use oriolecleat_core::entry::Builder;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::vmlist;
-use oriolecleat_core::vmlist::Role;
 use page::Subject;
 use serde_json::Value;
 use serde_json::json;
@@ -41,12 +40,7 @@
         page: PAGE,
         heading: "The key fleet",
         base: json!({"vm_ceiling": 24, "configuration_calls_per_s": 200}),
-        parse: |text| {
-            constants::parse(text).map(|constants| {
-                json!({"generation": constants.generation, "vm_ceiling": constants.vm_ceiling,
-                       "configuration_calls_per_s": constants.configuration_calls_per_s})
-            })
-        },
+        parse: |text| constants::parse(text).map(|constants| constants.to_json()),
     });
     page::check(&Subject {
         page: PAGE,
@@ -54,20 +48,7 @@
         base: json!({"role": "entry", "state": "live", "region": "cai", "data_center": "cai-1",
                      "directory": "192.0.2.1:1", "caller": "192.0.2.1:2", "peer": "192.0.2.1:3",
                      "operator": "192.0.2.1:4"}),
-        parse: |text| {
-            let vm = vmlist::parse(text)?;
-            let Role::Entry(addresses) = vm.role else {
-                panic!("the base is an entry VM");
-            };
-            Ok(
-                json!({"role": "entry", "state": vm.state, "region": vm.region,
-                      "data_center": vm.data_center,
-                      "directory": addresses.directory.to_string(),
-                      "caller": addresses.caller.to_string(),
-                      "peer": addresses.peer.to_string(),
-                      "operator": addresses.operator.to_string()}),
-            )
-        },
+        parse: |text| vmlist::parse(text).map(|vm| vm.to_json()),
     });
 }
 
--- a/crates/core/tests/vmlist.rs
+++ b/crates/core/tests/vmlist.rs
@@ -19,6 +19,8 @@
     let extra = LIVE.replace('}', r#","peer":"192.0.2.1:3"}"#);
     let faults = vmlist::parse(&extra).unwrap_err();
     assert_eq!(faults[0].to_string(), "peer: is not a known field");
+    let vm = vmlist::parse(LIVE).unwrap();
+    assert_eq!(vmlist::parse(&vm.to_json().to_string()), Ok(vm));
 }
 
 /// Guards against a late event that undoes a newer one, and against an invalid value that
