--- /dev/null
+++ b/crates/bench/examples/retry_chain.rs
@@ -0,0 +1,42 @@
+//! Counts the attempts that one call causes in a chain of services whose last one always fails.
+//!
+//! Prints one JSON object a line: attempts at all levels together and at the failing service, with
+//! retries at the first level only and with retries at each level.
+
+const ATTEMPTS: u64 = 2;
+const DEEPEST: u64 = 15;
+
+/// Attempts caused at each level below a service at `depth`, counted by making them.
+fn call(depth: u64, last: u64, everywhere: bool, made: &mut [u64]) {
+    let attempts = if everywhere || depth == 0 {
+        ATTEMPTS
+    } else {
+        1
+    };
+    for _ in 0..attempts {
+        let index = usize::try_from(depth).unwrap_or(usize::MAX);
+        made[index] += 1;
+        if depth + 1 < last {
+            call(depth + 1, last, everywhere, made);
+        }
+    }
+}
+
+fn count(last: u64, everywhere: bool) -> (u64, u64) {
+    let mut made = vec![0; usize::try_from(last).unwrap_or(0)];
+    call(0, last, everywhere, &mut made);
+    (made.iter().sum(), made.last().copied().unwrap_or(0))
+}
+
+fn main() {
+    for depth in 1..=DEEPEST {
+        let (first, first_last) = count(depth, false);
+        let (each, each_last) = count(depth, true);
+        let row = serde_json::json!({
+            "depth": depth,
+            "retries_at_first_level": {"attempts": first, "at_failing_service": first_last},
+            "retries_at_each_level": {"attempts": each, "at_failing_service": each_last},
+        });
+        println!("{row}");
+    }
+}
