--- a/crates/bench/src/network.rs
+++ b/crates/bench/src/network.rs
@@ -62,7 +62,7 @@
     pub doubled: u32,
     /// Messages delayed by up to two seconds, in percent; later ones overtake them.
     pub delayed: u32,
-    /// Whether frames that push news are lost, so that only repairs spread it.
+    /// Whether frames that push news over several links are lost, so that only repairs spread it.
     pub pushes_lost: bool,
 }
 
@@ -170,7 +170,7 @@
     payload as u64 + header + 2
 }
 
-fn is_push(message: &Message) -> bool {
+fn is_news(message: &Message) -> bool {
     matches!(
         message,
         Message::Entries(_) | Message::Leaving(_) | Message::Members(_)
@@ -391,8 +391,9 @@
         for action in actions {
             match action {
                 Action::Send(links, message) => {
+                    let push = links.len() > 1 && is_news(&message);
                     for link in links {
-                        self.send(vm, link, &message);
+                        self.send(vm, link, &message, push);
                     }
                 }
                 Action::Dial(address) => {
@@ -484,7 +485,7 @@
         }
     }
 
-    fn send(&mut self, vm: usize, link: Link, message: &Message) {
+    fn send(&mut self, vm: usize, link: Link, message: &Message, push: bool) {
         let Some(ends) = self.links.get_mut(&link) else {
             return;
         };
@@ -508,7 +509,7 @@
         } else {
             Packet::Plain(message.clone())
         };
-        self.transmit((vm, far, incarnation), link, &packet, is_push(message));
+        self.transmit((vm, far, incarnation), link, &packet, push);
     }
 
     fn transmit(
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -10,7 +10,6 @@
 
 use crate::audit;
 use crate::audit::Change;
-use crate::catalogue;
 use crate::catalogue::Catalogue;
 use crate::catalogue::Verdict;
 use crate::dial::Dials;
@@ -20,9 +19,7 @@
 use crate::member::Merge;
 use crate::member::State;
 use crate::message::Audit;
-use crate::message::Content;
 use crate::message::Departure;
-use crate::message::Entries;
 use crate::message::Leaving;
 use crate::message::Load;
 use crate::message::Members;
@@ -121,6 +118,7 @@
     pub(crate) roots: [Root; 3],
     pub(crate) members_at: Option<u64>,
     pub(crate) beat: Instant,
+    pub(crate) fetch: Option<(Link, Instant)>,
 }
 
 impl Gossip {
@@ -143,6 +141,7 @@
             roots: [Root::default(); 3],
             members_at: None,
             beat: now,
+            fetch: None,
         }
     }
 
@@ -184,9 +183,17 @@
         match message {
             Message::Members(members) => self.merge(context, Some(link), members.records),
             Message::Roster(roster) => reply(link, repair::reconcile(now, &self.fleet, &roster)),
-            Message::Digest(digest) => reply(link, repair::versions(context.catalogue, &digest)),
+            Message::Digest(digest) => {
+                let versions = repair::versions(context.catalogue, &digest);
+                reply(
+                    link,
+                    versions.filter(|found| self.may_fetch(now, link, found)),
+                )
+            }
             Message::Versions(versions) => {
-                reply(link, repair::exchange(context.catalogue, &versions))
+                let mut messages = repair::exchange(context.catalogue, &versions);
+                messages.retain(|message| self.may_fetch(now, link, message));
+                reply(link, messages)
             }
             Message::Want(want) => {
                 let mut keys: Vec<&str> = want.keys.iter().map(|key| &**key).collect();
@@ -208,47 +215,6 @@
         }
     }
 
-    /// Takes content of the configuration service.
-    pub fn publish(&mut self, context: &mut Context, contents: Vec<Content>) -> Vec<Action> {
-        self.offer(context, None, contents)
-    }
-
-    /// Takes a read of the whole catalogue at `revision` whose keys were published before: keys that
-    /// it lacks are deleted. See [`Catalogue::snapshot`].
-    pub fn snapshot(
-        &mut self,
-        context: &mut Context,
-        revision: u64,
-        present: &[(&str, u64)],
-    ) -> Vec<Action> {
-        let deletions = match context.catalogue.snapshot(revision, present) {
-            Ok(deletions) => deletions,
-            Err(restored) => {
-                let cause = "the service serves an older content than it had";
-                context.note("behind", &restored.key, "configuration service", cause);
-                return Vec::new();
-            }
-        };
-        let mut actions = Vec::new();
-        let mut contents = Vec::new();
-        for deletion in deletions {
-            let source = "configuration service";
-            let change = Change::new("catalogue", &deletion.key, source, "deleted");
-            let change = change.at(deletion.version);
-            context.audit.record(context.wall_ms, change);
-            actions.push(Action::Offered(deletion.key.clone(), Verdict::Accepted));
-            contents.push(Content {
-                key: deletion.key,
-                version: deletion.version,
-                text: None,
-            });
-        }
-        if !contents.is_empty() {
-            actions.extend(self.push(None, Message::Entries(Entries { contents })));
-        }
-        actions
-    }
-
     /// Takes own evidence that targets are leaving.
     pub fn depart(&mut self, context: &mut Context, departures: Vec<Departure>) -> Vec<Action> {
         self.hear(context, None, departures)
@@ -283,60 +249,6 @@
         self.restate(context.now)
     }
 
-    fn offer(
-        &mut self,
-        context: &mut Context,
-        from: Option<Link>,
-        contents: Vec<Content>,
-    ) -> Vec<Action> {
-        let source = self.source(from, "configuration service");
-        let mut behind = None;
-        let delivered = match from {
-            Some(_) => catalogue::Source::Peer(source.clone()),
-            None => catalogue::Source::Service,
-        };
-        let mut actions = Vec::new();
-        let mut fresh = Vec::new();
-        for content in contents {
-            let text = content.text.as_deref();
-            let (key, version) = (&content.key, content.version);
-            let verdict = context
-                .catalogue
-                .offer(key, version, text, delivered.clone());
-            let (kind, cause) = match &verdict {
-                Verdict::Known => continue,
-                Verdict::Behind => {
-                    behind.get_or_insert(content);
-                    continue;
-                }
-                Verdict::Accepted if text.is_none() => ("catalogue", "deleted"),
-                Verdict::Accepted => ("catalogue", "accepted"),
-                Verdict::Conflict { kept: true } => ("conflict", "kept"),
-                Verdict::Conflict { kept: false } => ("conflict", "not kept"),
-                Verdict::Rejected(_) => ("rejected", "entry is not valid"),
-                Verdict::Refused(reason) => ("refused", &**reason),
-            };
-            let change = Change::new(kind, &content.key, &source, cause).at(content.version);
-            context.audit.record(context.wall_ms, change);
-            let spreads = verdict.is_news();
-            actions.push(Action::Offered(content.key.clone(), verdict));
-            if spreads {
-                fresh.push(content);
-            }
-        }
-        // One record stands for a whole read of a service that lags or was restored.
-        if let Some(content) = behind.filter(|_| from.is_none()) {
-            let cause = "older than what is in effect";
-            let change = Change::new("behind", &content.key, &source, cause).at(content.version);
-            context.audit.record(context.wall_ms, change);
-        }
-        if !fresh.is_empty() {
-            let message = Message::Entries(Entries { contents: fresh });
-            actions.extend(self.push(from, message));
-        }
-        actions
-    }
-
     fn hear(
         &mut self,
         context: &mut Context,
@@ -435,7 +347,7 @@
         (!links.is_empty()).then_some(Action::Send(links, message))
     }
 
-    fn source(&self, from: Option<Link>, own: &str) -> Box<str> {
+    pub(crate) fn source(&self, from: Option<Link>, own: &str) -> Box<str> {
         from.and_then(|link| self.peers.get(&link))
             .map_or_else(|| own.into(), |peer| peer.vm.clone())
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod request;
 pub mod route;
 pub mod settings;
+mod spread;
 pub mod stop;
 pub mod target;
 pub mod ticket;
