--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -242,7 +242,6 @@
             "evidence": news,
             "estimate": {
                 "in_flight": target.in_flight,
-                "slots": estimate.slots(),
                 "latency_ms": estimate.mean().map(|mean| mean * 1_000.0),
                 "error_share": estimate.error_share(),
                 "straggler": estimate.is_outlier(),
