Test the request path over raw connections

Cause: the promises of the request path on complete answers, true words and single runs had no test.

Heads are also bounded by the sum of their headers, because hyper's bound let an answer head of 40 KB pass at a limit of 32 KB.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -185,6 +185,10 @@
     if active.conflict {
         return Err(refused(Code::LengthConflict));
     }
+    let limit = node.borrow().settings.http.head_bytes;
+    if head::is_too_large(&parts.headers, limit) {
+        return Err(refused(Code::HeadTooLarge));
+    }
     let facts = head::check(parts).map_err(|cause| {
         log::info!(cause; "malformed head");
         refused(Code::BadRequest)
--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -51,6 +51,16 @@
     pub(crate) depth: u64,
 }
 
+/// Whether names and values exceed `limit` bytes. hyper's own bound only stops it from reading on,
+/// so a head that arrives in one piece may be larger.
+pub(crate) fn is_too_large(headers: &HeaderMap, limit: u64) -> bool {
+    let size = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum::<usize>();
+    u64::try_from(size).is_ok_and(|size| size > limit)
+}
+
 /// The id in the head, if there is exactly one and it holds.
 pub(crate) fn request_id(headers: &HeaderMap) -> Option<HeaderValue> {
     let id = single(headers, &REQUEST_ID).ok()??;
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -217,7 +217,10 @@
         let headers = response.headers();
         self.observe(attempt.target(), headers);
         let length = response.body().size_hint().exact();
-        let bad = if status == StatusCode::SWITCHING_PROTOCOLS {
+        let limit = self.node.borrow().settings.http.head_bytes;
+        let bad = if head::is_too_large(headers, limit) {
+            Some("the head of the answer is too large")
+        } else if status == StatusCode::SWITCHING_PROTOCOLS {
             Some("the target switched protocols unasked")
         } else if !self.outgoing.is_answered_by(headers) {
             Some("the answer carries the id of another request")
--- /dev/null
+++ b/crates/daemon/tests/request/repeats.rs
@@ -0,0 +1,238 @@
+//! Which requests are sent again, and what callers are told.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::support::Daemon;
+use crate::support::Reply;
+use crate::support::Target;
+use crate::support::Then;
+use crate::support::answer;
+use crate::support::entry;
+use crate::support::run;
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+const SHED: &str = "HTTP/1.1 503 Service Unavailable\r\noriolecleat-outcome: not-run\r\n\
+                    content-length: 0\r\n\r\n";
+
+async fn daemon(class: &str, targets: &[SocketAddr]) -> Daemon {
+    Daemon::start(&[entry(class, targets)], json!({})).await
+}
+
+async fn post(daemon: &Daemon, headers: &str, body: &str) -> Reply {
+    let length = body.len();
+    let bytes = format!(
+        "POST / HTTP/1.1\r\nhost: s\r\nconnection: close\r\ncontent-length: {length}\r\n\
+         {headers}\r\n{body}"
+    );
+    daemon.call(bytes.as_bytes()).await
+}
+
+async fn book(daemon: &Daemon, ticket: &str) -> Reply {
+    post(daemon, &format!("oriolecleat-ticket: {ticket}\r\n"), "{}").await
+}
+
+fn words(code: &str, outcome: &str) -> (String, String) {
+    (code.to_owned(), outcome.to_owned())
+}
+
+/// An address that refuses connections.
+async fn refusing() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Guards against non-idempotent work that runs twice after a connection broke, also when the
+/// connection was reused and the target closed it at that moment.
+#[test]
+fn written_request_of_class_once_is_never_sent_again() {
+    run(async {
+        for (first, then) in [
+            (vec![], Then::Close),
+            (vec![], Then::Reset),
+            (vec![answer(OK, Then::Keep)], Then::Close),
+            (vec![answer(OK, Then::Keep)], Then::Reset),
+        ] {
+            let reused = !first.is_empty();
+            let answers = [first, vec![answer("", then)]].concat();
+            let target = Target::start(answers).await;
+            let daemon = daemon("once", &[target.address]).await;
+            if reused {
+                let ticket = daemon.ticket().await;
+                assert_eq!(book(&daemon, &ticket).await.body(), "ok");
+            }
+            let before = target.requests();
+            let ticket = daemon.ticket().await;
+            let reply = book(&daemon, &ticket).await;
+            assert_eq!(reply.refusal(), words("target_failed", "unknown"));
+            for _ in 0..3 {
+                let again = book(&daemon, &ticket).await;
+                assert_eq!(again.refusal(), words("ticket_used", "unknown"));
+            }
+            assert_eq!(target.requests() - before, 1);
+        }
+    });
+}
+
+/// Guards against work that runs again after its answer was delivered, and against words that deny
+/// it, whatever the later request is refused for.
+#[test]
+fn used_ticket_is_reported_as_ran() {
+    run(async {
+        let target = Target::start(vec![answer(OK, Then::Keep)]).await;
+        let daemon = daemon("once", &[target.address]).await;
+        let ticket = daemon.ticket().await;
+        assert_eq!(book(&daemon, &ticket).await.body(), "ok");
+        assert_eq!(
+            book(&daemon, &ticket).await.refusal(),
+            words("ticket_used", "ran")
+        );
+        for (header, code) in [
+            ("oriolecleat-depth: 99", "depth_exceeded"),
+            ("oriolecleat-depth: x", "bad_request"),
+            ("transfer-encoding: chunked", "length_conflict"),
+        ] {
+            let headers = format!("oriolecleat-ticket: {ticket}\r\n{header}\r\n");
+            assert_eq!(
+                post(&daemon, &headers, "").await.refusal(),
+                words(code, "ran")
+            );
+        }
+        assert_eq!(target.requests(), 1);
+    });
+}
+
+/// Guards against non-idempotent work without a ticket, or with one of another fleet or VM.
+#[test]
+fn work_needs_a_valid_ticket() {
+    run(async {
+        let target = Target::start(vec![answer(OK, Then::Keep)]).await;
+        let [daemon, other] = [
+            daemon("once", &[target.address]).await,
+            daemon("once", &[target.address]).await,
+        ];
+        let none = post(&daemon, "", "{}").await;
+        assert_eq!(none.refusal(), words("ticket_required", "not-run"));
+        assert_eq!(
+            book(&daemon, "abc").await.refusal(),
+            words("ticket_invalid", "not-run")
+        );
+        let elsewhere = book(&daemon, &other.ticket().await).await;
+        assert_eq!(elsewhere.refusal(), words("ticket_elsewhere", "unknown"));
+        assert_eq!(target.requests(), 0);
+    });
+}
+
+/// Guards against a request that is lost although no target ran it, and against a ticket that is
+/// used up by that.
+#[test]
+fn shed_request_goes_to_the_next_target() {
+    run(async {
+        for class in ["once", "interactive"] {
+            let full = Target::start(vec![answer(SHED, Then::Keep)]).await;
+            let free = Target::start(vec![answer(OK, Then::Keep)]).await;
+            let daemon = daemon(class, &[full.address, free.address]).await;
+            for _ in 0..10 {
+                let ticket = daemon.ticket().await;
+                let reply = book(&daemon, &ticket).await;
+                assert_eq!((reply.status(), reply.body()), (200, "ok"), "{reply:?}");
+            }
+            assert_eq!(free.requests(), 10);
+        }
+    });
+}
+
+/// Guards against "unknown" where every target said that it did not run the request, and against a
+/// request that goes round without end.
+#[test]
+fn ticket_of_a_shed_request_can_be_used_again() {
+    run(async {
+        let sheds = vec![answer(SHED, Then::Keep); 100];
+        let target = Target::start([sheds, vec![answer(OK, Then::Keep)]].concat()).await;
+        let daemon = daemon("once", &[target.address]).await;
+        let ticket = daemon.ticket().await;
+        for _ in 0..100 {
+            let reply = book(&daemon, &ticket).await;
+            if reply.status() == 200 {
+                assert_eq!(target.requests(), 101);
+                return;
+            }
+            assert_eq!(reply.refusal().1, "not-run", "{reply:?}");
+        }
+        panic!("the request was refused 100 times");
+    });
+}
+
+/// Guards against a body that the next target gets in part.
+#[test]
+fn body_is_sent_whole_to_the_next_target() {
+    run(async {
+        let answers = vec![answer(SHED, Then::Keep), answer(OK, Then::Keep)];
+        let target = Target::start(answers).await;
+        let daemon = daemon("once", &[target.address]).await;
+        let ticket = daemon.ticket().await;
+        let headers = format!("oriolecleat-ticket: {ticket}\r\n");
+        let reply = post(&daemon, &headers, &"x".repeat(60_000)).await;
+        assert_eq!(reply.body(), "ok", "{reply:?}");
+        assert_eq!(*target.bodies.borrow(), vec![60_000; 2]);
+    });
+}
+
+/// Guards against a request whose body is not kept any more and that is sent on without its start.
+#[test]
+fn large_body_is_not_sent_again() {
+    run(async {
+        let full = Target::start(vec![answer(SHED, Then::Keep)]).await;
+        let daemon = daemon("once", &[full.address]).await;
+        let ticket = daemon.ticket().await;
+        let headers = format!("oriolecleat-ticket: {ticket}\r\n");
+        let reply = post(&daemon, &headers, &"x".repeat(1 << 20)).await;
+        assert_eq!(reply.refusal(), words("overloaded", "not-run"));
+        assert_eq!(*full.bodies.borrow(), vec![1 << 20]);
+    });
+}
+
+/// Guards against a caller that sees a failure which a second attempt hides.
+#[test]
+fn idempotent_request_is_sent_again() {
+    run(async {
+        let target = Target::start(vec![answer("", Then::Close), answer(OK, Then::Keep)]).await;
+        let daemon = daemon("interactive", &[target.address]).await;
+        let reply = post(&daemon, "", "body").await;
+        assert_eq!(reply.body(), "ok", "{reply:?}");
+        let heads = target.heads.borrow();
+        assert!(heads[0].contains("oriolecleat-attempt: 1\r\n"));
+        assert!(heads[1].contains("oriolecleat-attempt: 2\r\n"));
+    });
+}
+
+/// Guards against retries that multiply along a call chain, or exceed the entry's attempts.
+#[test]
+fn retries_happen_only_at_depth_zero() {
+    run(async {
+        for (headers, requests) in [("", 2), ("oriolecleat-depth: 1\r\n", 1)] {
+            let target = Target::start(vec![answer("", Then::Close)]).await;
+            let daemon = daemon("interactive", &[target.address]).await;
+            let reply = post(&daemon, headers, "").await;
+            assert_eq!(reply.refusal(), words("target_failed", "unknown"));
+            assert_eq!(target.requests(), requests);
+        }
+    });
+}
+
+/// Guards against "unknown" for a request of which no byte was written, and against a ticket that
+/// is used up by it.
+#[test]
+fn refused_connection_is_not_run() {
+    run(async {
+        let daemon = daemon("once", &[refusing().await]).await;
+        let ticket = daemon.ticket().await;
+        for _ in 0..2 {
+            let reply = book(&daemon, &ticket).await;
+            assert_eq!(reply.refusal().1, "not-run", "{reply:?}");
+        }
+    });
+}
