--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -360,15 +360,22 @@
         self.0.outcome = Outcome::Unknown;
     }
 
-    /// No answer head arrived; the request waits for another target if `allowed` and if it is at
-    /// the top of its call chain, so that attempts in a chain add up and do not multiply.
+    /// Whether the terms leave another attempt: only at the top of a call chain, so that attempts in
+    /// a chain add up and do not multiply.
+    #[must_use]
+    pub const fn may_retry(&self) -> bool {
+        let terms = self.0.terms;
+        terms.depth == 0 && self.0.attempt < terms.attempts
+    }
+
+    /// No answer head arrived; the request waits for another target if `allowed` by its body and
+    /// its budget, and by [`Written::may_retry`].
     ///
     /// # Errors
     ///
     /// Returns the end if the request must not be sent again.
     pub fn retry(mut self, code: Code, allowed: bool) -> Result<Admitted, End> {
-        let terms = self.0.terms;
-        if !allowed || terms.depth > 0 || self.0.attempt >= terms.attempts {
+        if !allowed || !self.may_retry() {
             return Err(self.fail(code));
         }
         self.0.attempt += 1;
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::task::Context;
 use std::task::Poll;
 
+use hyper::HeaderMap;
 use hyper::header::HeaderValue;
 use oriolecleat_core::balance::Ask;
 use oriolecleat_core::balance::Call;
@@ -118,6 +119,12 @@
         self.target
     }
 
+    /// The head of the answer arrived.
+    pub(crate) fn observe(&self, headers: &HeaderMap) {
+        let mut node = self.node.borrow_mut();
+        node.observe(self.service, self.target, self.started, headers);
+    }
+
     /// The whole answer was read.
     pub(crate) fn answered(self, failed: bool) -> Fate {
         let latency = self.node.borrow().clock.now().since(self.started);
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -36,6 +36,8 @@
 use crate::head::Outgoing;
 use crate::metrics::Count;
 use crate::node::Shared;
+use crate::quota;
+use crate::quota::Pass;
 use crate::race::Reply;
 use crate::refusal;
 use crate::relay::Delivery;
@@ -47,6 +49,7 @@
 use crate::ticketed;
 use crate::ticketed::Held;
 use crate::upload;
+use crate::visit::Visit;
 
 /// Headers in one head.
 const HEADERS_MAX: usize = 64;
@@ -113,7 +116,7 @@
     let idle = clock::duration(http.body_idle);
     let stream = Stream::new(stream, Rc::clone(&watch), head, idle);
     let service = service_fn(move |request| {
-        let active = Active::new(&watch);
+        let active = Active::new(&watch, Visit::enter(&node));
         handle(node.clone(), active, request)
     });
     let served = http1::Builder::new()
@@ -130,26 +133,33 @@
 
 async fn handle(
     node: Shared,
-    active: Active,
+    mut active: Active,
     request: Request<Incoming>,
 ) -> Result<Response<Download>, Infallible> {
     let (parts, body) = request.into_parts();
     node.borrow_mut().metrics.add(Count::Calls, 1);
     let id = head::request_id(&parts.headers).unwrap_or_else(|| new_id(&node));
     let admitted = admit(&node, &active, &parts);
-    let prepared = admitted.and_then(|(service, admitted, ask)| {
+    let prepared = admitted.and_then(|(service, admitted, ask, quota)| {
+        active.pass = Pass::enter(&node, quota);
+        if active.pass.is_none() {
+            let outcome = ticketed::history(&node.borrow(), &parts.headers);
+            let code = Code::RateLimited;
+            return Err(End { code, outcome });
+        }
         let held = match ask.class {
             Class::Once => Held::claim(&node, &parts.headers)?,
             Class::Interactive | Class::Batch => Held::none(&node),
         };
-        Ok((service, admitted, ask, held))
+        Ok((service, quota, admitted, ask, held))
     });
-    let (service, admitted, ask, held) = match prepared {
+    let (service, quota, admitted, ask, held) = match prepared {
         Ok(prepared) => prepared,
         Err(end) => return Ok(refuse(&node, active, end, id)),
     };
     let depth = admitted.terms().depth;
     let end = ask.deadline;
+    active.visit.wait_until(end);
     let left = clock::duration(end.since(node.borrow().clock.now()));
     let deadline = tokio::time::Instant::now() + left;
     active.watch.limit(deadline);
@@ -157,6 +167,7 @@
     let mut exchange = Exchange {
         node: node.clone(),
         service,
+        quota,
         line: Line::new(&node, service, ask, id.clone()),
         outgoing: Outgoing::new(parts, depth, id.clone()),
         body: upload::Shared::new(body, idle),
@@ -164,10 +175,14 @@
         end,
         deadline: Box::pin(tokio::time::sleep_until(deadline)),
     };
-    Ok(match exchange.run(admitted).await {
+    let mut response = match exchange.run(admitted).await {
         Ok((reply, outcome)) => deliver(exchange, active, reply, outcome, id).await,
         Err(end) => refuse(&node, active, end, id),
-    })
+    };
+    if !node.borrow().phase().is_named() {
+        close(&mut response);
+    }
+    Ok(response)
 }
 
 /// Checks the head and finds the entry.
@@ -175,7 +190,7 @@
     node: &Shared,
     active: &Active,
     parts: &Parts,
-) -> Result<(service::Key, Admitted, Ask), End> {
+) -> Result<(service::Key, Admitted, Ask, quota::Key), End> {
     let history = || ticketed::history(&node.borrow(), &parts.headers);
     // The ticket may have been used by an earlier request.
     let refused = |code| End {
@@ -189,6 +204,9 @@
     if head::is_too_large(&parts.headers, limit) {
         return Err(refused(Code::HeadTooLarge));
     }
+    if !node.borrow().phase().accepts() {
+        return Err(refused(Code::Stopping));
+    }
     let facts = head::check(parts).map_err(|cause| {
         log::info!(cause; "malformed head");
         refused(Code::BadRequest)
@@ -200,7 +218,7 @@
     node: &Shared,
     parts: &Parts,
     facts: &Facts,
-) -> Result<(service::Key, Admitted, Ask), End> {
+) -> Result<(service::Key, Admitted, Ask, quota::Key), End> {
     let mut node = node.borrow_mut();
     let call = node.new_call();
     let received = Received::new(node.clock.now(), facts.limit, facts.depth);
@@ -209,16 +227,18 @@
     let (Some(key), Some((name, entry))) = (key, found) else {
         return Err(received.refuse(Code::UnknownService));
     };
+    let quota = node.entries.get(name).copied().unwrap_or_default();
+    let number = node.quotas.get(quota).map_or(0, |quota| quota.number);
     let admitted = received.admit(entry)?;
     let terms = admitted.terms();
     let ask = Ask {
         call,
         class: terms.class,
         deadline: terms.deadline,
-        entry: number(name),
+        entry: number,
         hedge_percent: hedge_percent(entry),
     };
-    Ok((key, admitted, ask))
+    Ok((key, admitted, ask, quota))
 }
 
 /// An id for a request that came without one.
@@ -228,14 +248,6 @@
     HeaderValue::try_from(text).expect("hexadecimal digits form a header value")
 }
 
-/// Tells the entries of a service apart.
-fn number(name: &str) -> u32 {
-    // FNV-1a: a collision only makes two entries share one place in the queue.
-    name.bytes().fold(0x811c_9dc5, |hash, byte| {
-        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
-    })
-}
-
 fn hedge_percent(entry: &Entry) -> u8 {
     if entry.hedge.enabled {
         u8::try_from(entry.hedge.budget_percent).unwrap_or(u8::MAX)
@@ -253,6 +265,7 @@
     id: HeaderValue,
 ) -> Response<Download> {
     exchange.node.borrow_mut().metrics.add(Count::Ran, 1);
+    active.count(outcome);
     let idle = exchange.idle();
     let (mut parts, body) = reply.response.into_parts();
     head::answer(&mut parts.headers, id, outcome.as_str());
@@ -292,19 +305,29 @@
         Outcome::Unknown => Count::Unknown,
     };
     node.borrow_mut().metrics.add(count, 1);
+    active.count(end.outcome);
     let body = refusal::body(end, Some(text));
-    let malformed = matches!(end.code, Code::BadRequest | Code::LengthConflict);
+    // After a malformed head, the framing of what follows cannot be trusted.
+    let last = matches!(
+        end.code,
+        Code::BadRequest | Code::LengthConflict | Code::Stopping
+    );
     let mut response = Response::new(Download::Own {
         bytes: Some(body),
         _active: active,
     });
     let (status, mut headers) = refusal::head(end);
     headers.insert("oriolecleat-request-id", id);
-    if malformed {
-        // The framing of what follows cannot be trusted.
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    }
     *response.status_mut() = status;
     *response.headers_mut() = headers;
+    if last {
+        close(&mut response);
+    }
     response
 }
+
+/// Tells the caller to use a new connection for its next request.
+fn close(response: &mut Response<Download>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -2,10 +2,10 @@
 
 use std::fmt;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::time::Duration;
 
-use hyper::HeaderMap;
 use oriolecleat_core::balance::Ending;
 use oriolecleat_core::balance::Fate;
 use oriolecleat_core::request::Admitted;
@@ -14,14 +14,11 @@
 use oriolecleat_core::request::End;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::request::Sent;
-use oriolecleat_core::target;
-use oriolecleat_core::target::Standing;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 use tokio::time::Sleep;
 
 use crate::attempt::Line;
-use crate::change::DEFAULT_VM_CEILING;
 use crate::clock;
 use crate::head::Outgoing;
 use crate::metrics::Count;
@@ -29,10 +26,10 @@
 use crate::pool::Bounds;
 use crate::pool::Connection;
 use crate::pool::Taken;
+use crate::quota;
 use crate::race::Copy;
 use crate::race::Raced;
 use crate::race::Reply;
-use crate::report;
 use crate::service;
 use crate::service::Grant;
 use crate::ticketed::Held;
@@ -66,6 +63,7 @@
 pub(crate) struct Exchange {
     pub(crate) node: Shared,
     pub(crate) service: service::Key,
+    pub(crate) quota: quota::Key,
     pub(crate) line: Line,
     pub(crate) outgoing: Outgoing,
     pub(crate) body: upload::Shared,
@@ -90,7 +88,12 @@
                     let code = match unconnected {
                         Unconnected::Full => return Err(assigned.refuse(Code::Overloaded)),
                         Unconnected::Late => return Err(assigned.refuse(Code::Deadline)),
-                        Unconnected::Refused(_) => Code::TargetFailed,
+                        Unconnected::Refused(error) => {
+                            if error.kind() == ErrorKind::ConnectionRefused {
+                                self.node.borrow_mut().refused(self.service, grant.target);
+                            }
+                            Code::TargetFailed
+                        }
                     };
                     admitted = assigned.requeue(code)?;
                     let fate = attempt.end(Ending::Broken { written: false });
@@ -98,8 +101,8 @@
                     continue;
                 }
             };
-            // The wait for the connection may have been long enough for the target to leave.
-            if !self.may_send(grant.target) {
+            // The wait for the connection may have been long enough for the evidence to age.
+            if !self.node.borrow().is_fit(self.service, grant.target) {
                 admitted = assigned.requeue(Code::NoTarget)?;
                 let fate = attempt.end(Ending::Cancelled);
                 self.requeued(fate);
@@ -154,7 +157,12 @@
         match sent {
             Sent::Once(written) => Err(written.fail(code)),
             Sent::Idempotent(written) => {
-                let allowed = self.body.is_replayable();
+                let quota = self.quota;
+                // The budget is asked last, so that only a retry that happens is paid for.
+                let allowed = self.body.is_replayable()
+                    && written.may_retry()
+                    && (self.node.borrow_mut().quotas.get_mut(quota))
+                        .is_some_and(|quota| quota.retry.take());
                 let admitted = written.retry(code, allowed)?;
                 self.node.borrow_mut().metrics.add(Count::Retries, 1);
                 self.line.again();
@@ -177,6 +185,7 @@
     ) -> impl Future<Output = Result<Connection, Unconnected>> + use<> {
         let (taken, limit, left) = {
             let mut node = self.node.borrow_mut();
+            let ceiling = node.vm_ceiling();
             let targets = node
                 .services
                 .get(self.service)
@@ -185,7 +194,7 @@
             let slots = target.map_or(1, |target| target.spec.slots);
             let http = &node.settings.http;
             let limit = http.connect_timeout;
-            let share = http.connections_per_target / DEFAULT_VM_CEILING;
+            let share = http.connections_per_target / ceiling;
             let connections = share.max(CONNECTIONS_PER_SLOT * slots);
             let bounds = Bounds {
                 head: usize::try_from(http.head_bytes).unwrap_or(usize::MAX),
@@ -210,21 +219,6 @@
         }
     }
 
-    fn may_send(&self, target: target::Key) -> bool {
-        let node = self.node.borrow();
-        let found = node.services.get(self.service);
-        found
-            .and_then(|found| found.balancer.targets().get(target))
-            .is_some_and(|target| target.standing != Standing::Leaving)
-    }
-
-    /// Takes the load report off an answer.
-    pub(crate) fn observe(&self, target: target::Key, headers: &HeaderMap) {
-        if let Some(report) = report::parse(headers) {
-            self.node.borrow_mut().report(self.service, target, report);
-        }
-    }
-
     /// Time until the caller stops waiting.
     pub(crate) fn left(&self) -> Span {
         self.end.since(self.node.borrow().clock.now())
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -215,7 +215,7 @@
     ) -> Raced {
         let status = response.status();
         let headers = response.headers();
-        self.observe(attempt.target(), headers);
+        attempt.observe(headers);
         let length = response.body().size_hint().exact();
         let limit = self.node.borrow().settings.http.head_bytes;
         let bad = if head::is_too_large(headers, limit) {
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -20,6 +20,7 @@
         let wait = {
             let mut node = node.borrow_mut();
             let next = node.tick();
+            node.advance();
             let now = node.clock.now();
             next.map_or(IDLE_TICK, |next| {
                 clock::duration(next.since(now)).min(IDLE_TICK)
@@ -42,8 +43,15 @@
     let sum = |count: fn(&crate::service::Service) -> u64| -> u64 {
         node.services.values().map(count).sum()
     };
+    let now = node.clock.now();
+    let leaving = node
+        .services
+        .values()
+        .map(|service| service.leaving(now))
+        .sum();
     vec![
-        (Gauge::InFlight, sum(crate::service::Service::in_flight)),
+        (Gauge::TargetsLeaving, leaving),
+        (Gauge::InFlight, node.visits.in_flight()),
         (
             Gauge::Waiting,
             sum(|service| service.balancer.waiting() as u64),
