--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -67,6 +67,28 @@
 }
 
 impl Code {
+    /// All codes.
+    pub const ALL: [Self; 18] = [
+        Self::BadRequest,
+        Self::UnknownService,
+        Self::HeadTooLarge,
+        Self::LengthConflict,
+        Self::TicketRequired,
+        Self::TicketInvalid,
+        Self::TicketExpired,
+        Self::TicketElsewhere,
+        Self::TicketUsed,
+        Self::RateLimited,
+        Self::Overloaded,
+        Self::Deadline,
+        Self::NoTarget,
+        Self::Stopping,
+        Self::TargetFailed,
+        Self::TargetBadAnswer,
+        Self::DepthExceeded,
+        Self::SlowCaller,
+    ];
+
     /// The word in the `oriolecleat-code` header.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/crates/daemon/tests/request/repeats.rs
+++ b/crates/daemon/tests/request/repeats.rs
@@ -270,3 +270,34 @@
         }
     });
 }
+
+/// Guards against a caller that waits for a target that stands still while others could answer, and
+/// against a losing copy whose connection stays open.
+#[test]
+fn late_request_gets_a_second_copy() {
+    run(async {
+        let ok = answer(OK, Then::Keep);
+        let answers = [vec![ok.clone(); 200], vec![answer("", Then::Wait), ok]].concat();
+        // Four addresses share the answers: the one that gets the 201st request stands still.
+        let target = Target::start(answers.clone()).await;
+        let mut addresses = vec![target.address];
+        for _ in 0..3 {
+            addresses.push(target.listen(answers.clone()).await);
+        }
+        let mut entry = entry("interactive", &addresses);
+        entry["hedge"] = json!({ "enabled": true, "budget_percent": 20 });
+        let daemon = Daemon::start(&[entry], json!({})).await;
+        // Concurrent callers spread over the targets, so that there is something to compare with.
+        let caller = async || {
+            while target.requests() <= 200 {
+                let reply = post(&daemon, "", "body").await;
+                assert_eq!(reply.body(), "ok", "{reply:?}");
+            }
+        };
+        tokio::join!(caller(), caller(), caller(), caller(), caller(), caller());
+        while target.done.get() < target.requests() {
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+        assert!(target.bodies.borrow().iter().all(|length| *length == 4));
+    });
+}
--- a/crates/daemon/tests/request/support.rs
+++ b/crates/daemon/tests/request/support.rs
@@ -211,22 +211,29 @@
 
 impl Target {
     pub async fn start(answers: Vec<Answer>) -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-        let target = Self {
-            address: listener.local_addr().unwrap(),
+        let mut target = Self {
+            address: (Ipv4Addr::LOCALHOST, 0).into(),
             heads: Rc::default(),
             bodies: Rc::default(),
             connections: Rc::default(),
             done: Rc::default(),
         };
-        let state = target.clone();
+        target.address = target.listen(answers).await;
+        target
+    }
+
+    /// Listens on another address.
+    pub async fn listen(&self, answers: Vec<Answer>) -> SocketAddr {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = self.clone();
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 state.connections.set(state.connections.get() + 1);
                 tokio::task::spawn_local(serve(stream, state.clone(), answers.clone()));
             }
         });
-        target
+        address
     }
 
     /// Length of the newest request's body.
@@ -280,7 +287,7 @@
                 // Holds the connection until the other side closes it.
                 let mut bytes = [0; 1024];
                 while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {}
-                return;
+                return target.done.set(target.done.get() + 1);
             }
         }
         target.done.set(target.done.get() + 1);
