--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -1,5 +1,6 @@
 //! What the requests of one entry consume on this VM.
 
+use oriolecleat_core::budget::Retry;
 use oriolecleat_core::entry::Limits;
 use oriolecleat_core::limit;
 use oriolecleat_core::limit::Bucket;
@@ -30,6 +31,8 @@
     pub(crate) number: u32,
     pub(crate) rate: Bucket,
     pub(crate) gate: Gate,
+    /// Permission to send idempotent requests again.
+    pub(crate) retry: Retry,
     pub(crate) rate_refused: u64,
     pub(crate) gate_refused: u64,
     /// Requests by outcome: ran, not run, unknown.
@@ -42,6 +45,7 @@
             number,
             rate: Bucket::new(now, rate(limits, division)),
             gate: Gate::new(share(limits, division)),
+            retry: Retry::new(0),
             rate_refused: 0,
             gate_refused: 0,
             outcomes: [0; 3],
@@ -60,7 +64,9 @@
             return false;
         }
         let taken = self.rate.take(now, 1);
-        if !taken {
+        if taken {
+            self.retry.called();
+        } else {
             self.gate.leave();
             self.rate_refused += 1;
         }
