--- a/crates/core/src/confirm.rs
+++ b/crates/core/src/confirm.rs
@@ -62,8 +62,11 @@
                 continue;
             };
             let price = if target.remote { 2 } else { 1 } * PROBE_BYTES;
-            if self.measuring.take(now, price, 0) {
+            if self.measuring.hold(now, price, 0) {
                 target.probe = Some(now);
+                if let Some(unanswered) = self.probes.insert(key, price) {
+                    self.measuring.spend(now, unanswered);
+                }
                 out.push(Action::Probe { target: key });
             }
         }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::balance::Action;
 use crate::balance::Ask;
 use crate::balance::Balancer;
+use crate::balance::PROBE_BYTES;
 use crate::balance::REFUSED_BYTES;
 use crate::balance::REPORT_BYTES;
 use crate::balance::Refusal;
@@ -30,7 +31,8 @@
 /// has to carry a report, as the room in the targets is shared by them.
 const REPORT_EVERY: f64 = 8.0;
 /// Share of the measuring burst that refusals leave for reports: one of this many. Under overload,
-/// reservations for refusals would take all of it, and full targets would look like slow ones.
+/// reservations for refusals would take all of it, and full targets would look like slow ones. Both
+/// leave the price of a probe, else long requests could keep every target unconfirmed.
 const KEPT_FOR_REPORTS: u64 = 2;
 /// A trial falls to a call of class `once` only if no other call came for this much longer.
 const ONCE_TRIAL_AFTER: Span = Span::from_millis(10_000);
@@ -204,9 +206,9 @@
         let back = waiting.latest() - span(round_trip);
         let refusal = factor * REFUSED_BYTES;
         let price = factor * REPORT_BYTES;
-        let report = due && self.measuring.take(now, price, 0);
-        let keep = self.limits.measuring_burst / KEPT_FOR_REPORTS;
-        let may_refuse = now < back && self.measuring.take(now, refusal, keep);
+        let report = due && self.measuring.hold(now, price, PROBE_BYTES);
+        let keep = (self.limits.measuring_burst / KEPT_FOR_REPORTS).max(PROBE_BYTES);
+        let may_refuse = now < back && self.measuring.hold(now, refusal, keep);
         let reserved = if may_refuse { refusal } else { 0 };
         if report && let Some(target) = self.targets.get_mut(target) {
             target.estimate.report_asked(now);
@@ -219,6 +221,7 @@
         let attempt = Attempt {
             target,
             sent: now,
+            price: refusal,
             reserved,
             report: if report { price } else { 0 },
             trial,
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -23,10 +23,12 @@
 use oriolecleat_core::request::End;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::request::Received;
+use oriolecleat_core::stop::Phase;
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use crate::attempt::Line;
 use crate::clock;
@@ -111,6 +113,7 @@
         return;
     }
     let http = node.borrow().settings.http.clone();
+    let phases = node.borrow().phases.subscribe();
     let head = usize::try_from(http.head_bytes).unwrap_or(usize::MAX);
     let watch = Rc::new(Watch::default());
     let idle = clock::duration(http.body_idle);
@@ -119,18 +122,34 @@
         let active = Active::new(&watch, Visit::enter(&node));
         handle(node.clone(), active, request)
     });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(clock::duration(http.head_timeout))
-        .max_buf_size(head)
-        .max_headers(HEADERS_MAX)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let mut serving = std::pin::pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(clock::duration(http.head_timeout))
+            .max_buf_size(head)
+            .max_headers(HEADERS_MAX)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    let served = tokio::select! {
+        biased;
+        served = serving.as_mut() => served,
+        () = refusing(phases) => {
+            // Closes the connection once it is idle.
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
     if let Err(error) = served {
         log::debug!(cause:% = error; "caller's connection ended");
     }
 }
 
+/// Waits until the VM refuses new requests.
+async fn refusing(mut phases: watch::Receiver<Phase>) {
+    // The channel ends only with the process.
+    let _ = phases.wait_for(|phase| !phase.accepts()).await;
+}
+
 async fn handle(
     node: Shared,
     mut active: Active,
@@ -151,9 +170,9 @@
             Class::Once => Held::claim(&node, &parts.headers)?,
             Class::Interactive | Class::Batch => Held::none(&node),
         };
-        Ok((service, admitted, ask, held))
+        Ok((service, quota, admitted, ask, held))
     });
-    let (service, admitted, ask, held) = match prepared {
+    let (service, quota, admitted, ask, held) = match prepared {
         Ok(prepared) => prepared,
         Err(end) => return Ok(refuse(&node, active, end, id)),
     };
@@ -167,6 +186,7 @@
     let mut exchange = Exchange {
         node: node.clone(),
         service,
+        quota,
         line: Line::new(&node, service, ask, id.clone()),
         outgoing: Outgoing::new(parts, depth, id.clone()),
         body: upload::Shared::new(body, idle),
@@ -199,6 +219,10 @@
     if active.conflict {
         return Err(refused(Code::LengthConflict));
     }
+    let limit = node.borrow().settings.http.head_bytes;
+    if head::is_too_large(&parts.headers, limit) {
+        return Err(refused(Code::HeadTooLarge));
+    }
     if !node.borrow().phase().accepts() {
         return Err(refused(Code::Stopping));
     }
--- a/crates/daemon/src/evidence.rs
+++ b/crates/daemon/src/evidence.rs
@@ -1,11 +1,15 @@
 //! Evidence about the targets of a service, and what it means for the balancer.
 
+use std::net::SocketAddr;
+
 use oriolecleat_core::leaving;
 use oriolecleat_core::leaving::Evidence;
+use oriolecleat_core::leaving::Listed;
 use oriolecleat_core::leaving::Probe;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Standing;
 use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
 use slotmap::SecondaryMap;
 
 use crate::service::Service;
@@ -30,7 +34,7 @@
     pub(crate) fn review(&mut self, now: Instant) {
         let can_probe = self.balancer.can_probe();
         for (key, evidence) in &self.evidence {
-            let standing = standing(evidence.standing(now), can_probe);
+            let standing = standing(now, evidence, can_probe);
             self.balancer.stand(key, standing);
         }
     }
@@ -39,8 +43,7 @@
     pub(crate) fn is_fit(&self, now: Instant, target: target::Key) -> bool {
         let can_probe = self.balancer.can_probe();
         let evidence = self.evidence.get(target);
-        evidence
-            .is_some_and(|evidence| standing(evidence.standing(now), can_probe) == Standing::Open)
+        evidence.is_some_and(|evidence| standing(now, evidence, can_probe) == Standing::Open)
     }
 
     /// Targets that get no new work because they leave.
@@ -74,6 +77,38 @@
         evidence.is_some_and(|evidence| evidence.probed(now, sent, probe))
     }
 
+    /// A peer told that the target at `address` is leaving. The gossip has told the other peers.
+    pub(crate) fn heard(&mut self, now: Instant, address: SocketAddr, news: leaving::News) {
+        for (key, target) in self.balancer.targets().iter() {
+            if target.spec.address == address
+                && let Some(evidence) = self.evidence.get_mut(key)
+            {
+                let _ = evidence.heard(now, news);
+            }
+        }
+    }
+
+    /// The VM list, `age` old, has `vm` as `listed`. Returns the targets of which peers have to be
+    /// told.
+    pub(crate) fn listed(
+        &mut self,
+        now: Instant,
+        vm: &str,
+        listed: Listed,
+        age: Span,
+    ) -> Vec<target::Key> {
+        let mut news = Vec::new();
+        for (key, target) in self.balancer.targets().iter() {
+            if *target.spec.vm == *vm
+                && let Some(evidence) = self.evidence.get_mut(key)
+                && evidence.listed(now, listed, age)
+            {
+                news.push(key);
+            }
+        }
+        news
+    }
+
     /// The target refused a connection. Returns whether peers have to be told.
     pub(crate) fn refused(&mut self, now: Instant, target: target::Key) -> bool {
         let evidence = self.evidence.get_mut(target);
@@ -83,10 +118,15 @@
 
 /// Without a measuring budget that pays for a probe, a target that is not known to leave gets work
 /// unconfirmed: otherwise the entry would never be served.
-const fn standing(standing: leaving::Standing, can_probe: bool) -> Standing {
-    match standing {
+/// How `evidence` lets its target stand. A target that only refused a connection is probed, so that
+/// it gets work again as soon as it is back.
+fn standing(now: Instant, evidence: &Evidence, can_probe: bool) -> Standing {
+    match evidence.standing(now) {
         leaving::Standing::Confirm if can_probe => Standing::Unconfirmed,
         leaving::Standing::Confirm | leaving::Standing::Fit => Standing::Open,
+        leaving::Standing::Leaving if can_probe && evidence.wants_probe(now) => {
+            Standing::Unconfirmed
+        }
         leaving::Standing::Leaving => Standing::Leaving,
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -15,6 +15,7 @@
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::ticket;
+use oriolecleat_core::vmlist;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 use tokio::sync::Notify;
@@ -23,6 +24,7 @@
 
 use crate::clock;
 use crate::clock::Clock;
+use crate::fleet::Links;
 use crate::halt::Phases;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -34,7 +36,7 @@
 use crate::service::Slot;
 use crate::visit::Visits;
 
-const LEDGER_CAPACITY: usize = 100_000;
+pub(crate) const LEDGER_CAPACITY: usize = 100_000;
 
 /// State shared by the tasks of the loop; no borrow lives across an await.
 pub(crate) type Shared = Rc<RefCell<Node>>;
@@ -51,6 +53,7 @@
     pub(crate) revision: u64,
     pub(crate) metrics: Metrics,
     pub(crate) catalogue: Catalogue,
+    pub(crate) vm_list: vmlist::List,
     pub(crate) services: SlotMap<service::Key, Service>,
     pub(crate) names: Map<Box<str>, service::Key>,
     pub(crate) quotas: SlotMap<quota::Key, Quota>,
@@ -68,6 +71,7 @@
     pub(crate) timer: Rc<Notify>,
     /// This VM's part in the fleet.
     pub(crate) gossip: Gossip,
+    pub(crate) links: Links,
     pub(crate) audit: audit::Ring,
     /// When to read the configuration service, and how old the view is.
     pub(crate) reader: Reader,
@@ -97,6 +101,7 @@
             pool: Pool::default(),
             revision: 0,
             catalogue: Catalogue::default(),
+            vm_list: vmlist::List::default(),
             services: SlotMap::with_key(),
             names: Map::default(),
             quotas: SlotMap::with_key(),
@@ -110,6 +115,7 @@
             probes,
             timer: Rc::new(Notify::new()),
             gossip: Gossip::new(now, own, settings.seeds.clone(), hold),
+            links: Links::default(),
             audit: audit::Ring::new(&settings.vm, incarnation),
             reader,
             visits: Visits::default(),
