--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -170,9 +170,9 @@
             Class::Once => Held::claim(&node, &parts.headers)?,
             Class::Interactive | Class::Batch => Held::none(&node),
         };
-        Ok((service, admitted, ask, held))
+        Ok((service, quota, admitted, ask, held))
     });
-    let (service, admitted, ask, held) = match prepared {
+    let (service, quota, admitted, ask, held) = match prepared {
         Ok(prepared) => prepared,
         Err(end) => return Ok(refuse(&node, active, end, id)),
     };
@@ -186,6 +186,7 @@
     let mut exchange = Exchange {
         node: node.clone(),
         service,
+        quota,
         line: Line::new(&node, service, ask, id.clone()),
         outgoing: Outgoing::new(parts, depth, id.clone()),
         body: upload::Shared::new(body, idle),
@@ -218,6 +219,10 @@
     if active.conflict {
         return Err(refused(Code::LengthConflict));
     }
+    let limit = node.borrow().settings.http.head_bytes;
+    if head::is_too_large(&parts.headers, limit) {
+        return Err(refused(Code::HeadTooLarge));
+    }
     if !node.borrow().phase().accepts() {
         return Err(refused(Code::Stopping));
     }
