--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -20,6 +20,9 @@
 use crate::socket::Socket;
 use crate::upload::Upload;
 
+/// Connections put back between two looks at the oldest idle one, each of which is a system call.
+const KEPT_PER_LOOK: u64 = 16;
+
 /// Bounds on connections to targets.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Bounds {
@@ -120,6 +123,8 @@
 #[derive(Default)]
 struct Lane {
     idle: VecDeque<Connection>,
+    /// Connections put back so far.
+    kept: u64,
     open: Rc<std::cell::Cell<usize>>,
 }
 
@@ -162,11 +167,9 @@
         let lane = self.lanes.entry(address).or_default();
         // The oldest connections are used last and would otherwise stay after the target closed
         // them.
-        if lane
-            .idle
-            .front()
-            .is_some_and(|oldest| !oldest.socket.is_quiet())
-        {
+        lane.kept = lane.kept.wrapping_add(1);
+        let stale = |oldest: &Connection| !oldest.socket.is_quiet();
+        if lane.kept.is_multiple_of(KEPT_PER_LOOK) && lane.idle.front().is_some_and(stale) {
             lane.idle.pop_front();
         }
         if clean {
