--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -31,8 +31,9 @@
 /// has to carry a report, as the room in the targets is shared by them.
 const REPORT_EVERY: f64 = 8.0;
 /// Share of the measuring burst that refusals leave for reports: one of this many. Under overload,
-/// reservations for refusals would take all of it, and full targets would look like slow ones. Both
-/// leave the price of a probe, else long requests could keep every target unconfirmed.
+/// reservations for refusals would take all of it, and full targets would look like slow ones.
+/// Reports and refusals leave the price of a probe, else long requests could keep every target
+/// unconfirmed.
 const KEPT_FOR_REPORTS: u64 = 2;
 /// A trial falls to a call of class `once` only if no other call came for this much longer.
 const ONCE_TRIAL_AFTER: Span = Span::from_millis(10_000);
