--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -42,6 +42,7 @@
             });
             if let Some(quota) = self.quotas.get_mut(key) {
                 quota.update(now, limits, division);
+                quota.retry.update(entry.retry.budget_percent);
             }
         }
     }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -26,6 +26,7 @@
 use crate::pool::Bounds;
 use crate::pool::Connection;
 use crate::pool::Taken;
+use crate::quota;
 use crate::race::Copy;
 use crate::race::Raced;
 use crate::race::Reply;
@@ -62,6 +63,7 @@
 pub(crate) struct Exchange {
     pub(crate) node: Shared,
     pub(crate) service: service::Key,
+    pub(crate) quota: quota::Key,
     pub(crate) line: Line,
     pub(crate) outgoing: Outgoing,
     pub(crate) body: upload::Shared,
@@ -155,7 +157,12 @@
         match sent {
             Sent::Once(written) => Err(written.fail(code)),
             Sent::Idempotent(written) => {
-                let allowed = self.body.is_replayable();
+                let quota = self.quota;
+                // The budget is asked last, so that only a retry that happens is paid for.
+                let allowed = self.body.is_replayable()
+                    && written.may_retry()
+                    && (self.node.borrow_mut().quotas.get_mut(quota))
+                        .is_some_and(|quota| quota.retry.take());
                 let admitted = written.retry(code, allowed)?;
                 self.node.borrow_mut().metrics.add(Count::Retries, 1);
                 self.line.again();
