Pause between probes of a target that they do not confirm

Cause: a target that refused connections was probed again as soon as the probe had failed, and used up the measuring budget; the probes of all other targets of the service were never paid, and a service of three targets stood still for a minute after one was killed.

Change: the pause of 500 ms counts from the probe that was sent, whether or not it has ended, and doubles up to 8 s with each probe that does not confirm the target. The process-level test of a dying target sends another request.

--- a/crates/bench/tests/failure/kill.rs
+++ b/crates/bench/tests/failure/kill.rs
@@ -55,7 +55,7 @@
 }
 
 /// Guards against a non-idempotent request that is sent again after its target died, or whose
-/// caller is told that it did not run.
+/// caller is told that it did not run, and against a service that stands still with one target.
 #[test]
 fn a_non_idempotent_request_is_not_sent_again() {
     world::run("kill-once", async |mut world| {
@@ -75,6 +75,10 @@
         let again = traffic::call(&to, "bookings", "victim", None).await;
         let again = again.expect("a whole answer");
         assert_eq!((&*again.code, &*again.outcome), ("ticket_used", "unknown"));
+        // The other targets go on.
+        let to = first(&world, "bookings").await;
+        let next = traffic::call(&to, "bookings", "next", None).await;
+        assert_eq!(next.map(|seen| seen.status), Some(200));
         tokio::time::sleep(LONG).await;
         assert_eq!(world.runs("victim"), 1);
     });
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -224,7 +224,7 @@
     /// Says whether `target` may get new work.
     pub fn stand(&mut self, target: target::Key, standing: Standing) {
         if let Some(target) = self.targets.get_mut(target) {
-            target.standing = standing;
+            target.stand(standing);
         }
     }
 
@@ -317,9 +317,9 @@
             self.measuring.spend(self.last, price);
         }
         if let Some(target) = self.targets.get_mut(target) {
-            target.probe = None;
+            target.probed = target.probed.saturating_add(1);
             if answered && target.standing == Standing::Unconfirmed {
-                target.standing = Standing::Open;
+                target.stand(Standing::Open);
             }
         }
     }
--- a/crates/core/src/confirm.rs
+++ b/crates/core/src/confirm.rs
@@ -8,7 +8,10 @@
 use crate::time::Instant;
 use crate::time::Span;
 
+/// Time from a probe to the next one of the same target; doubles with each probe that did not
+/// confirm it. A target that fails at once would otherwise use up the budget of all others.
 const PROBE_AGAIN: Span = Span::from_millis(500);
+const DOUBLINGS: u32 = 4;
 /// Targets that are kept confirmed while no call waits.
 const WARM_TARGETS: usize = 2;
 /// Probes under way at once.
@@ -38,15 +41,16 @@
             return;
         }
         let recent = |target: &target::Target| {
+            let pause = PROBE_AGAIN.as_micros() << target.probed.min(DOUBLINGS);
             target
                 .probe
-                .is_some_and(|sent| now.since(sent) < PROBE_AGAIN)
+                .is_some_and(|sent| now.since(sent) < Span::from_micros(pause))
         };
-        let under_way = self
-            .targets
-            .iter()
-            .filter(|(_, target)| recent(target))
-            .count();
+        let is_under_way = |key: &&target::Key| {
+            let sent = self.targets.get(**key).and_then(|target| target.probe);
+            sent.is_some_and(|sent| now.since(sent) < PROBE_AGAIN)
+        };
+        let under_way = self.probes.keys().filter(is_under_way).count();
         let mut candidates: Vec<(target::Key, f64)> = self
             .targets
             .iter()
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -52,8 +52,10 @@
     pub(crate) remote: bool,
     /// Set while the target looks bad: it gets only trials.
     pub(crate) ejected: Option<Trial>,
-    /// When the last probe was sent, while it is not answered.
+    /// When the last probe was sent.
     pub(crate) probe: Option<Instant>,
+    /// Probes that ended since the target was last open.
+    pub(crate) probed: u32,
 }
 
 /// Occasional requests to a target that looks bad.
@@ -105,6 +107,14 @@
             .then(|| self.estimate.slowness(typical))
     }
 
+    /// Takes over a standing; an open target is probed without delay when it next needs it.
+    pub(crate) fn stand(&mut self, standing: Standing) {
+        self.standing = standing;
+        if standing == Standing::Open {
+            self.probed = 0;
+        }
+    }
+
     /// Whether the target may get work apart from trials.
     pub(crate) fn is_open(&self) -> bool {
         self.standing == Standing::Open && self.ejected.is_none()
@@ -146,6 +156,7 @@
             remote,
             ejected: None,
             probe: None,
+            probed: 0,
         }
     }
 }
--- a/crates/core/tests/measuring.rs
+++ b/crates/core/tests/measuring.rs
@@ -204,3 +204,32 @@
         }
     }
 }
+
+/// Guards against a target that refuses each probe at once and so uses up the budget that the
+/// probes of all others need.
+#[test]
+fn a_dead_target_leaves_budget_for_the_probes_of_others() {
+    let mut bench = Bench::new();
+    let keys: Vec<_> = bench
+        .balancer
+        .targets()
+        .iter()
+        .map(|(key, _)| key)
+        .collect();
+    for key in &keys {
+        bench.balancer.stand(*key, Standing::Unconfirmed);
+    }
+    bench.step(&Step::Arrive(1));
+    let mut probed = Vec::new();
+    for _ in 0..200 {
+        bench.step(&Step::Pass(20));
+        for key in std::mem::take(&mut bench.probes) {
+            probed.push(key);
+            bench.balancer.probed(key, false);
+        }
+    }
+    for key in keys {
+        let count = probed.iter().filter(|other| **other == key).count();
+        assert!((1..=6).contains(&count), "probed {count} times in 4 s");
+    }
+}
