--- a/crates/bench/examples/control_cost.rs
+++ b/crates/bench/examples/control_cost.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oriolecleat_bench::network::Network;
-use oriolecleat_bench::network::sites;
+use oriolecleat_bench::vm::sites;
 use oriolecleat_core::audit::Change;
 use oriolecleat_core::audit::Ring;
 use oriolecleat_core::catalogue::Catalogue;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod model;
 pub mod network;
 pub mod process;
+pub mod vm;
--- a/crates/bench/src/network.rs
+++ b/crates/bench/src/network.rs
@@ -2,22 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
-use std::time::Duration;
 
-use oriolecleat_core::audit::Ring;
-use oriolecleat_core::catalogue::Catalogue;
 use oriolecleat_core::gossip::Action;
 use oriolecleat_core::gossip::Context;
 use oriolecleat_core::gossip::Gossip;
 use oriolecleat_core::gossip::Joined;
 use oriolecleat_core::gossip::Link;
-use oriolecleat_core::member::Record;
-use oriolecleat_core::member::State;
 use oriolecleat_core::message::Message;
-use oriolecleat_core::reader::Reader;
-use oriolecleat_core::settings::View;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 use oriolecleat_wire::frame::Frame;
@@ -31,28 +22,21 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::vm::Cost;
+use crate::vm::Site;
+use crate::vm::Vm;
+use crate::vm::address;
+use crate::vm::index;
+
 /// Time between two ticks of a VM.
 pub const TICK: Span = Span::from_millis(200);
-/// Time for which news of leaving targets holds.
-pub const HOLD: Span = Span::from_millis(60_000);
-
 const FLEET_KEY: &[u8] = b"0123456789abcdef0123456789abcdef";
-const SEEDS: usize = 3;
 const LOCAL_DELAY: Span = Span::from_millis(1);
 const REGION_DELAY: Span = Span::from_millis(20);
 const DIAL_TIMEOUT: Span = Span::from_millis(1_000);
 // Two messages and a proof, with the HTTP upgrade of both sides.
 const HANDSHAKE_BYTES: u64 = 900;
 
-/// Where a VM runs.
-#[derive(Clone, Debug)]
-pub struct Site {
-    /// Region.
-    pub region: Box<str>,
-    /// Data centre.
-    pub data_center: Box<str>,
-}
-
 /// What the network does to messages.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -66,39 +50,6 @@
     pub pushes_lost: bool,
 }
 
-/// Traffic and time of one VM.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Cost {
-    /// Bytes of WebSocket frames sent and received.
-    pub bytes: u64,
-    /// Frames sent and received.
-    pub frames: u64,
-    /// Time spent on decisions and the codec.
-    pub busy: Duration,
-}
-
-/// One VM.
-pub struct Vm {
-    /// Its part in the fleet.
-    pub gossip: Gossip,
-    /// Its catalogue.
-    pub catalogue: Catalogue,
-    /// Its audit trail.
-    pub audit: Ring,
-    /// Its view of the configuration service.
-    pub reader: Reader,
-    /// Its traffic.
-    pub cost: Cost,
-    /// Whether it runs; a frozen VM does.
-    pub running: bool,
-    name: Box<str>,
-    site: Site,
-    incarnation: u64,
-    started: Instant,
-    frozen: Instant,
-    random: SmallRng,
-}
-
 enum Event {
     Tick(usize, u64),
     Deliver(usize, u64, Link, Packet),
@@ -137,19 +88,6 @@
     scratch: Established,
 }
 
-fn address(vm: usize) -> SocketAddr {
-    let [.., high, low] = u32::try_from(vm + 1).unwrap_or(u32::MAX).to_be_bytes();
-    SocketAddr::from((Ipv4Addr::new(10, 0, high, low), 7_000))
-}
-
-fn index(address: SocketAddr) -> Option<usize> {
-    let SocketAddr::V4(address) = address else {
-        return None;
-    };
-    let [_, _, high, low] = address.ip().octets();
-    usize::from(u16::from_be_bytes([high, low])).checked_sub(1)
-}
-
 fn establish(near: Hello, far: &Hello) -> [Established; 2] {
     let key = Key::new(FLEET_KEY);
     let (dialer, first) = Dialer::start(key.clone(), near);
@@ -177,85 +115,6 @@
     )
 }
 
-impl Vm {
-    fn start(index: usize, site: Site, incarnation: u64, now: Instant, seed: u64) -> Self {
-        let name: Box<str> = format!("vm-{index:03}").into();
-        let mut random = SmallRng::seed_from_u64(seed ^ incarnation ^ (index as u64) << 32);
-        let record = Record {
-            vm: name.clone(),
-            incarnation,
-            sequence: 0,
-            state: State::Alive,
-            caller: address(index),
-            directory: address(index),
-            peer: address(index),
-            region: site.region.clone(),
-            data_center: site.data_center.clone(),
-            uptime_ms: 0,
-            build: "0.1.0".into(),
-        };
-        let view = View {
-            stale_after: Span::from_millis(30_000),
-            takeover_after: Span::from_millis(10_000),
-            peer_wait: Span::from_millis(1_000),
-            readers_per_data_center: 2,
-        };
-        let seeds = (0..SEEDS).map(address).collect();
-        Self {
-            gossip: Gossip::new(Instant::default(), record, seeds, HOLD),
-            catalogue: Catalogue::default(),
-            audit: Ring::new(&name, incarnation),
-            reader: Reader::new(Instant::default(), view, &mut random),
-            cost: Cost::default(),
-            running: true,
-            name,
-            site,
-            incarnation,
-            started: now,
-            frozen: Instant::default(),
-            random,
-        }
-    }
-
-    /// Name of the VM.
-    #[must_use]
-    pub fn name(&self) -> &str {
-        &self.name
-    }
-
-    /// Where the VM runs.
-    #[must_use]
-    pub fn site(&self) -> &Site {
-        &self.site
-    }
-
-    /// Time of the VM's own clock.
-    #[must_use]
-    pub fn clock(&self, now: Instant) -> Instant {
-        Instant::default() + now.since(self.started)
-    }
-
-    /// Lets `event` change the VM's state.
-    pub fn handle<T>(
-        &mut self,
-        now: Instant,
-        event: impl FnOnce(&mut Gossip, &mut Context) -> T,
-    ) -> T {
-        let mut context = Context {
-            now: self.clock(now),
-            wall_ms: 1_700_000_000_000 + now.as_micros() / 1_000,
-            catalogue: &mut self.catalogue,
-            audit: &mut self.audit,
-            reader: &mut self.reader,
-            random: &mut self.random,
-        };
-        let before = std::time::Instant::now();
-        let result = event(&mut self.gossip, &mut context);
-        self.cost.busy += before.elapsed();
-        result
-    }
-}
-
 impl Network {
     /// A fleet whose VMs start within a second. With `codec`, every message is sealed and opened
     /// as on a real link, which needs a network without faults.
@@ -584,14 +443,3 @@
         }
     }
 }
-
-/// `vms` VMs spread evenly over `centers` data centres in `regions` regions.
-#[must_use]
-pub fn sites(regions: usize, centers: usize, vms: usize) -> Vec<Site> {
-    (0..vms)
-        .map(|vm| Site {
-            region: format!("region-{}", vm % centers % regions).into(),
-            data_center: format!("dc-{:02}", vm % centers).into(),
-        })
-        .collect()
-}
--- a/crates/bench/tests/gossip.rs
+++ b/crates/bench/tests/gossip.rs
@@ -6,7 +6,7 @@
 
 use oriolecleat_bench::network::Faults;
 use oriolecleat_bench::network::Network;
-use oriolecleat_bench::network::sites;
+use oriolecleat_bench::vm::sites;
 use oriolecleat_core::catalogue::Record;
 use oriolecleat_core::link;
 use oriolecleat_core::message::Content;
