Serve all cases of answers by one daemon in the tests

Cause: a starting daemon now waits for peers and for its budget of configuration calls, which made the tests of the request path take 28 s.

Change: each case of answers has a service of its own in one daemon, and the tests do not wait for peers.

With undelimited answers passed, and with cut answers ended cleanly, the table of answers still fails.

--- a/crates/daemon/tests/request/answers.rs
+++ b/crates/daemon/tests/request/answers.rs
@@ -213,10 +213,19 @@
 #[test]
 fn answers_are_whole_or_visibly_cut() {
     run(async {
-        for case in [whole(), cut(), refusals()].concat() {
+        let cases = [whole(), cut(), refusals()].concat();
+        let mut entries = Vec::new();
+        for (number, case) in cases.iter().enumerate() {
             let target = Target::start(vec![case.answer.clone()]).await;
-            let daemon = daemon(&[&target]).await;
-            let reply = daemon.call(case.request.as_bytes()).await;
+            let mut entry = entry("interactive", &[target.address]);
+            entry["service"] = json!(format!("case-{number}"));
+            entries.push(entry);
+        }
+        let daemon = Daemon::start(&entries, json!({})).await;
+        for (number, case) in cases.iter().enumerate() {
+            let host = format!("host: case-{number}\r\n");
+            let request = case.request.replace("host: s\r\n", &host);
+            let reply = daemon.call(request.as_bytes()).await;
             let start: String = reply.text.chars().take(1_000).collect();
             let what = format!("{}: {start}", case.guards_against);
             // A reset may overtake the part that was sent before it.
--- a/crates/daemon/tests/request/support.rs
+++ b/crates/daemon/tests/request/support.rs
@@ -63,6 +63,8 @@
             let ports = Ports::free().unwrap();
             let (at, vms) = (server.address(), server.address());
             let mut text = process::settings("vm-0", &ports, at, vms);
+            // There are no peers to wait for.
+            text["view"] = json!({ "peer_wait_ms": 1 });
             text["http"] = json!({ "head_timeout_ms": IDLE_MS, "body_idle_ms": IDLE_MS });
             for (name, value) in http.as_object().unwrap() {
                 text["http"][name] = value.clone();
