Pay measuring from the exact shares and by the bytes carried

Cause: the balancer had a token bucket of its own whose share was rounded down, beside the tested budget::Meter that nothing used, and a refused attempt was charged 500 bytes whatever it carried. Change: budget::Meter is the one type, on limit::Bucket with exact shares; purse is gone. A call states its bytes, a refusal is reserved by them and charged by what was carried, and a request of unknown length invites no refusal. Exchanges with other regions are charged by what they carried. The measuring and cross-region totals and the gauges of the view, the links and the members are reported. With the charge of a refusal set to zero the measuring test fails.

--- a/crates/bench/src/model/drive.rs
+++ b/crates/bench/src/model/drive.rs
@@ -6,7 +6,7 @@
 use oriolecleat_core::balance::Ending;
 use oriolecleat_core::balance::Fate;
 use oriolecleat_core::balance::PROBE_BYTES;
-use oriolecleat_core::balance::REFUSED_BYTES;
+use oriolecleat_core::balance::REFUSAL_BYTES;
 use oriolecleat_core::balance::REPORT_BYTES;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
@@ -20,6 +20,11 @@
 use super::run::Model;
 use super::scenario::WARM_UP;
 
+/// Bytes of a request on the wire.
+const REQUEST_BYTES: u64 = 300;
+/// Bytes of a request that a target refuses, with the answer.
+const REFUSED_BYTES: u64 = REQUEST_BYTES + REFUSAL_BYTES;
+
 fn call(request: usize) -> Call {
     Call(u64::try_from(request).unwrap_or(u64::MAX))
 }
@@ -38,6 +43,7 @@
             deadline: Instant::from_micros(details.at + self.plan.deadline),
             entry: details.entry,
             hedge_percent: self.plan.hedge_percent,
+            bytes: Some(REQUEST_BYTES),
         };
         let vm = &mut self.vms[details.vm];
         if let Some(balancer) = &mut vm.balancer {
@@ -216,7 +222,9 @@
                 latency,
                 failed: true,
             },
-            Answer::Shed => Ending::Shed,
+            Answer::Shed => Ending::Shed {
+                bytes: REFUSED_BYTES,
+            },
         };
         let vm = &mut self.vms[index];
         let mut fate = Fate::Over;
--- a/crates/bench/src/model/policy.rs
+++ b/crates/bench/src/model/policy.rs
@@ -4,7 +4,9 @@
 
 use oriolecleat_core::balance::Balancer;
 use oriolecleat_core::balance::Limits;
+use oriolecleat_core::budget::Whole;
 use oriolecleat_core::estimate::Report;
+use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 use rand::RngExt;
 use rand::rngs::SmallRng;
@@ -99,15 +101,18 @@
 #[must_use]
 pub fn balancer(world: &World, plan: &Plan, vm: usize) -> Balancer {
     let vms = u64::try_from(world.vms.len()).unwrap_or(1);
+    let whole = |bytes| Whole {
+        bytes_per_s: bytes,
+        burst_bytes: bytes,
+        vm_ceiling: vms,
+    };
     let limits = Limits {
         queue: 1_000,
-        measuring_rate: plan.measuring / vms,
-        measuring_burst: plan.measuring / vms,
-        remote_rate: plan.cross_region / vms,
-        remote_burst: plan.cross_region / vms,
+        measuring: whole(plan.measuring),
+        remote: whole(plan.cross_region),
         exchange: EXCHANGE_BYTES,
     };
-    Balancer::new(world.place(vm), limits)
+    Balancer::new(Instant::default(), world.place(vm), limits)
 }
 
 /// Tells the balancer the round trips, as a daemon measures them when it opens connections.
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -4,6 +4,8 @@
 
 use rand::rngs::SmallRng;
 
+use crate::budget::Meter;
+use crate::budget::Whole;
 use crate::choose::Chooser;
 use crate::entry;
 use crate::entry::Class;
@@ -12,7 +14,6 @@
 use crate::flight::Flight;
 use crate::hedge;
 use crate::map::Map;
-use crate::purse::Purse;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::target;
@@ -91,7 +92,10 @@
             failed: bool,
         },
         /// The target answered that it did not run the call.
-        Shed,
+        Shed {
+            /// Bytes of the request and the answer on the wire.
+            bytes: u64,
+        },
         /// The connection failed; `written` tells whether bytes may have reached the target.
         Broken {
             /// Whether bytes may have reached the target.
@@ -123,27 +127,25 @@
         pub entry: u32,
         /// Copies permitted, as a percentage of the calls; zero for none.
         pub hedge_percent: u8,
+        /// Bytes of the request on the wire; none if they are not known.
+        pub bytes: Option<u64>,
     }
 
     /// What the calls of a service may consume on this VM.
     pub struct Limits {
         /// Calls that may wait.
         pub queue: usize,
-        /// Bytes a second spent on measuring targets.
-        pub measuring_rate: u64,
-        /// Bytes of measuring that may be spent at once.
-        pub measuring_burst: u64,
-        /// Bytes a second to and from other regions.
-        pub remote_rate: u64,
-        /// Bytes to and from other regions that may be spent at once.
-        pub remote_burst: u64,
+        /// Bytes spent on measuring targets.
+        pub measuring: Whole,
+        /// Bytes to and from other regions.
+        pub remote: Whole,
         /// Typical bytes of a request and its answer.
         pub exchange: u64,
     }
 }
 
-/// Bytes of a request that a target refuses and of its answer.
-pub const REFUSED_BYTES: u64 = 500;
+/// Bound on the bytes of a target's answer that it did not run a request.
+pub const REFUSAL_BYTES: u64 = 200;
 /// Bytes of a load report on an answer, by the format of the header.
 pub const REPORT_BYTES: u64 = 78;
 /// Bytes of a probe and its answer.
@@ -164,10 +166,10 @@
     pub(crate) queue: Queue,
     pub(crate) flights: Map<Call, Flight>,
     pub(crate) chooser: Chooser,
-    pub(crate) measuring: Purse,
+    pub(crate) measuring: Meter,
     /// Measuring bytes held for probes that have not ended, by target.
     pub(crate) probes: Map<target::Key, u64>,
-    pub(crate) remote: Purse,
+    pub(crate) remote: Meter,
     pub(crate) hedges: Map<u32, hedge::Budget>,
     pub(crate) latency: hedge::Quantile,
     last: Instant,
@@ -177,16 +179,16 @@
 impl Balancer {
     /// A balancer without targets.
     #[must_use]
-    pub fn new(place: Place, limits: Limits) -> Self {
+    pub fn new(now: Instant, place: Place, limits: Limits) -> Self {
         Self {
             place,
             targets: Table::default(),
             queue: Queue::default(),
             flights: Map::default(),
             chooser: Chooser::default(),
-            measuring: Purse::new(limits.measuring_rate, limits.measuring_burst),
+            measuring: Meter::new(now, limits.measuring),
             probes: Map::default(),
-            remote: Purse::new(limits.remote_rate, limits.remote_burst),
+            remote: Meter::new(now, limits.remote),
             hedges: Map::default(),
             latency: hedge::Quantile::default(),
             last: Instant::default(),
@@ -202,10 +204,9 @@
     }
 
     /// Takes over changed limits.
-    pub fn limit(&mut self, limits: Limits) {
-        self.measuring
-            .resize(limits.measuring_rate, limits.measuring_burst);
-        self.remote.resize(limits.remote_rate, limits.remote_burst);
+    pub fn limit(&mut self, now: Instant, limits: Limits) {
+        self.measuring.update(now, limits.measuring);
+        self.remote.update(now, limits.remote);
         self.limits = limits;
     }
 
@@ -303,7 +304,29 @@
     /// Whether the measuring budget can ever pay for a probe.
     #[must_use]
     pub fn can_probe(&self) -> bool {
-        self.limits.measuring_burst >= PROBE_BYTES && self.limits.measuring_rate > 0
+        self.measuring.fits(PROBE_BYTES)
+    }
+
+    /// An exchange with `target` carried `bytes`; what is above the assumed bytes of an exchange with
+    /// another region leaves a debt.
+    pub fn carried(&mut self, now: Instant, target: target::Key, bytes: u64) {
+        let target = self.targets.get(target);
+        if target.is_some_and(|target| target.remote) {
+            let above = bytes.saturating_sub(self.limits.exchange);
+            self.remote.charge(now, above);
+        }
+    }
+
+    /// Bytes to and from other regions so far.
+    #[must_use]
+    pub fn remote_bytes(&self) -> u64 {
+        self.remote.spent()
+    }
+
+    /// Measuring bytes spent so far.
+    #[must_use]
+    pub fn measured(&self) -> u64 {
+        self.measuring.spent()
     }
 
     /// Measuring bytes were spent apart from the balancer's own actions, as on load frames.
@@ -314,7 +337,7 @@
     /// A probe of `target` was answered, or not.
     pub fn probed(&mut self, target: target::Key, answered: bool) {
         if let Some(price) = self.probes.remove(&target) {
-            self.measuring.spend(self.last, price);
+            self.measuring.settle(self.last, price, price);
         }
         if let Some(target) = self.targets.get_mut(target) {
             target.probed = target.probed.saturating_add(1);
@@ -359,9 +382,9 @@
 
     /// Ends an attempt in the counts without a result.
     pub(crate) fn release(&mut self, now: Instant, attempt: &Attempt) {
-        self.measuring.give(now, attempt.reserved);
+        self.measuring.settle(now, attempt.reserved, 0);
         // The report may be on its way.
-        self.measuring.spend(now, attempt.report);
+        self.measuring.settle(now, attempt.report, attempt.report);
         if let Some(target) = self.targets.get_mut(attempt.target) {
             target.in_flight = target.in_flight.saturating_sub(1);
         }
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -29,25 +29,16 @@
     }
 }
 
-/// Bytes set aside. The sender has to close the connection when more than [`Reservation::bytes`]
-/// were carried, and to settle in every case; what is never settled stays reserved.
-#[must_use]
-#[derive(Debug)]
-pub struct Reservation {
-    bytes: u64,
-    path: Path,
-}
-
-impl Reservation {
-    /// Bytes that may be carried, in both directions together.
+impl Path {
+    /// The path to or from a target that is `remote`, in another region.
     #[must_use]
-    pub const fn bytes(&self) -> u64 {
-        self.bytes
+    pub const fn to(remote: bool) -> Self {
+        if remote { Self::Between } else { Self::Within }
     }
-}
 
-impl Path {
-    const fn cost(self, bytes: u64) -> u64 {
+    /// What `bytes` count.
+    #[must_use]
+    pub const fn cost(self, bytes: u64) -> u64 {
         match self {
             Self::Within => bytes,
             Self::Between => bytes.saturating_mul(2),
@@ -65,12 +56,13 @@
     }
 }
 
-/// This VM's share of a budget in bytes.
+/// This VM's share of a budget in bytes; bytes between regions are given as [`Path::cost`] has them.
 #[derive(Clone, Debug)]
 pub struct Meter {
     bucket: Bucket,
     whole: Whole,
     refused: u64,
+    spent: u64,
 }
 
 impl Meter {
@@ -81,6 +73,7 @@
             bucket: Bucket::new(now, whole.rate()),
             whole,
             refused: 0,
+            spent: 0,
         }
     }
 
@@ -92,28 +85,45 @@
         }
     }
 
-    /// Sets aside an upper bound of the bytes of both directions, before the first is sent. None if
-    /// the budget does not allow them.
-    pub fn reserve(&mut self, now: Instant, bytes: u64, path: Path) -> Option<Reservation> {
-        if self.bucket.reserve(now, path.cost(bytes)) {
-            return Some(Reservation { bytes, path });
-        }
-        self.refused = self.refused.saturating_add(1);
-        None
+    /// Sets aside an upper bound of the bytes of both directions before the first is sent, if at
+    /// least `keep` bytes are left afterwards. What is never settled stays reserved.
+    pub fn hold(&mut self, now: Instant, bytes: u64, keep: u64) -> bool {
+        let held = self.bucket.reserve_above(now, bytes, keep);
+        self.refused += u64::from(!held);
+        held
     }
 
-    /// Ends a reservation with the bytes that were carried in both directions. Bytes above the
+    /// Ends a reservation of `held` bytes of which `spent` were carried. Bytes above the
     /// reservation leave a debt that later measurements pay.
-    pub fn settle(&mut self, now: Instant, reservation: &Reservation, bytes: u64) {
-        let path = reservation.path;
-        let reserved = path.cost(reservation.bytes);
-        self.bucket.settle(now, reserved, path.cost(bytes));
+    pub fn settle(&mut self, now: Instant, held: u64, spent: u64) {
+        self.spent += spent;
+        self.bucket.settle(now, held, spent);
+    }
+
+    /// Spends `bytes` at once, if at least `keep` bytes are left afterwards.
+    pub fn take(&mut self, now: Instant, bytes: u64, keep: u64) -> bool {
+        let held = self.hold(now, bytes, keep);
+        if held {
+            self.settle(now, bytes, bytes);
+        }
+        held
+    }
+
+    /// Counts `bytes` that were carried without a reservation; they leave a debt.
+    pub fn charge(&mut self, now: Instant, bytes: u64) {
+        self.settle(now, 0, bytes);
     }
 
     /// Whether a measurement of `bytes` can ever fit into this VM's share.
     #[must_use]
-    pub fn fits(&self, bytes: u64, path: Path) -> bool {
-        self.bucket.fits(path.cost(bytes))
+    pub fn fits(&self, bytes: u64) -> bool {
+        self.whole.bytes_per_s > 0 && self.bucket.fits(bytes)
+    }
+
+    /// The share of the burst of this VM.
+    #[must_use]
+    pub fn burst(&self) -> u64 {
+        self.whole.burst_bytes / self.whole.vm_ceiling.max(1)
     }
 
     /// Reservations refused so far.
@@ -121,6 +131,12 @@
     pub const fn refused(&self) -> u64 {
         self.refused
     }
+
+    /// Bytes spent so far.
+    #[must_use]
+    pub const fn spent(&self) -> u64 {
+        self.spent
+    }
 }
 
 /// Most retries that can be saved up.
--- a/crates/core/src/confirm.rs
+++ b/crates/core/src/confirm.rs
@@ -3,6 +3,7 @@
 use crate::balance::Action;
 use crate::balance::Balancer;
 use crate::balance::PROBE_BYTES;
+use crate::budget::Path;
 use crate::target;
 use crate::target::Standing;
 use crate::time::Instant;
@@ -65,11 +66,11 @@
             let Some(target) = self.targets.get_mut(key) else {
                 continue;
             };
-            let price = if target.remote { 2 } else { 1 } * PROBE_BYTES;
+            let price = Path::to(target.remote).cost(PROBE_BYTES);
             if self.measuring.hold(now, price, 0) {
                 target.probe = Some(now);
                 if let Some(unanswered) = self.probes.insert(key, price) {
-                    self.measuring.spend(now, unanswered);
+                    self.measuring.settle(now, unanswered, unanswered);
                 }
                 out.push(Action::Probe { target: key });
             }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -6,9 +6,10 @@
 use crate::balance::Ask;
 use crate::balance::Balancer;
 use crate::balance::PROBE_BYTES;
-use crate::balance::REFUSED_BYTES;
+use crate::balance::REFUSAL_BYTES;
 use crate::balance::REPORT_BYTES;
 use crate::balance::Refusal;
+use crate::budget::Path;
 use crate::choose::Usage;
 use crate::entry::Class;
 use crate::estimate::number;
@@ -191,13 +192,13 @@
         trial: bool,
     ) -> (Attempt, Span) {
         let typical = self.chooser.typical();
-        let mut factor = 1;
+        let mut path = Path::Within;
         let crowded = self.queue.len() > 0;
         let mut due = false;
         if let Some(target) = self.targets.get_mut(target) {
             target.in_flight += 1;
             due = crowded || target.estimate.report_due(now, REPORT_EVERY * typical);
-            factor = if target.remote { 2 } else { 1 };
+            path = Path::to(target.remote);
         }
         // A call that a target sheds has to be back before half of its time has passed.
         let round_trip = self
@@ -205,16 +206,19 @@
             .get(target)
             .map_or(0.0, |target| target.round_trip);
         let back = waiting.latest() - span(round_trip);
-        let refusal = factor * REFUSED_BYTES;
-        let price = factor * REPORT_BYTES;
+        let refusal = waiting
+            .ask
+            .bytes
+            .map(|bytes| path.cost(bytes + REFUSAL_BYTES));
+        let price = path.cost(REPORT_BYTES);
         let report = due && self.measuring.hold(now, price, PROBE_BYTES);
-        let keep = (self.limits.measuring_burst / KEPT_FOR_REPORTS).max(PROBE_BYTES);
-        let may_refuse = now < back && self.measuring.hold(now, refusal, keep);
-        let reserved = if may_refuse { refusal } else { 0 };
+        let keep = (self.measuring.burst() / KEPT_FOR_REPORTS).max(PROBE_BYTES);
+        let affordable = |refusal: &u64| now < back && self.measuring.hold(now, *refusal, keep);
+        let reserved = refusal.filter(affordable);
         if report && let Some(target) = self.targets.get_mut(target) {
             target.estimate.report_asked(now);
         }
-        let queue = if may_refuse {
+        let queue = if reserved.is_some() {
             span(PATIENCE * typical).min(back.since(now))
         } else {
             unbounded(now, &waiting.ask)
@@ -222,8 +226,8 @@
         let attempt = Attempt {
             target,
             sent: now,
-            price: refusal,
-            reserved,
+            path,
+            reserved: reserved.unwrap_or(0),
             report: if report { price } else { 0 },
             trial,
         };
--- a/crates/core/src/flight.rs
+++ b/crates/core/src/flight.rs
@@ -7,6 +7,7 @@
 use crate::balance::Ending;
 use crate::balance::Fate;
 use crate::balance::Refusal;
+use crate::budget::Path;
 use crate::queue::Waiting;
 use crate::target;
 use crate::time::Instant;
@@ -17,8 +18,8 @@
 pub(crate) struct Attempt {
     pub(crate) target: target::Key,
     pub(crate) sent: Instant,
-    /// Measuring bytes that a refusal by the target costs.
-    pub(crate) price: u64,
+    /// Where its bytes travel.
+    pub(crate) path: Path,
     /// Measuring bytes reserved for a refusal by the target.
     pub(crate) reserved: u64,
     /// Measuring bytes taken for a load report on the answer.
@@ -96,7 +97,7 @@
                 self.flights.insert(call, rest);
                 Fate::Pending
             }
-            (Ending::Shed | Ending::Broken { written: false }, None) => {
+            (Ending::Shed { .. } | Ending::Broken { written: false }, None) => {
                 self.requeue(now, Waiting { ask, arrived }, out);
                 Fate::Pending
             }
@@ -115,15 +116,14 @@
     }
 
     fn learn(&mut self, now: Instant, ended: &Attempt, ending: Ending) {
-        if ending == Ending::Shed {
-            self.measuring.charge(now, ended.price);
-        }
-        self.measuring.give(now, ended.reserved);
-        // A cancelled answer may have brought its report already.
-        if ending == Ending::Shed {
-            self.measuring.give(now, ended.report);
+        if let Ending::Shed { bytes } = ending {
+            let spent = ended.path.cost(bytes);
+            self.measuring.settle(now, ended.reserved, spent);
+            self.measuring.settle(now, ended.report, 0);
         } else {
-            self.measuring.spend(now, ended.report);
+            self.measuring.settle(now, ended.reserved, 0);
+            // A cancelled answer may have brought its report already.
+            self.measuring.settle(now, ended.report, ended.report);
         }
         let Some(target) = self.targets.get_mut(ended.target) else {
             return;
@@ -138,7 +138,7 @@
             Ending::Answered { failed: true, .. } | Ending::Broken { .. } => {
                 target.estimate.failed(now.since(ended.sent));
             }
-            Ending::Shed => {
+            Ending::Shed { .. } => {
                 let elapsed = now.since(ended.sent);
                 target
                     .estimate
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,7 +33,6 @@
 pub mod news;
 mod outcome;
 mod peer;
-pub mod purse;
 mod queue;
 pub mod read;
 pub mod reader;
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -87,9 +87,16 @@
     /// Sets `tokens` aside for a later [`Bucket::settle`]; false if they are not there.
     #[must_use]
     pub fn reserve(&mut self, now: Instant, tokens: u64) -> bool {
+        self.reserve_above(now, tokens, 0)
+    }
+
+    /// Sets `tokens` aside if at least `keep` tokens are left afterwards.
+    #[must_use]
+    pub fn reserve_above(&mut self, now: Instant, tokens: u64, keep: u64) -> bool {
         self.refill(now);
         let cost = self.rate.token().saturating_mul(i128::from(tokens));
-        if cost > self.level {
+        let kept = self.rate.token().saturating_mul(i128::from(keep));
+        if cost.saturating_add(kept) > self.level {
             return false;
         }
         self.level -= cost;
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -8,6 +8,7 @@
 use oriolecleat_core::balance::Fate;
 use oriolecleat_core::balance::Limits;
 use oriolecleat_core::balance::Refusal;
+use oriolecleat_core::budget::Whole;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::entry::Target;
 use oriolecleat_core::target::Place;
@@ -17,6 +18,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+const REQUEST_BYTES: u64 = 300;
+const REFUSED_BYTES: u64 = 500;
+
 fn at(millis: u64) -> Instant {
     Instant::from_micros(millis * 1_000)
 }
@@ -39,6 +43,7 @@
         deadline: at(deadline),
         entry: 0,
         hedge_percent: 0,
+        bytes: Some(REQUEST_BYTES),
     }
 }
 
@@ -56,13 +61,19 @@
         };
         let limits = Limits {
             queue,
-            measuring_rate: 4_000,
-            measuring_burst: 4_000,
-            remote_rate: 0,
-            remote_burst: 0,
+            measuring: Whole {
+                bytes_per_s: 4_000,
+                burst_bytes: 4_000,
+                vm_ceiling: 1,
+            },
+            remote: Whole {
+                bytes_per_s: 0,
+                burst_bytes: 0,
+                vm_ceiling: 1,
+            },
             exchange: 2_000,
         };
-        let mut balancer = Balancer::new(place, limits);
+        let mut balancer = Balancer::new(Instant::default(), place, limits);
         let specs: Vec<Target> = names.iter().zip(1..).map(|(n, p)| target(n, p)).collect();
         balancer.update(at(0), &specs);
         let rng = SmallRng::seed_from_u64(1);
@@ -108,7 +119,9 @@
         at(2),
         call,
         target,
-        Ending::Shed,
+        Ending::Shed {
+            bytes: REFUSED_BYTES,
+        },
         &mut bench.rng,
         &mut bench.out,
     );
--- a/crates/core/tests/balance_machine.rs
+++ b/crates/core/tests/balance_machine.rs
@@ -9,6 +9,7 @@
 use oriolecleat_core::balance::Ending;
 use oriolecleat_core::balance::Fate;
 use oriolecleat_core::balance::Limits;
+use oriolecleat_core::budget::Whole;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::entry::Target;
 use oriolecleat_core::estimate::Report;
@@ -26,6 +27,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+const REQUEST_BYTES: u64 = 300;
+const REFUSED_BYTES: u64 = 500;
+
 const TARGETS: u16 = 5;
 const SLOTS: u64 = 2;
 /// The documented bound on own requests at one target: its slots and two more for each.
@@ -58,7 +62,7 @@
     };
     prop_oneof![
         6 => (1..500_u64, any::<bool>()).prop_map(answered),
-        2 => Just(Ending::Shed),
+        2 => Just(Ending::Shed { bytes: REFUSED_BYTES }),
         1 => any::<bool>().prop_map(|written| Ending::Broken { written }),
         1 => Just(Ending::Cancelled),
     ]
@@ -145,13 +149,19 @@
         };
         let limits = Limits {
             queue: 12,
-            measuring_rate: 5_000,
-            measuring_burst: 5_000,
-            remote_rate: 20_000,
-            remote_burst: 20_000,
+            measuring: Whole {
+                bytes_per_s: 5_000,
+                burst_bytes: 5_000,
+                vm_ceiling: 1,
+            },
+            remote: Whole {
+                bytes_per_s: 20_000,
+                burst_bytes: 20_000,
+                vm_ceiling: 1,
+            },
             exchange: 1_000,
         };
-        let mut balancer = Balancer::new(place, limits);
+        let mut balancer = Balancer::new(Instant::default(), place, limits);
         balancer.update(Instant::default(), &specs(u16::MAX));
         Self {
             balancer,
@@ -230,7 +240,10 @@
         let key = known.at.remove(pick % known.at.len());
         let last = known.at.is_empty();
         let ran = matches!(ending, Ending::Answered { failed: false, .. });
-        let not_run = matches!(ending, Ending::Shed | Ending::Broken { written: false });
+        let not_run = matches!(
+            ending,
+            Ending::Shed { .. } | Ending::Broken { written: false }
+        );
         let over = ran || (last && !not_run);
         let mut out = Vec::new();
         let rng = &mut self.rng;
@@ -265,6 +278,7 @@
             deadline: self.now + deadline,
             entry,
             hedge_percent,
+            bytes: Some(REQUEST_BYTES),
         };
         let mut out = Vec::new();
         self.balancer.arrive(self.now, ask, &mut self.rng, &mut out);
--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -2,7 +2,6 @@
 
 use oriolecleat_core::budget::Meter;
 use oriolecleat_core::budget::Path;
-use oriolecleat_core::budget::Reservation;
 use oriolecleat_core::budget::Retry;
 use oriolecleat_core::budget::Whole;
 use oriolecleat_core::time::Instant;
@@ -61,9 +60,15 @@
     }
 }
 
+/// Reserves `bytes` that travel on `path`.
+fn reserve(meter: &mut Meter, now: Instant, bytes: u64, path: Path) -> Option<u64> {
+    meter.hold(now, path.cost(bytes), 0).then_some(bytes)
+}
+
 struct Seat {
     meter: Meter,
-    reserved: Vec<(Reservation, u64)>,
+    /// Bytes of each reservation, with its path.
+    reserved: Vec<(u64, Path)>,
 }
 
 struct Fleet {
@@ -88,21 +93,18 @@
             Step::Pass(micros) => self.now += micros,
             Step::Restart(seat) => self.seats[seat] = self.seat(),
             Step::Burst(seat, bytes, between) => {
-                let (path, factor) = if between {
-                    (Path::Between, 2)
-                } else {
-                    (Path::Within, 1)
-                };
+                let path = if between { Path::Between } else { Path::Within };
                 let Seat { meter, reserved } = &mut self.seats[seat];
-                let granted = std::iter::from_fn(|| meter.reserve(now, bytes, path));
-                reserved.extend(granted.take(5_000).map(|one| (one, factor)));
+                let granted = std::iter::from_fn(|| reserve(meter, now, bytes, path));
+                reserved.extend(granted.take(5_000).map(|bytes| (bytes, path)));
             }
             Step::Carry(seat, part) => {
                 let Seat { meter, reserved } = &mut self.seats[seat];
-                for (one, factor) in reserved.drain(..) {
-                    let bytes = one.bytes() * part / 100;
+                for (held, path) in reserved.drain(..) {
+                    let bytes = held * part / 100;
+                    let factor = if path == Path::Between { 2 } else { 1 };
                     self.wire.push((self.now, bytes * factor));
-                    meter.settle(now, &one, bytes);
+                    meter.settle(now, path.cost(held), path.cost(bytes));
                 }
             }
         }
@@ -177,10 +179,10 @@
         let mut meter = Meter::new(Instant::default(), whole);
         for second in 1..=3_600 {
             let now = Instant::from_micros(second * 1_000_000);
-            let granted = std::iter::from_fn(|| meter.reserve(now, 1, Path::Within));
-            let granted: Vec<Reservation> = granted.take(100).collect();
+            let granted = std::iter::from_fn(|| reserve(&mut meter, now, 1, Path::Within));
+            let granted: Vec<u64> = granted.take(100).collect();
             for one in granted {
-                meter.settle(now, &one, 1);
+                meter.settle(now, one, 1);
                 spent += 1;
             }
         }
@@ -197,7 +199,7 @@
     };
     let at = |seconds: u64| Instant::from_micros(seconds * 1_000_000);
     let mut meter = Meter::new(at(0), whole);
-    let one = meter.reserve(at(1), 1_000, Path::Within).expect("full");
+    let one = reserve(&mut meter, at(1), 1_000, Path::Within).expect("full");
     meter.update(
         at(1),
         Whole {
@@ -205,10 +207,10 @@
             ..whole
         },
     );
-    meter.settle(at(1), &one, 1_500);
-    assert!(meter.reserve(at(2), 1, Path::Within).is_none());
-    assert!(meter.reserve(at(3), 400, Path::Within).is_some());
-    assert!(!meter.fits(251, Path::Between));
+    meter.settle(at(1), one, 1_500);
+    assert!(reserve(&mut meter, at(2), 1, Path::Within).is_none());
+    assert!(reserve(&mut meter, at(3), 400, Path::Within).is_some());
+    assert!(!meter.fits(Path::Between.cost(251)));
     assert_eq!(meter.refused(), 1);
 }
 
--- a/crates/core/tests/measuring.rs
+++ b/crates/core/tests/measuring.rs
@@ -8,8 +8,8 @@
 use oriolecleat_core::balance::Ending;
 use oriolecleat_core::balance::Limits;
 use oriolecleat_core::balance::PROBE_BYTES;
-use oriolecleat_core::balance::REFUSED_BYTES;
 use oriolecleat_core::balance::REPORT_BYTES;
+use oriolecleat_core::budget::Whole;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::entry::Target;
 use oriolecleat_core::target;
@@ -22,6 +22,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+const REQUEST_BYTES: u64 = 300;
+const REFUSED_BYTES: u64 = 500;
+
 const RATE: u64 = 2_000;
 const BURST: u64 = 6_000;
 
@@ -49,13 +52,19 @@
     fn new() -> Self {
         let limits = Limits {
             queue: 1_000,
-            measuring_rate: RATE,
-            measuring_burst: BURST,
-            remote_rate: 0,
-            remote_burst: 0,
+            measuring: Whole {
+                bytes_per_s: RATE,
+                burst_bytes: BURST,
+                vm_ceiling: 1,
+            },
+            remote: Whole {
+                bytes_per_s: 0,
+                burst_bytes: 0,
+                vm_ceiling: 1,
+            },
             exchange: 0,
         };
-        let mut balancer = Balancer::new(Place::default(), limits);
+        let mut balancer = Balancer::new(Instant::default(), Place::default(), limits);
         let target = |port: u16| Target {
             name: port.to_string().into(),
             address: ([127, 0, 0, 1], port).into(),
@@ -129,6 +138,7 @@
             deadline: Instant::from_micros(self.now + 600_000_000),
             entry: 0,
             hedge_percent: 0,
+            bytes: Some(REQUEST_BYTES),
         };
         let now = Instant::from_micros(self.now);
         self.balancer.arrive(now, ask, &mut self.rng, out);
@@ -144,7 +154,9 @@
         let may_shed = queue < Span::from_millis(100_000);
         let ending = if shed && may_shed {
             self.spent(REFUSED_BYTES);
-            Ending::Shed
+            Ending::Shed {
+                bytes: REFUSED_BYTES,
+            }
         } else {
             if report {
                 self.spent(REPORT_BYTES);
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -125,6 +125,15 @@
         node.observe(self.service, self.target, self.started, headers);
     }
 
+    /// The exchange carried `bytes` in both directions.
+    pub(crate) fn carried(&self, bytes: u64) {
+        let mut node = self.node.borrow_mut();
+        let now = node.clock.now();
+        if let Some(found) = node.services.get_mut(self.service) {
+            found.balancer.carried(now, self.target, bytes);
+        }
+    }
+
     /// The whole answer was read.
     pub(crate) fn answered(self, failed: bool) -> Fate {
         let latency = self.node.borrow().clock.now().since(self.started);
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -8,6 +8,7 @@
 use http::request::Parts;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
@@ -158,7 +159,7 @@
     let (parts, body) = request.into_parts();
     node.borrow_mut().metrics.add(Count::Calls, 1);
     let id = head::request_id(&parts.headers).unwrap_or_else(|| new_id(&node));
-    let admitted = admit(&node, &active, &parts);
+    let admitted = admit(&node, &active, &parts, body.size_hint().exact());
     let prepared = admitted.and_then(|(service, admitted, ask, quota)| {
         active.pass = Pass::enter(&node, quota);
         if active.pass.is_none() {
@@ -209,6 +210,7 @@
     node: &Shared,
     active: &Active,
     parts: &Parts,
+    body: Option<u64>,
 ) -> Result<(service::Key, Admitted, Ask, quota::Key), End> {
     let history = || ticketed::history(&node.borrow(), &parts.headers);
     // The ticket may have been used by an earlier request.
@@ -230,12 +232,13 @@
         log::info!(cause; "malformed head");
         refused(Code::BadRequest)
     })?;
-    enter(node, parts, &facts).map_err(|end| refused(end.code))
+    enter(node, parts, body, &facts).map_err(|end| refused(end.code))
 }
 
 fn enter(
     node: &Shared,
     parts: &Parts,
+    body: Option<u64>,
     facts: &Facts,
 ) -> Result<(service::Key, Admitted, Ask, quota::Key), End> {
     let mut node = node.borrow_mut();
@@ -256,6 +259,7 @@
         deadline: terms.deadline,
         entry: number,
         hedge_percent: hedge_percent(entry),
+        bytes: body.map(|body| body + head::outgoing_bytes(parts)),
     };
     Ok((key, admitted, ask, quota))
 }
@@ -286,13 +290,16 @@
     exchange.node.borrow_mut().metrics.add(Count::Ran, 1);
     active.count(outcome);
     let idle = exchange.idle();
+    let sent = exchange.outgoing.bytes() + exchange.body.sent();
     let (mut parts, body) = reply.response.into_parts();
+    let carried = sent + head::bytes(&parts.headers);
     head::answer(&mut parts.headers, id, outcome.as_str());
     let mut delivery = Box::new(Delivery {
         node: exchange.node,
         body,
         connection: Some(reply.connection),
         attempt: Some(reply.attempt),
+        carried,
         failed: parts.status.is_server_error(),
         held: exchange.held,
         line: exchange.line,
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -72,7 +72,7 @@
         let now = self.clock.now();
         match ending {
             Ending::Answered { latency, .. } => self.metrics.record(latency),
-            Ending::Shed => self.metrics.add(Count::Sheds, 1),
+            Ending::Shed { .. } => self.metrics.add(Count::Sheds, 1),
             Ending::Broken { .. } | Ending::Cancelled => {}
         }
         let Some(found) = self.services.get_mut(service) else {
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -60,11 +60,11 @@
             let targets = service::targets(entries);
             let key = *self.names.entry(name.into()).or_insert_with(|| {
                 self.services
-                    .insert(Service::new(name, place.clone(), limits.clone()))
+                    .insert(Service::new(now, name, place.clone(), limits.clone()))
             });
             named.insert(key);
             if let Some(service) = self.services.get_mut(key) {
-                service.balancer.limit(limits);
+                service.balancer.limit(now, limits);
                 service.balancer.update(now, &targets);
                 service.align(bounds);
             }
--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -190,6 +190,11 @@
         request
     }
 
+    /// Bytes of the head of an attempt.
+    pub(crate) fn bytes(&self) -> u64 {
+        outgoing_bytes(&self.head)
+    }
+
     /// Whether an answer with these headers may belong to this request: a target that returns the
     /// request id returns the right one.
     pub(crate) fn is_answered_by(&self, headers: &HeaderMap) -> bool {
@@ -209,3 +214,25 @@
     headers.insert("oriolecleat-outcome", HeaderValue::from_static(outcome));
     headers.insert(REQUEST_ID, id);
 }
+
+/// Bytes of a status line, or of a request line without its path.
+const LINE_BYTES: u64 = 32;
+/// Bound on the bytes of the headers that an attempt adds.
+const ADDED_BYTES: u64 = 256;
+
+/// Bytes of a head with these headers on the wire.
+pub(crate) fn bytes(headers: &HeaderMap) -> u64 {
+    let sizes = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4);
+    LINE_BYTES + u64::try_from(sizes.sum::<usize>()).unwrap_or(u64::MAX / 2)
+}
+
+/// Bytes of the head of an attempt to send the request of `parts`.
+pub(crate) fn outgoing_bytes(parts: &Parts) -> u64 {
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    bytes(&parts.headers) + ADDED_BYTES + u64::try_from(path).unwrap_or(u64::MAX / 2)
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -186,6 +186,11 @@
         self.totals[count as usize] += amount;
     }
 
+    /// Takes over a total that is counted elsewhere.
+    pub(crate) fn set(&mut self, count: Count, total: u64) {
+        self.totals[count as usize] = total;
+    }
+
     /// Records the time of one call.
     pub(crate) fn record(&mut self, latency: Span) {
         self.latency.saturating_record(latency.as_micros());
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -239,7 +239,9 @@
             if response.body().is_end_stream() {
                 self.node.borrow_mut().pool.put(connection, context);
             }
-            return Raced::Shed(shed, attempt.end(Ending::Shed));
+            let bytes = self.outgoing.bytes() + self.body.sent() + head::bytes(headers);
+            let bytes = bytes + length.unwrap_or(0);
+            return Raced::Shed(shed, attempt.end(Ending::Shed { bytes }));
         }
         if status.is_server_error() && !alone {
             attempt.answered(true);
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -43,6 +43,8 @@
     pub(crate) body: Incoming,
     pub(crate) connection: Option<Connection>,
     pub(crate) attempt: Option<Attempt>,
+    /// Bytes of the exchange so far, in both directions.
+    pub(crate) carried: u64,
     /// Whether the target answered with a server error.
     pub(crate) failed: bool,
     pub(crate) held: Held,
@@ -64,6 +66,7 @@
             node.pool.put(connection, context);
         }
         self.held.ran();
+        attempt.carried(self.carried);
         attempt.answered(self.failed);
         self.line.close();
     }
@@ -79,6 +82,7 @@
         log::info!(cause:% = cause, id = self.line.id(); "answer cut");
         self.connection = None;
         if let Some(attempt) = self.attempt.take() {
+            attempt.carried(self.carried);
             attempt.end(ending);
         }
         self.active.watch.cut();
@@ -123,6 +127,8 @@
             }
             Poll::Ready(Some(Ok(frame))) => {
                 self.waiting = None;
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                self.carried += u64::try_from(bytes).unwrap_or(0);
                 if self.body.is_end_stream() {
                     self.complete(context);
                 }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -4,11 +4,13 @@
 
 use oriolecleat_core::balance::Balancer;
 use oriolecleat_core::balance::Limits;
+use oriolecleat_core::budget::Whole;
 use oriolecleat_core::data;
 use oriolecleat_core::entry;
 use oriolecleat_core::entry::Entry;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
+use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 
 use crate::evidence;
@@ -73,10 +75,10 @@
 }
 
 impl Service {
-    pub(crate) fn new(name: &str, place: Place, limits: Limits) -> Self {
+    pub(crate) fn new(now: Instant, name: &str, place: Place, limits: Limits) -> Self {
         Self {
             name: name.into(),
-            balancer: Balancer::new(place, limits),
+            balancer: Balancer::new(now, place, limits),
             evidence: evidence::Map::new(),
         }
     }
@@ -96,14 +98,22 @@
     let sum = |field: fn(&entry::Limits) -> u64| -> u64 {
         entries.iter().map(|(_, entry)| field(&entry.limits)).sum()
     };
-    let share = |field: fn(&entry::Limits) -> u64| sum(field) / ceiling;
+    let whole = |rate: fn(&entry::Limits) -> u64, burst: fn(&entry::Limits) -> u64| Whole {
+        bytes_per_s: sum(rate),
+        burst_bytes: sum(burst),
+        vm_ceiling: ceiling,
+    };
     let queue = sum(|limits| limits.queue);
     Limits {
         queue: usize::try_from(queue).unwrap_or(usize::MAX),
-        measuring_rate: share(|limits| limits.measuring_bytes_per_s),
-        measuring_burst: share(|limits| limits.measuring_burst_bytes),
-        remote_rate: share(|limits| limits.cross_region_bytes_per_s),
-        remote_burst: share(|limits| limits.cross_region_burst_bytes),
+        measuring: whole(
+            |limits| limits.measuring_bytes_per_s,
+            |limits| limits.measuring_burst_bytes,
+        ),
+        remote: whole(
+            |limits| limits.cross_region_bytes_per_s,
+            |limits| limits.cross_region_burst_bytes,
+        ),
         exchange: EXCHANGE_BYTES,
     }
 }
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use oriolecleat_core::balance::Balancer;
 use tokio::time::Instant;
 
 use crate::clock;
+use crate::metrics::Count;
 use crate::metrics::Gauge;
 use crate::node::Node;
 use crate::node::Shared;
@@ -30,6 +32,7 @@
             report = Instant::now() + REPORT_INTERVAL;
             let mut node = node.borrow_mut();
             let gauges = gauges(&node);
+            count_bytes(&mut node);
             node.metrics.report(&gauges);
         }
         tokio::select! {
@@ -39,6 +42,14 @@
     }
 }
 
+fn count_bytes(node: &mut Node) {
+    let balancers = || node.services.values().map(|service| &service.balancer);
+    let measuring = balancers().map(Balancer::measured).sum();
+    let remote = balancers().map(Balancer::remote_bytes).sum();
+    node.metrics.set(Count::MeasuringBytes, measuring);
+    node.metrics.set(Count::CrossRegionBytes, remote);
+}
+
 fn gauges(node: &Node) -> Vec<(Gauge, u64)> {
     let sum = |count: fn(&crate::service::Service) -> u64| -> u64 {
         node.services.values().map(count).sum()
@@ -49,12 +60,16 @@
         .values()
         .map(|service| service.leaving(now))
         .sum();
-    vec![
+    let mut gauges = vec![
         (Gauge::TargetsLeaving, leaving),
         (Gauge::InFlight, node.visits.in_flight()),
+        (Gauge::Links, node.gossip.linked().count() as u64),
+        (Gauge::Members, node.members_alive),
         (
             Gauge::Waiting,
             sum(|service| service.balancer.waiting() as u64),
         ),
-    ]
+    ];
+    gauges.extend(node.view_age_ms().map(|age| (Gauge::ViewAgeMs, age)));
+    gauges
 }
--- a/crates/daemon/src/upload.rs
+++ b/crates/daemon/src/upload.rs
@@ -49,7 +49,8 @@
     body: Incoming,
     /// The parts read so far; empty once they were too large.
     kept: Vec<Bytes>,
-    kept_bytes: usize,
+    /// Bytes of all parts read so far.
+    read_bytes: usize,
     /// Parts read so far.
     read: usize,
     ended: bool,
@@ -73,7 +74,7 @@
         Self(Some(Rc::new(RefCell::new(Source {
             body,
             kept: Vec::new(),
-            kept_bytes: 0,
+            read_bytes: 0,
             read: 0,
             ended: false,
             length,
@@ -99,6 +100,15 @@
         })
     }
 
+    /// Bound on the bytes that one attempt has sent.
+    pub(crate) fn sent(&self) -> u64 {
+        let bytes = self
+            .0
+            .as_ref()
+            .map_or(0, |source| source.borrow().read_bytes);
+        u64::try_from(bytes).unwrap_or(u64::MAX / 2)
+    }
+
     /// Why the body ended early, if it did.
     pub(crate) fn fault(&self) -> Option<Fault> {
         self.0.as_ref().and_then(|source| source.borrow().fault)
@@ -159,8 +169,8 @@
     fn keep(&mut self, part: &Bytes) {
         let whole = self.kept.len() == self.read;
         self.read += 1;
-        self.kept_bytes = self.kept_bytes.saturating_add(part.len());
-        if whole && self.kept_bytes <= REPLAY_BYTES {
+        self.read_bytes = self.read_bytes.saturating_add(part.len());
+        if whole && self.read_bytes <= REPLAY_BYTES {
             self.kept.push(part.clone());
         } else {
             self.kept.clear();
