Test the measuring budget where it binds

Cause: at the default budget the load tests pass even if the purse never refuses, as the policy spends less.

Change: a test under overload with 8,192 B/s.

--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -151,3 +151,15 @@
         assert!(ratio <= 1.10, "{}: {ratio}", world.name);
     }
 }
+
+/// Guards against measuring beyond a budget that is far smaller than what the policy would spend.
+#[test]
+fn small_measuring_budget_is_kept_under_overload() {
+    let mut plan = plan(Scenario::Overload);
+    plan.measuring = 8_192;
+    let world = World::nilewing();
+    let requests = work::draw(&world, &plan);
+    let (summary, _) = run::run(&world, &plan, Policy::Ours, &requests);
+    let budget = plan.measuring * (SECONDS + 1);
+    assert!(summary.measuring <= budget, "{}", summary.measuring);
+}
