--- a/crates/core/tests/measuring.rs
+++ b/crates/core/tests/measuring.rs
@@ -1,5 +1,5 @@
 //! P1 at the balancer: guards against measuring that passes the budget because what was reserved
-//! is spent late, on top of a purse that has filled up meanwhile.
+//! is spent late, on top of a meter that has filled up meanwhile.
 
 use oriolecleat_core::balance::Action;
 use oriolecleat_core::balance::Ask;
