Hold paths of JSON fields as Box<str>

Cause: the reader of JSON text held the paths of fields in String fields, which the coding rules reserve for text that grows; a path is never appended to.

Change: the path of the seed and the paths of repeated fields are Box<str>. The function join keeps its result type, as it is no field of a type.

--- a/crates/core/src/json.rs
+++ b/crates/core/src/json.rs
@@ -16,7 +16,7 @@
     /// The value; of a repeated field, the last occurrence.
     pub(crate) value: Value,
     /// Paths of the repeated fields.
-    pub(crate) repeated: Vec<String>,
+    pub(crate) repeated: Vec<Box<str>>,
 }
 
 /// Parses `text`.
@@ -28,7 +28,7 @@
     let repeated = RefCell::new(Vec::new());
     let mut parser = serde_json::Deserializer::from_str(text);
     let seed = Seed {
-        path: String::new(),
+        path: "".into(),
         repeated: &repeated,
     };
     let value = seed.deserialize(&mut parser)?;
@@ -49,14 +49,14 @@
 }
 
 struct Seed<'a> {
-    path: String,
-    repeated: &'a RefCell<Vec<String>>,
+    path: Box<str>,
+    repeated: &'a RefCell<Vec<Box<str>>>,
 }
 
 impl Seed<'_> {
-    fn below(&self, path: String) -> Self {
+    fn below(&self, path: &str) -> Self {
         Self {
-            path,
+            path: path.into(),
             repeated: self.repeated,
         }
     }
@@ -103,7 +103,7 @@
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Value, A::Error> {
         let mut values = Vec::new();
-        let item = |index: usize| self.below(format!("{}[{index}]", self.path));
+        let item = |index: usize| self.below(&format!("{}[{index}]", self.path));
         while let Some(value) = list.next_element_seed(item(values.len()))? {
             values.push(value);
         }
@@ -114,9 +114,9 @@
         let mut fields = Map::new();
         while let Some(name) = object.next_key::<String>()? {
             let path = join(&self.path, &name);
-            let value = object.next_value_seed(self.below(path.clone()))?;
+            let value = object.next_value_seed(self.below(&path))?;
             if fields.insert(name, value).is_some() {
-                self.repeated.borrow_mut().push(path);
+                self.repeated.borrow_mut().push(path.into());
             }
         }
         Ok(Value::Object(fields))
