Share the configuration of property tests and name its imports

Change: the imports are named. seeded::config takes the seed too; the four files pass seed 1 and proptest's default of 256 cases, as before. The raised limit of local rejects stays with the two catalogue tests that had it.

--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -1,13 +1,18 @@
 //! P1: guards against a fleet that spends more on measuring than its budget allows.
 
+mod seeded;
+
 use oriolecleat_core::budget::Meter;
 use oriolecleat_core::budget::Path;
 use oriolecleat_core::budget::Reservation;
 use oriolecleat_core::budget::Retry;
 use oriolecleat_core::budget::Whole;
 use oriolecleat_core::time::Instant;
-use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use proptest::arbitrary::any;
+use proptest::prop_oneof;
+use proptest::strategy::BoxedStrategy;
+use proptest::strategy::Just;
+use proptest::strategy::Strategy;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -146,20 +151,8 @@
     }
 }
 
-/// A fixed seed, unless `PROPTEST_RNG_SEED` names one; `PROPTEST_CASES` sets the number of cases.
-fn config() -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(seeded::config(1, 256))]
 
     #[test]
     fn all_seats_together_stay_within_the_whole(sequential 1..60 => Fleet);
--- a/crates/core/tests/catalogue.rs
+++ b/crates/core/tests/catalogue.rs
@@ -16,7 +16,13 @@
 use oriolecleat_core::time::Span;
 use oriolecleat_core::version::Version;
 use oriolecleat_core::view::View;
-use proptest::prelude::*;
+use proptest::collection;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::strategy::Just;
+use proptest::strategy::Strategy;
+use proptest::test_runner::Config;
 use sha2::Digest;
 use sha2::Sha256;
 
@@ -74,7 +80,7 @@
         Just("other")
     ];
     let offer = (key, content).prop_map(|(key, (version, text))| (key.into(), version, text));
-    prop::collection::vec(offer, 0..12)
+    collection::vec(offer, 0..12)
 }
 
 /// The valid and the rejected content of each key, from the rules of the page alone.
@@ -105,7 +111,10 @@
 }
 
 proptest! {
-    #![proptest_config(seeded::config(512))]
+    #![proptest_config(Config {
+        max_local_rejects: u32::MAX,
+        ..seeded::config(0x0ca7_a109, 512)
+    })]
 
     /// Guards against VMs that differ because they received the same contents in another order,
     /// in other groups, or more than once.
--- a/crates/core/tests/catalogue_state.rs
+++ b/crates/core/tests/catalogue_state.rs
@@ -18,7 +18,12 @@
 use oriolecleat_core::catalogue::Source;
 use oriolecleat_core::catalogue::Value;
 use oriolecleat_core::version::Version;
-use proptest::prelude::*;
+use proptest::arbitrary::any;
+use proptest::prop_oneof;
+use proptest::strategy::BoxedStrategy;
+use proptest::strategy::Just;
+use proptest::strategy::Strategy;
+use proptest::test_runner::Config;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -440,7 +445,11 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(seeded::config(768))]
+    // Steps of a state machine that do not apply are drawn again; long runs draw many.
+    #![proptest_config(Config {
+        max_local_rejects: u32::MAX,
+        ..seeded::config(0x0ca7_a109, 768)
+    })]
 
     /// Guards against accepted changes that revert, are lost, or differ between VMs.
     #[test]
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -1,6 +1,8 @@
 //! P5: guards against new work for a target that is leaving, and against targets that stay out
 //! although nothing speaks against them.
 
+mod seeded;
+
 use oriolecleat_core::leaving::Bounds;
 use oriolecleat_core::leaving::Evidence;
 use oriolecleat_core::leaving::Listed;
@@ -10,8 +12,10 @@
 use oriolecleat_core::leaving::Standing;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
-use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use proptest::prop_oneof;
+use proptest::strategy::BoxedStrategy;
+use proptest::strategy::Just;
+use proptest::strategy::Strategy;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -341,7 +345,7 @@
         Just(Source::List)
     ];
     prop_oneof![
-        6 => (ago.clone(), prop::bool::weighted(0.1)).prop_map(|(ago, sign)| Event::Answer(ago, sign)),
+        6 => (ago.clone(), proptest::bool::weighted(0.1)).prop_map(|(ago, sign)| Event::Answer(ago, sign)),
         6 => (ago, probe).prop_map(|(ago, probe)| Event::Probe(ago, probe)),
         1 => Just(Event::Refused),
         1 => (listed, age.clone()).prop_map(|(listed, age)| Event::List(listed, age)),
@@ -397,20 +401,8 @@
     }
 }
 
-/// A fixed seed, unless `PROPTEST_RNG_SEED` names one; `PROPTEST_CASES` sets the number of cases.
-fn config() -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(seeded::config(1, 256))]
 
     #[test]
     fn standing_agrees_with_what_was_said(sequential 1..40 => Subject);
--- a/crates/core/tests/measuring.rs
+++ b/crates/core/tests/measuring.rs
@@ -1,6 +1,8 @@
 //! P1 at the balancer: guards against measuring that passes the budget because what was reserved
 //! is spent late, on top of a purse that has filled up meanwhile.
 
+mod seeded;
+
 use oriolecleat_core::balance::Action;
 use oriolecleat_core::balance::Ask;
 use oriolecleat_core::balance::Balancer;
@@ -17,8 +19,12 @@
 use oriolecleat_core::target::Standing;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
-use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use proptest::arbitrary::any;
+use proptest::collection;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::strategy::Just;
+use proptest::strategy::Strategy;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -178,23 +184,11 @@
         1 => Just(Step::Unconfirm),
         2 => Just(Step::Probed),
     ];
-    prop::collection::vec(step, 1..80)
-}
-
-/// A fixed seed, unless `PROPTEST_RNG_SEED` names one; `PROPTEST_CASES` sets the number of cases.
-fn config() -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
+    collection::vec(step, 1..80)
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(seeded::config(1, 256))]
 
     #[test]
     fn a_balancer_stays_within_its_share(steps in steps()) {
--- a/crates/core/tests/seeded/mod.rs
+++ b/crates/core/tests/seeded/mod.rs
@@ -4,17 +4,15 @@
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 
-/// `cases` cases with a fixed seed; `PROPTEST_CASES` and `PROPTEST_RNG_SEED` replace them.
-pub fn config(cases: u32) -> Config {
+/// `cases` cases with a fixed `seed`; `PROPTEST_CASES` and `PROPTEST_RNG_SEED` replace them.
+pub fn config(seed: u64, cases: u32) -> Config {
     let mut config = Config::default();
     if std::env::var_os("PROPTEST_CASES").is_none() {
         config.cases = cases;
     }
     if std::env::var_os("PROPTEST_RNG_SEED").is_none() {
-        config.rng_seed = RngSeed::Fixed(0x0ca7_a109);
+        config.rng_seed = RngSeed::Fixed(seed);
     }
-    // Steps of a state machine that do not apply are drawn again; long runs draw many.
-    config.max_local_rejects = u32::MAX;
     config.failure_persistence = None;
     config
 }
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -1,12 +1,16 @@
 //! P6: guards against a planned stop that cuts a request or refuses a caller that was sent here.
 
+mod seeded;
+
 use oriolecleat_core::settings::Stop;
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::stop::Work;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
-use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use proptest::prop_oneof;
+use proptest::strategy::BoxedStrategy;
+use proptest::strategy::Just;
+use proptest::strategy::Strategy;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -143,20 +147,8 @@
     }
 }
 
-/// A fixed seed, unless `PROPTEST_RNG_SEED` names one; `PROPTEST_CASES` sets the number of cases.
-fn config() -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(seeded::config(1, 256))]
 
     #[test]
     fn a_planned_stop_cuts_nothing(sequential 1..60 => Subject);
