Hold the filter of the audit command as Box<str>

Cause: two fields of the arguments were Option<String>; text in types is Box<str>.

Change: the argument is read as String and mapped to Box<str>.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -135,11 +135,11 @@
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct Filter {
     /// Only records about this subject, such as entries/NAME
-    #[bpaf(argument("SUBJECT"))]
-    pub(crate) subject: Option<String>,
+    #[bpaf(argument::<String>("SUBJECT"), map(String::into_boxed_str), optional)]
+    pub(crate) subject: Option<Box<str>>,
     /// Only records of this kind, such as rejected
-    #[bpaf(argument("KIND"))]
-    pub(crate) kind: Option<String>,
+    #[bpaf(argument::<String>("KIND"), map(String::into_boxed_str), optional)]
+    pub(crate) kind: Option<Box<str>>,
     /// Keep asking for new records until interrupted
     pub(crate) follow: bool,
 }
