--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -9,8 +9,8 @@
 use serde_json::Value;
 
 use crate::Finding;
-use crate::answer::Audit;
-use crate::answer::Record;
+use crate::answer::audit::Audit;
+use crate::answer::audit::Record;
 use crate::arguments::Filter;
 use crate::arguments::Format;
 use crate::arguments::Operator;
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -3,11 +3,11 @@
 use error_stack::Report;
 
 use crate::Finding;
-use crate::answer::Candidate;
-use crate::answer::Cause;
-use crate::answer::Entry;
-use crate::answer::Machine;
-use crate::answer::Target;
+use crate::answer::entry::Entry;
+use crate::answer::machine::Machine;
+use crate::answer::target::Candidate;
+use crate::answer::target::Cause;
+use crate::answer::target::Target;
 use crate::arguments::Format;
 use crate::arguments::Operator;
 use crate::arguments::Subject;
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -3,8 +3,8 @@
 use error_stack::Report;
 
 use crate::Finding;
-use crate::answer::Fleet;
-use crate::answer::Member;
+use crate::answer::fleet::Fleet;
+use crate::answer::fleet::Member;
 use crate::arguments::Format;
 use crate::arguments::Operator;
 use crate::failure::Failure;
--- a/crates/cli/src/print.rs
+++ b/crates/cli/src/print.rs
@@ -6,7 +6,7 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 
-use crate::answer::Known;
+use crate::answer::known::Known;
 use crate::failure::Failure;
 
 /// `text` on one line: control characters become spaces, so that no content of the catalogue can
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -3,8 +3,8 @@
 use error_stack::Report;
 
 use crate::Finding;
-use crate::answer::Keys;
-use crate::answer::Status;
+use crate::answer::catalogue::Keys;
+use crate::answer::status::Status;
 use crate::arguments::Format;
 use crate::arguments::Operator;
 use crate::failure::Failure;
