Share the server handle of the fakes

Cause: the fake platform and the fake target each had the same type Server.

Change: one type in fake/server.rs; fake::platform still exports it under the path that the daemon's tests name.

--- a/crates/bench/examples/demo.rs
+++ b/crates/bench/examples/demo.rs
@@ -12,7 +12,7 @@
 use nix::sys::signal::Signal;
 use oriolecleat_bench::client;
 use oriolecleat_bench::fake::platform::Platform;
-use oriolecleat_bench::fake::target::Server;
+use oriolecleat_bench::fake::server::Server;
 use oriolecleat_bench::fake::target::Target;
 use oriolecleat_bench::process;
 use oriolecleat_bench::process::Daemon;
--- a/crates/bench/examples/overhead.rs
+++ b/crates/bench/examples/overhead.rs
@@ -22,7 +22,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use oriolecleat_bench::fake::platform::Platform;
-use oriolecleat_bench::fake::platform::Server;
+use oriolecleat_bench::fake::server::Server;
 use oriolecleat_bench::fake::target::Target;
 use oriolecleat_bench::process;
 use oriolecleat_bench::process::Daemon;
--- a/crates/bench/src/fake/mod.rs
+++ b/crates/bench/src/fake/mod.rs
@@ -1,4 +1,5 @@
 //! Small stand-ins for targets, the configuration service and the VM list.
 
 pub mod platform;
+pub mod server;
 pub mod target;
--- a/crates/bench/src/fake/platform.rs
+++ b/crates/bench/src/fake/platform.rs
@@ -26,7 +26,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+
+pub use crate::fake::server::Server;
 
 const PROGRESS_INTERVAL_MS: u64 = 1_000;
 
@@ -52,26 +53,6 @@
     state: Rc<RefCell<State>>,
 }
 
-/// A running server; dropping it closes the port and all connections.
-pub struct Server {
-    address: SocketAddr,
-    task: JoinHandle<()>,
-}
-
-impl Server {
-    /// Where the server listens.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-}
-
-impl Drop for Server {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 impl Default for Platform {
     fn default() -> Self {
         let (revision, _) = watch::channel(1);
--- a/crates/bench/src/fake/target.rs
+++ b/crates/bench/src/fake/target.rs
@@ -23,7 +23,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
-use tokio::task::JoinHandle;
+
+use crate::fake::server::Server;
 
 const DEFAULT_SLOTS: usize = 4;
 
@@ -45,26 +46,6 @@
     slots: Arc<Semaphore>,
 }
 
-/// A running target; dropping it closes the port and all connections.
-pub struct Server {
-    address: SocketAddr,
-    task: JoinHandle<()>,
-}
-
-impl Server {
-    /// Where the target listens.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-}
-
-impl Drop for Server {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 impl Target {
     /// A target that works `work` on each request that does not ask for another time.
     #[must_use]
--- a/crates/bench/tests/failure/world.rs
+++ b/crates/bench/tests/failure/world.rs
@@ -9,9 +9,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use oriolecleat_bench::fake::platform;
 use oriolecleat_bench::fake::platform::Platform;
-use oriolecleat_bench::fake::target;
+use oriolecleat_bench::fake::server::Server;
 use oriolecleat_bench::fake::target::Target;
 use oriolecleat_bench::process;
 use oriolecleat_bench::process::Daemon;
@@ -31,7 +30,7 @@
 pub struct Served {
     pub name: Box<str>,
     pub target: Target,
-    pub server: Option<target::Server>,
+    pub server: Option<Server>,
     pub address: SocketAddr,
 }
 
@@ -39,8 +38,8 @@
     pub configuration: Platform,
     pub list: Platform,
     /// None while the service is down.
-    pub configuration_server: Option<platform::Server>,
-    pub list_server: Option<platform::Server>,
+    pub configuration_server: Option<Server>,
+    pub list_server: Option<Server>,
     pub targets: Vec<Served>,
     pub daemons: Vec<Daemon>,
     addresses: (SocketAddr, SocketAddr),
