Split the virtual network by job

Change: network/ has a file for each; the parts are moved without a change and the public names stay where they were.

--- /dev/null
+++ b/crates/bench/src/network/mod.rs
@@ -0,0 +1,266 @@
+//! VMs' shares in the fleet, connected by a list of messages in virtual time.
+
+mod event;
+mod link;
+mod site;
+mod traffic;
+mod vm;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use oriolecleat_core::gossip::Action;
+use oriolecleat_core::gossip::Context;
+use oriolecleat_core::gossip::Gossip;
+use oriolecleat_core::gossip::Link;
+use oriolecleat_core::message::Message;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+use oriolecleat_wire::handshake::Established;
+use oriolecleat_wire::handshake::Hello;
+use rand::Rng;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::network::event::Event;
+use crate::network::link::Ends;
+use crate::network::link::establish;
+use crate::network::site::index;
+
+pub use crate::network::site::Site;
+pub use crate::network::site::sites;
+pub use crate::network::vm::Cost;
+pub use crate::network::vm::Vm;
+
+/// Time between two ticks of a VM.
+pub const TICK: Span = Span::from_millis(200);
+/// Time for which news of leaving targets holds.
+pub const HOLD: Span = Span::from_millis(60_000);
+
+const LOCAL_DELAY: Span = Span::from_millis(1);
+const REGION_DELAY: Span = Span::from_millis(20);
+const DIAL_TIMEOUT: Span = Span::from_millis(1_000);
+
+/// What the network does to messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Messages lost, in percent.
+    pub lost: u32,
+    /// Messages delivered twice, in percent.
+    pub doubled: u32,
+    /// Messages delayed by up to two seconds, in percent; later ones overtake them.
+    pub delayed: u32,
+    /// Whether frames that push news over several links are lost, so that only repairs spread it.
+    pub pushes_lost: bool,
+}
+
+/// A fleet in virtual time.
+pub struct Network {
+    /// The VMs.
+    pub vms: Vec<Vm>,
+    /// What happens to messages.
+    pub faults: Faults,
+    /// Part of the network that each VM is in; messages between parts are lost.
+    pub parts: Vec<u8>,
+    /// Hashes of contents that changed, with the time at which each VM accepted them.
+    pub accepted: BTreeMap<Box<str>, Vec<(usize, Instant)>>,
+    now: Instant,
+    queue: BTreeMap<(Instant, u64), Event>,
+    links: BTreeMap<Link, Ends>,
+    counter: u64,
+    random: SmallRng,
+    codec: bool,
+    scratch: Established,
+}
+
+fn is_news(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Entries(_) | Message::Leaving(_) | Message::Members(_)
+    )
+}
+
+impl Network {
+    /// A fleet whose VMs start within a second. With `codec`, every message is sealed and opened
+    /// as on a real link, which needs a network without faults.
+    #[must_use]
+    pub fn new(sites: &[Site], seed: u64, codec: bool) -> Self {
+        let now = Instant::from_micros(1_000_000);
+        let mut network = Self {
+            vms: Vec::new(),
+            faults: Faults::default(),
+            parts: vec![0; sites.len()],
+            accepted: BTreeMap::new(),
+            now,
+            queue: BTreeMap::new(),
+            links: BTreeMap::new(),
+            counter: 0,
+            random: SmallRng::seed_from_u64(seed),
+            codec,
+            scratch: {
+                let hello = |vm, nonce| Hello::new("fleet", vm, 1, "dc", [nonce; 32]);
+                let [near, _] = establish(hello("a", 1), &hello("b", 2));
+                near
+            },
+        };
+        for (index, site) in sites.iter().enumerate() {
+            let incarnation = 1_000 + index as u64;
+            let vm = Vm::start(index, site.clone(), incarnation, now, seed);
+            network.vms.push(vm);
+            let first = network.random.random_range(0..=TICK.as_micros());
+            network.schedule(Span::from_micros(first), Event::Tick(index, incarnation));
+        }
+        network
+    }
+
+    /// Virtual time.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Runs all events of the next `span`.
+    pub fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((time, _), event) = entry.remove_entry();
+            self.now = time;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    /// Kills a VM; its links close if `reset`, else they fall silent.
+    pub fn kill(&mut self, vm: usize, reset: bool) {
+        self.vms[vm].running = false;
+        if reset {
+            let links: Vec<Link> = self.links_of(vm).collect();
+            for link in links {
+                self.close(vm, link);
+            }
+        }
+    }
+
+    /// Starts a new incarnation of a killed VM at the same address.
+    pub fn start(&mut self, vm: usize) {
+        let incarnation = self.vms[vm].incarnation + 100_000;
+        let site = self.vms[vm].site.clone();
+        let seed = self.random.next_u64();
+        self.vms[vm] = Vm::start(vm, site, incarnation, self.now, seed);
+        self.schedule(Span::ZERO, Event::Tick(vm, incarnation));
+    }
+
+    /// Stops a VM from running for `span`; what arrives waits.
+    pub fn freeze(&mut self, vm: usize, span: Span) {
+        self.vms[vm].frozen = self.now + span;
+    }
+
+    /// Lets an event of a running VM change its state and carries out the actions.
+    pub fn act(&mut self, vm: usize, event: impl FnOnce(&mut Gossip, &mut Context) -> Vec<Action>) {
+        let actions = self.vms[vm].handle(self.now, event);
+        self.perform(vm, actions);
+    }
+
+    fn links_of(&self, vm: usize) -> impl Iterator<Item = Link> {
+        let own = move |(_, ends): &(&Link, &Ends)| ends.vms.contains(&vm);
+        self.links.iter().filter(own).map(|(link, _)| *link)
+    }
+
+    fn schedule(&mut self, delay: Span, event: Event) {
+        self.counter += 1;
+        self.queue.insert((self.now + delay, self.counter), event);
+    }
+
+    fn alive(&self, vm: usize, incarnation: u64) -> bool {
+        self.vms[vm].running && self.vms[vm].incarnation == incarnation
+    }
+
+    fn handle(&mut self, event: Event) {
+        let (Event::Tick(vm, incarnation)
+        | Event::Deliver(vm, incarnation, ..)
+        | Event::Dialled(vm, incarnation, _)
+        | Event::Closed(vm, incarnation, _)) = event;
+        if !self.alive(vm, incarnation) {
+            return;
+        }
+        let frozen = self.vms[vm].frozen;
+        if frozen > self.now {
+            // Events of a frozen VM keep their order.
+            self.schedule(frozen.since(self.now), event);
+            return;
+        }
+        match event {
+            Event::Tick(..) => {
+                self.act(vm, Gossip::tick);
+                self.schedule(TICK, Event::Tick(vm, incarnation));
+            }
+            Event::Deliver(_, _, link, packet) => self.deliver(vm, link, packet),
+            Event::Dialled(_, _, far) => self.dialled(vm, far),
+            Event::Closed(_, _, link) => self.act(vm, |gossip, context| gossip.down(context, link)),
+        }
+    }
+
+    fn delay(&self, near: usize, far: usize) -> Span {
+        if self.vms[near].site.region == self.vms[far].site.region {
+            LOCAL_DELAY
+        } else {
+            REGION_DELAY
+        }
+    }
+
+    fn perform(&mut self, vm: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(links, message) => {
+                    let push = links.len() > 1 && is_news(&message);
+                    for link in links {
+                        self.send(vm, link, &message, push);
+                    }
+                }
+                Action::Dial(address) => {
+                    let Some(far) = index(address).filter(|far| *far < self.vms.len()) else {
+                        continue;
+                    };
+                    // A dial takes two round trips, and a blocked one its whole timeout.
+                    let reachable = self.vms[far].running && self.parts[vm] == self.parts[far];
+                    let span = if reachable {
+                        Span::from_micros(4 * self.delay(vm, far).as_micros())
+                    } else {
+                        DIAL_TIMEOUT
+                    };
+                    let incarnation = self.vms[vm].incarnation;
+                    self.schedule(span, Event::Dialled(vm, incarnation, far));
+                }
+                Action::Close(link) => self.close(vm, link),
+                Action::Offered(key, _) => {
+                    let now = self.now;
+                    self.accepted.entry(key).or_default().push((vm, now));
+                }
+                Action::Departed(_)
+                | Action::Loaded(..)
+                | Action::Members
+                | Action::Raised(_)
+                | Action::Superseded
+                | Action::Resumed => {}
+            }
+        }
+    }
+
+    /// The VMs that run.
+    #[must_use]
+    pub fn running(&self) -> BTreeSet<usize> {
+        let running = |vm: &usize| self.vms[*vm].running;
+        (0..self.vms.len()).filter(running).collect()
+    }
+
+    /// Sets all traffic to zero.
+    pub fn reset_costs(&mut self) {
+        for vm in &mut self.vms {
+            vm.cost = Cost::default();
+        }
+    }
+}
