Move the tools of the cost experiment into the bench

Change: setup, load, memory, numbers and result lines are modules of bench::cost; the example holds the experiments.

--- a/crates/bench/examples/control_cost.rs
+++ b/crates/bench/examples/control_cost.rs
@@ -4,10 +4,19 @@
 //! the WebSocket frames, sent and received; time is that of decisions and codec, without the
 //! socket calls.
 
-use std::time::Duration;
-
-use oriolecleat_bench::network::Network;
-use oriolecleat_bench::network::sites;
+use oriolecleat_bench::cost::line::print;
+use oriolecleat_bench::cost::line::report;
+use oriolecleat_bench::cost::load::WINDOW_S;
+use oriolecleat_bench::cost::load::load;
+use oriolecleat_bench::cost::load::window;
+use oriolecleat_bench::cost::memory::grown;
+use oriolecleat_bench::cost::number::as_f64;
+use oriolecleat_bench::cost::number::slope;
+use oriolecleat_bench::cost::setup::CENTERS;
+use oriolecleat_bench::cost::setup::REGIONS;
+use oriolecleat_bench::cost::setup::entry;
+use oriolecleat_bench::cost::setup::publish;
+use oriolecleat_bench::cost::setup::settled;
 use oriolecleat_core::audit::Change;
 use oriolecleat_core::audit::Ring;
 use oriolecleat_core::catalogue::Catalogue;
@@ -15,34 +24,15 @@
 use oriolecleat_core::member::Fleet;
 use oriolecleat_core::member::Record;
 use oriolecleat_core::member::State;
-use oriolecleat_core::message::Content;
-use oriolecleat_core::reader;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
-use oriolecleat_core::version::Version;
-use serde_json::json;
 
-const REGIONS: usize = 7;
-const CENTERS: usize = 19;
 const ENTRIES: usize = 150;
-const TARGETS: usize = 14;
 const CHANGES_PER_DAY: f64 = 4_000.0;
 const SECONDS_PER_DAY: f64 = 86_400.0;
 const DEFAULT_VMS: usize = 200;
-const SETTLE: Span = Span::from_millis(40_000);
-const WINDOW_S: u32 = 60;
-const WINDOW: Span = Span::from_millis(60_000);
 const RUNS: u64 = 3;
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Load {
-    bytes: f64,
-    most_bytes: f64,
-    frames: f64,
-    micros: f64,
-    most_micros: f64,
-}
-
 fn main() {
     let asked = std::env::args().nth(1);
     let vms = asked
@@ -56,107 +46,6 @@
     change_slopes();
 }
 
-fn print(quantity: &str, slope: f64, unit: &str, per: &str, runs: u64) {
-    let slope = (slope * 1_000.0).round() / 1_000.0;
-    let line =
-        json!({ "quantity": quantity, "slope": slope, "unit": unit, "per": per, "runs": runs });
-    println!("{line}");
-}
-
-fn entry(index: usize, revision: u64) -> Content {
-    let targets: Vec<_> = (0..TARGETS)
-        .map(|target| {
-            json!({
-                "name": format!("target-{index}-{target}"),
-                "address": format!("10.{}.{}.{target}:8080", 1 + index / 256, index % 256),
-                "vm": format!("host-{index}-{target}"),
-                "region": format!("region-{}", target % REGIONS),
-                "data_center": format!("dc-{target:02}"),
-                "slots": 4,
-            })
-        })
-        .collect();
-    let text = json!({
-        "service": format!("service-{index}"), "owner": format!("revision {revision}"),
-        "class": "interactive", "targets": targets,
-    });
-    Content {
-        key: format!("entries/entry-{index}").into(),
-        version: Version {
-            generation: 0,
-            revision,
-        },
-        text: Some(text.to_string().into()),
-    }
-}
-
-/// What the designated readers of every data centre learn at the same moment, or of only the first
-/// data centre if the service is cut off from the others.
-fn publish(network: &mut Network, contents: &[Content], everywhere: bool) {
-    let first = network.vms[0].site().data_center.clone();
-    for vm in network.running() {
-        let state = &network.vms[vm];
-        let reads = reader::designated(state.gossip.fleet(), 2);
-        if reads && (everywhere || state.site().data_center == first) {
-            let contents = contents.to_vec();
-            network.act(vm, |gossip, context| gossip.publish(context, contents));
-        }
-    }
-}
-
-fn settled(vms: usize, entries: usize, seed: u64, codec: bool) -> Network {
-    let mut network = Network::new(&sites(REGIONS, CENTERS, vms), seed, codec);
-    network.run(SETTLE);
-    let contents: Vec<Content> = (0..entries).map(|index| entry(index, 1)).collect();
-    publish(&mut network, &contents, true);
-    network.run(Span::from_millis(10_000));
-    network
-}
-
-fn window(network: &mut Network) -> Load {
-    network.reset_costs();
-    network.run(WINDOW);
-    load(network)
-}
-
-fn load(network: &Network) -> Load {
-    let seconds = f64::from(WINDOW_S);
-    let running = network.running();
-    let mut load = Load::default();
-    for vm in &running {
-        let cost = network.vms[*vm].cost;
-        let bytes = as_f64(cost.bytes) / seconds;
-        let micros = micros(cost.busy) / seconds;
-        load.bytes += bytes / as_f64(running.len() as u64);
-        load.frames += as_f64(cost.frames) / seconds / as_f64(running.len() as u64);
-        load.micros += micros / as_f64(running.len() as u64);
-        load.most_bytes = load.most_bytes.max(bytes);
-        load.most_micros = load.most_micros.max(micros);
-    }
-    load
-}
-
-fn micros(span: Duration) -> f64 {
-    span.as_secs_f64() * 1_000_000.0
-}
-
-fn as_f64(number: u64) -> f64 {
-    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
-}
-
-/// Slope of the least-squares line through `points`.
-fn slope(points: &[(f64, f64)]) -> f64 {
-    let count = as_f64(points.len() as u64);
-    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
-    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
-    let covariance: f64 = points
-        .iter()
-        .map(|(x, y)| (x - mean_x) * (y - mean_y))
-        .sum();
-    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
-    covariance / variance
-}
-
 fn idle_slopes() {
     let mut bytes = Vec::new();
     let mut times = Vec::new();
@@ -306,38 +195,6 @@
     report("minute after its return", window(&mut network), &per);
 }
 
-fn report(when: &str, load: Load, per: &str) {
-    print(
-        &format!("{when}: bytes per second, mean"),
-        load.bytes,
-        "B/s",
-        per,
-        1,
-    );
-    print(
-        &format!("{when}: bytes per second, busiest VM"),
-        load.most_bytes,
-        "B/s",
-        per,
-        1,
-    );
-    print(
-        &format!("{when}: frames per second, mean"),
-        load.frames,
-        "1/s",
-        per,
-        1,
-    );
-    print(&format!("{when}: time, mean"), load.micros, "us/s", per, 1);
-    print(
-        &format!("{when}: time, busiest VM"),
-        load.most_micros,
-        "us/s",
-        per,
-        1,
-    );
-}
-
 fn delays(vms: usize) {
     let per = format!("change at {vms} VMs");
     for (lost, everywhere, what) in [
@@ -372,23 +229,6 @@
     }
 }
 
-/// Bytes of resident memory.
-fn resident() -> f64 {
-    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kilobytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<f64>().ok());
-    kilobytes.unwrap_or(0.0) * 1_024.0
-}
-
-fn grown<T>(count: u64, build: impl FnOnce() -> T) -> f64 {
-    let before = resident();
-    let held = build();
-    let after = resident();
-    // Kept, so that the next values do not reuse its pages.
-    std::mem::forget(held);
-    (after - before) / as_f64(count)
-}
-
 fn memory() {
     let address = ([10, 0, 0, 1], 7_000).into();
     let record = |vm: u64| Record {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Fakes of the outside systems, load and experiments; not shipped.
 
 pub mod client;
+pub mod cost;
 pub mod fake;
 pub mod load;
 pub mod model;
