--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,9 +1,9 @@
 //! Fakes of the outside systems, load and experiments; not shipped.
 
 pub mod client;
+pub mod cost;
 pub mod fake;
 pub mod load;
 pub mod model;
 pub mod network;
 pub mod process;
-pub mod vm;
--- a/crates/bench/src/network.rs
+++ b/crates/bench/src/network/mod.rs
@@ -1,41 +1,46 @@
 //! VMs' shares in the fleet, connected by a list of messages in virtual time.
 
+mod event;
+mod link;
+mod site;
+mod traffic;
+mod vm;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use oriolecleat_core::gossip::Action;
 use oriolecleat_core::gossip::Context;
 use oriolecleat_core::gossip::Gossip;
-use oriolecleat_core::gossip::Joined;
 use oriolecleat_core::gossip::Link;
 use oriolecleat_core::message::Message;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
-use oriolecleat_wire::frame::Frame;
-use oriolecleat_wire::handshake::Acceptor;
-use oriolecleat_wire::handshake::Dialer;
 use oriolecleat_wire::handshake::Established;
 use oriolecleat_wire::handshake::Hello;
-use oriolecleat_wire::handshake::Key;
 use rand::Rng;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::vm::Cost;
-use crate::vm::Site;
-use crate::vm::Vm;
-use crate::vm::address;
-use crate::vm::index;
+use crate::network::event::Event;
+use crate::network::link::Ends;
+use crate::network::link::establish;
+use crate::network::site::index;
+
+pub use crate::network::site::Site;
+pub use crate::network::site::sites;
+pub use crate::network::vm::Cost;
+pub use crate::network::vm::Vm;
 
 /// Time between two ticks of a VM.
 pub const TICK: Span = Span::from_millis(200);
-const FLEET_KEY: &[u8] = b"0123456789abcdef0123456789abcdef";
+/// Time for which news of leaving targets holds.
+pub const HOLD: Span = Span::from_millis(60_000);
+
 const LOCAL_DELAY: Span = Span::from_millis(1);
 const REGION_DELAY: Span = Span::from_millis(20);
 const DIAL_TIMEOUT: Span = Span::from_millis(1_000);
-// Two messages and a proof, with the HTTP upgrade of both sides.
-const HANDSHAKE_BYTES: u64 = 900;
 
 /// What the network does to messages.
 #[derive(Clone, Copy, Debug, Default)]
@@ -50,25 +55,6 @@
     pub pushes_lost: bool,
 }
 
-enum Event {
-    Tick(usize, u64),
-    Deliver(usize, u64, Link, Packet),
-    Dialled(usize, u64, usize),
-    Closed(usize, u64, Link),
-}
-
-#[derive(Clone)]
-enum Packet {
-    Plain(Message),
-    Sealed(Vec<u8>),
-}
-
-struct Ends {
-    vms: [usize; 2],
-    incarnations: [u64; 2],
-    codecs: Option<[Established; 2]>,
-}
-
 /// A fleet in virtual time.
 pub struct Network {
     /// The VMs.
@@ -88,26 +74,6 @@
     scratch: Established,
 }
 
-fn establish(near: Hello, far: &Hello) -> [Established; 2] {
-    let key = Key::new(FLEET_KEY);
-    let (dialer, first) = Dialer::start(key.clone(), near);
-    let (acceptor, second) = Acceptor::start(key, far, &first).expect("hellos of one fleet");
-    let (near, third) = dialer.receive(&second).expect("proofs under one key");
-    let far = acceptor.receive(&third).expect("proofs under one key");
-    [near, far]
-}
-
-// A frame carries a header of 2 bytes, of 4 from 126 bytes and of 10 from 65,536; half of the
-// frames, those of the dialer, carry a mask of 4 bytes.
-fn web_socket_bytes(payload: usize) -> u64 {
-    let header = match payload {
-        0..126 => 2,
-        126..65_536 => 4,
-        _ => 10,
-    };
-    payload as u64 + header + 2
-}
-
 fn is_news(message: &Message) -> bool {
     matches!(
         message,
@@ -284,151 +250,6 @@
         }
     }
 
-    fn dialled(&mut self, near: usize, far: usize) {
-        let blocked = self.parts[near] != self.parts[far] || self.vms[far].frozen > self.now;
-        if near == far || blocked || !self.vms[far].running {
-            let target = address(far);
-            return self.act(near, |gossip, context| {
-                gossip.failed(context.now, target, context.random);
-                Vec::new()
-            });
-        }
-        self.counter += 1;
-        let link = Link(self.counter);
-        let hello = |vm: &Vm, nonce: u64| {
-            let mut bytes = [0; 32];
-            bytes[..8].copy_from_slice(&nonce.to_be_bytes());
-            Hello::new(
-                "fleet",
-                &vm.name,
-                vm.incarnation,
-                &vm.site.data_center,
-                bytes,
-            )
-        };
-        let hellos = [
-            hello(&self.vms[near], link.0),
-            hello(&self.vms[far], !link.0),
-        ];
-        let started = std::time::Instant::now();
-        let codecs = self.codec.then(|| establish(hellos[0].clone(), &hellos[1]));
-        let spent = started.elapsed() / 2;
-        let ends = Ends {
-            vms: [near, far],
-            incarnations: [self.vms[near].incarnation, self.vms[far].incarnation],
-            codecs,
-        };
-        self.links.insert(link, ends);
-        for (vm, peer, dialled) in [(near, 1, Some(address(far))), (far, 0, None)] {
-            self.vms[vm].cost.bytes += HANDSHAKE_BYTES;
-            self.vms[vm].cost.busy += spent;
-            let joined = Joined {
-                vm: hellos[peer].vm.clone(),
-                incarnation: hellos[peer].incarnation,
-                data_center: hellos[peer].data_center.clone(),
-                dialled,
-            };
-            self.act(vm, |gossip, context| gossip.up(context, link, joined));
-        }
-    }
-
-    fn close(&mut self, vm: usize, link: Link) {
-        let Some(ends) = self.links.remove(&link) else {
-            return;
-        };
-        let far = usize::from(ends.vms[0] == vm);
-        let (other, incarnation) = (ends.vms[far], ends.incarnations[far]);
-        if self.parts[vm] == self.parts[other] {
-            let delay = self.delay(vm, other);
-            self.schedule(delay, Event::Closed(other, incarnation, link));
-        }
-    }
-
-    fn send(&mut self, vm: usize, link: Link, message: &Message, push: bool) {
-        let Some(ends) = self.links.get_mut(&link) else {
-            return;
-        };
-        let near = usize::from(ends.vms[0] != vm);
-        let (far, incarnation) = (ends.vms[1 - near], ends.incarnations[1 - near]);
-        let started = std::time::Instant::now();
-        let sealer = match &mut ends.codecs {
-            Some(codecs) => &mut codecs[near].sealer,
-            None => &mut self.scratch.sealer,
-        };
-        let frame = sealer
-            .seal(message)
-            .expect("messages fit")
-            .expect("one release");
-        let cost = &mut self.vms[vm].cost;
-        cost.bytes += web_socket_bytes(frame.len());
-        cost.frames += 1;
-        let packet = if self.codec {
-            cost.busy += started.elapsed();
-            Packet::Sealed(frame)
-        } else {
-            Packet::Plain(message.clone())
-        };
-        self.transmit((vm, far, incarnation), link, &packet, push);
-    }
-
-    fn transmit(
-        &mut self,
-        (vm, far, incarnation): (usize, usize, u64),
-        link: Link,
-        packet: &Packet,
-        push: bool,
-    ) {
-        let chance = |random: &mut SmallRng, percent| random.random_range(0..100) < percent;
-        let lost = chance(&mut self.random, self.faults.lost);
-        if lost || (push && self.faults.pushes_lost) || self.parts[vm] != self.parts[far] {
-            return;
-        }
-        let copies = 1 + u32::from(chance(&mut self.random, self.faults.doubled));
-        for _ in 0..copies {
-            let mut delay = self.delay(vm, far);
-            if chance(&mut self.random, self.faults.delayed) {
-                let extra = self.random.random_range(0..2_000_000);
-                delay = delay + Span::from_micros(extra);
-            }
-            self.schedule(
-                delay,
-                Event::Deliver(far, incarnation, link, packet.clone()),
-            );
-        }
-    }
-
-    fn deliver(&mut self, vm: usize, link: Link, packet: Packet) {
-        let Some(ends) = self.links.get_mut(&link) else {
-            return;
-        };
-        let own = usize::from(ends.vms[0] != vm);
-        let started = std::time::Instant::now();
-        let message = match (packet, &mut ends.codecs) {
-            (Packet::Plain(message), _) => {
-                let frame = self.scratch.sealer.seal(&message).expect("messages fit");
-                let bytes = web_socket_bytes(frame.expect("one release").len());
-                self.vms[vm].cost.bytes += bytes;
-                message
-            }
-            (Packet::Sealed(frame), Some(codecs)) => {
-                let opened = codecs[own]
-                    .opener
-                    .open(&frame)
-                    .expect("a faultless network");
-                let cost = &mut self.vms[vm].cost;
-                cost.bytes += web_socket_bytes(frame.len());
-                cost.busy += started.elapsed();
-                match opened {
-                    Frame::Known(message) => message,
-                    Frame::Unknown(_) => return,
-                }
-            }
-            (Packet::Sealed(_), None) => return,
-        };
-        self.vms[vm].cost.frames += 1;
-        self.act(vm, |gossip, context| gossip.receive(context, link, message));
-    }
-
     /// The VMs that run.
     #[must_use]
     pub fn running(&self) -> BTreeSet<usize> {
--- a/crates/bench/src/vm.rs
+++ b/crates/bench/src/network/vm.rs
@@ -1,7 +1,5 @@
-//! One VM of a fleet in virtual time, and where it runs.
+//! One VM with its own clock.
 
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use oriolecleat_core::audit::Ring;
@@ -17,20 +15,12 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-/// Time for which news of leaving targets holds.
-pub const HOLD: Span = Span::from_millis(60_000);
+use crate::network::HOLD;
+use crate::network::site::Site;
+use crate::network::site::address;
 
 const SEEDS: usize = 3;
 
-/// Where a VM runs.
-#[derive(Clone, Debug)]
-pub struct Site {
-    /// Region.
-    pub region: Box<str>,
-    /// Data centre.
-    pub data_center: Box<str>,
-}
-
 /// Traffic and time of one VM.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Cost {
@@ -64,19 +54,6 @@
     pub(crate) random: SmallRng,
 }
 
-pub(crate) fn address(vm: usize) -> SocketAddr {
-    let [.., high, low] = u32::try_from(vm + 1).unwrap_or(u32::MAX).to_be_bytes();
-    SocketAddr::from((Ipv4Addr::new(10, 0, high, low), 7_000))
-}
-
-pub(crate) fn index(address: SocketAddr) -> Option<usize> {
-    let SocketAddr::V4(address) = address else {
-        return None;
-    };
-    let [_, _, high, low] = address.ip().octets();
-    usize::from(u16::from_be_bytes([high, low])).checked_sub(1)
-}
-
 impl Vm {
     pub(crate) fn start(
         index: usize,
@@ -161,14 +138,3 @@
         result
     }
 }
-
-/// `vms` VMs spread evenly over `centers` data centres in `regions` regions.
-#[must_use]
-pub fn sites(regions: usize, centers: usize, vms: usize) -> Vec<Site> {
-    (0..vms)
-        .map(|vm| Site {
-            region: format!("region-{}", vm % centers % regions).into(),
-            data_center: format!("dc-{:02}", vm % centers).into(),
-        })
-        .collect()
-}
