Show a fleet that is replaced under load

Cause: the replacement of every VM, planned and after kills, had tests but no run that prints what callers saw, and the deployment of the demonstration could not be used by anything else.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod cost;
+pub mod deployment;
 pub mod fake;
 pub mod load;
 pub mod model;
