Split the member records off and keep one state of a VM

Change: member/record.rs; address uses member::State; its Uptime goes with its test, as tests/member.rs tests the estimate that is used.

--- a/crates/core/src/address.rs
+++ b/crates/core/src/address.rs
@@ -5,30 +5,7 @@
 
 use std::net::SocketAddr;
 
-use crate::time::Instant;
-use crate::time::Span;
-
-key! {
-    /// What this VM knows of the state of an entry VM.
-    pub enum State {
-        /// It serves.
-        Alive,
-        /// It has not been heard of.
-        Suspect,
-        /// It is leaving or stopping.
-        Leaving,
-        /// It is gone.
-        Dead,
-    }
-
-    /// Uptime of another VM as stated in its last record.
-    pub struct Uptime {
-        /// The uptime stated.
-        pub stated: Span,
-        /// When the record arrived.
-        pub heard: Instant,
-    }
-}
+use crate::member::State;
 
 data! {
     /// An entry VM that might be named.
@@ -60,16 +37,6 @@
 /// Entry VMs named in an answer: two near ones and one that survives the loss of the data centre.
 pub const NAMED: usize = 3;
 
-impl Uptime {
-    /// The uptime at `now`, never more than the true one: the record was on its way for a while. A
-    /// VM that forwards the record states this value, else the next one would count from the time
-    /// at which it was first sent.
-    #[must_use]
-    pub fn estimate(self, now: Instant) -> Span {
-        self.stated + now.since(self.heard)
-    }
-}
-
 impl Candidate {
     /// How far it is from `place`.
     fn distance(&self, place: Place<'_>) -> u8 {
--- /dev/null
+++ b/crates/core/src/member/record.rs
@@ -0,0 +1,107 @@
+//! What the fleet knows of one incarnation of one VM.
+
+use std::cmp::Ordering;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+key! {
+    /// Liveness of a member; a later state outranks an earlier one of the same sequence number.
+    #[derive(Serialize, Deserialize)]
+    pub enum State {
+        /// Heard from.
+        #[serde(rename = "a")]
+        Alive,
+        /// Not heard from by a neighbour.
+        #[serde(rename = "s")]
+        Suspect,
+        /// In a planned shutdown.
+        #[serde(rename = "l")]
+        Leaving,
+        /// Stopped or lost.
+        #[serde(rename = "d")]
+        Dead,
+    }
+}
+
+data! {
+    /// What the fleet knows of one incarnation of one VM. The field names are short on the wire.
+    #[derive(Serialize, Deserialize)]
+    pub struct Record {
+        /// Name of the VM.
+        #[serde(rename = "v")]
+        pub vm: Box<str>,
+        /// Wall-clock milliseconds at start, raised above any known one of the same name.
+        #[serde(rename = "i")]
+        pub incarnation: u64,
+        /// Raised by the VM itself whenever it restates its record.
+        #[serde(rename = "q")]
+        pub sequence: u64,
+        /// Liveness.
+        #[serde(rename = "s")]
+        pub state: State,
+        /// Address for requests.
+        #[serde(rename = "c")]
+        pub caller: SocketAddr,
+        /// Address of the directory.
+        #[serde(rename = "d")]
+        pub directory: SocketAddr,
+        /// Address for links.
+        #[serde(rename = "p")]
+        pub peer: SocketAddr,
+        /// Region.
+        #[serde(rename = "r")]
+        pub region: Box<str>,
+        /// Data centre.
+        #[serde(rename = "z")]
+        pub data_center: Box<str>,
+        /// Lower bound of the VM's uptime when the record was sent.
+        #[serde(rename = "u")]
+        pub uptime_ms: u64,
+        /// Build version.
+        #[serde(rename = "b", default)]
+        pub build: Box<str>,
+    }
+
+    /// The part of a record that decides which of two is newer.
+    #[derive(Serialize, Deserialize, PartialOrd, Ord)]
+    pub struct Stamp {
+        /// Name of the VM.
+        #[serde(rename = "v")]
+        pub vm: Box<str>,
+        /// Incarnation.
+        #[serde(rename = "i")]
+        pub incarnation: u64,
+        /// Sequence number.
+        #[serde(rename = "q")]
+        pub sequence: u64,
+        /// Liveness.
+        #[serde(rename = "s")]
+        pub state: State,
+    }
+}
+
+impl Record {
+    /// The part that decides which of two records is newer.
+    #[must_use]
+    pub fn stamp(&self) -> Stamp {
+        Stamp {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            state: self.state,
+        }
+    }
+
+    pub(crate) fn order(&self, other: &Self) -> Ordering {
+        let position = |record: &Self| (record.incarnation, record.sequence, record.state);
+        position(self).cmp(&position(other))
+    }
+
+    // Breaks ties between records of the same position, so that every order of merging ends alike.
+    pub(crate) fn details(&self) -> impl Ord + '_ {
+        let addresses = (self.caller, self.directory, self.peer);
+        (addresses, &self.region, &self.data_center, &self.build)
+    }
+}
--- a/crates/core/tests/address.rs
+++ b/crates/core/tests/address.rs
@@ -5,12 +5,9 @@
 use oriolecleat_core::address::Candidate;
 use oriolecleat_core::address::NAMED;
 use oriolecleat_core::address::Place;
-use oriolecleat_core::address::State;
-use oriolecleat_core::address::Uptime;
 use oriolecleat_core::address::choose;
 use oriolecleat_core::map::Map;
-use oriolecleat_core::time::Instant;
-use oriolecleat_core::time::Span;
+use oriolecleat_core::member::State;
 
 const HERE: Place<'static> = Place {
     region: "cai",
@@ -112,16 +109,3 @@
         }
     }
 }
-
-#[test]
-fn the_uptime_estimate_stays_below_the_truth() {
-    let uptime = Uptime {
-        stated: Span::from_millis(5_000),
-        heard: Instant::from_micros(70_000),
-    };
-    let cases = [(0, 5_000_000), (70_000, 5_000_000), (80_000, 5_010_000)];
-    for (now, micros) in cases {
-        let estimate = uptime.estimate(Instant::from_micros(now));
-        assert_eq!(estimate, Span::from_micros(micros));
-    }
-}
--- a/crates/daemon/src/overview.rs
+++ b/crates/daemon/src/overview.rs
@@ -181,12 +181,10 @@
                 address: record.caller,
                 region: record.region.clone(),
                 data_center: record.data_center.clone(),
-                state: match member.standing(now) {
-                    _ if self.is_listed_leaving(&record.vm) => address::State::Leaving,
-                    State::Alive => address::State::Alive,
-                    State::Suspect => address::State::Suspect,
-                    State::Leaving => address::State::Leaving,
-                    State::Dead => address::State::Dead,
+                state: if self.is_listed_leaving(&record.vm) {
+                    State::Leaving
+                } else {
+                    member.standing(now)
                 },
             }
         };
