Record phases, limits, ejections, views and shadows in the audit trail

Cause: the trail held changes of the catalogue, members, links and leaving targets only, and its records were not logged. Change: the daemon records its phase, the division of limits, ejections, stale and fresh views and shadowed entries, and logs every record as a JSON line; explain uses the table's own list of shadows.

--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -50,6 +50,7 @@
     /// Brings routes and services in line with the catalogue.
     pub(crate) fn apply(&mut self) {
         self.routes = route::Table::build(&self.catalogue);
+        self.applied += 1;
         let now = self.clock.now();
         let place = self.place();
         let ceiling = self.vm_ceiling();
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -139,18 +139,11 @@
             .names
             .get(&entry.service)
             .and_then(|key| self.services.get(*key));
-        let entries = self
-            .routes
-            .services()
-            .find(|(service, _)| **service == *entry.service);
-        let overlaps = |other: &Entry| {
-            let shared = |method| other.methods.contains(method);
-            other.methods.is_empty() || entry.methods.is_empty() || entry.methods.iter().any(shared)
-        };
-        let shadows = entries.into_iter().flat_map(|(_, entries)| entries);
+        let shadows = self.routes.shadows();
         let shadowed_by: Vec<&str> = shadows
-            .filter(|(other, found)| **other < *name && overlaps(found))
-            .map(|(other, _)| &**other)
+            .iter()
+            .filter(|shadow| *shadow.entry == *name)
+            .map(|shadow| &*shadow.by)
             .collect();
         body["version"] = json!(valid.mark.version);
         body["owner"] = json!(entry.owner);
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -71,6 +71,7 @@
             state.event(&node, |gossip, context| gossip.depart(context, departures));
             state.event(&node, Gossip::tick);
             state.step();
+            state.trail();
         }
         tokio::time::sleep(TICK).await;
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -34,6 +34,7 @@
 mod stream;
 mod ticketed;
 mod timer;
+mod trail;
 mod upload;
 mod visit;
 mod vms;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -34,6 +34,7 @@
 use crate::service;
 use crate::service::Service;
 use crate::service::Slot;
+use crate::trail::Trail;
 use crate::visit::Visits;
 
 pub(crate) const LEDGER_CAPACITY: usize = 100_000;
@@ -61,6 +62,8 @@
     pub(crate) calls: Map<Call, Slot>,
     pub(crate) next_call: u64,
     pub(crate) next_entry: u32,
+    /// Catalogue changes taken into use.
+    pub(crate) applied: u64,
     /// Address answers given, so that the VMs named take turns.
     pub(crate) turn: usize,
     /// Members known to be alive, this VM included.
@@ -73,6 +76,7 @@
     pub(crate) gossip: Gossip,
     pub(crate) links: Links,
     pub(crate) audit: audit::Ring,
+    pub(crate) trail: Trail,
     /// When to read the configuration service, and how old the view is.
     pub(crate) reader: Reader,
     pub(crate) visits: Visits,
@@ -109,6 +113,7 @@
             calls: Map::default(),
             next_call: 0,
             next_entry: 0,
+            applied: 0,
             turn: 0,
             members_alive: 1,
             rng,
@@ -117,6 +122,7 @@
             gossip: Gossip::new(now, own, settings.seeds.clone(), hold),
             links: Links::default(),
             audit: audit::Ring::new(&settings.vm, incarnation),
+            trail: Trail::default(),
             reader,
             visits: Visits::default(),
             phases: Rc::new(watch::Sender::new(Phase::default())),
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -17,7 +17,7 @@
 }
 
 /// How the limits of an entry are divided over the fleet.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Division {
     /// Members known to be alive, this VM included.
     pub(crate) members: u64,
