--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -7,6 +7,7 @@
 use oriolecleat_core::catalogue::Value as Content;
 use oriolecleat_core::entry::Entry;
 use oriolecleat_core::leaving;
+use oriolecleat_core::limit;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Target;
 use serde_json::Value;
@@ -168,13 +169,13 @@
     fn limits(&self, entry: &Entry, quota: &Quota, service: Option<&Service>) -> Value {
         let limits = &entry.limits;
         let division = self.division();
-        let divisor = division.members.max(division.ceiling.div_ceil(3)).max(1);
+        let share = |limit| limit::share(limit, division.members, division.ceiling);
         let waiting = service.map_or(0, |service| service.balancer.waiting());
         json!([
             { "name": "rate_per_s", "configured": limits.rate_per_s,
-              "share": limits.rate_per_s / divisor, "refused": quota.rate_refused },
+              "share": share(limits.rate_per_s), "refused": quota.rate_refused },
             { "name": "concurrency", "configured": limits.concurrency,
-              "share": limits.concurrency / divisor, "used": quota.gate.inside(),
+              "share": share(limits.concurrency), "used": quota.gate.inside(),
               "refused": quota.gate_refused },
             { "name": "queue", "configured": limits.queue, "share": limits.queue, "used": waiting },
             { "name": "measuring_bytes_per_s", "configured": limits.measuring_bytes_per_s,
--- a/crates/daemon/src/overview.rs
+++ b/crates/daemon/src/overview.rs
@@ -41,7 +41,8 @@
 
     pub(crate) fn view_status(&self) -> Value {
         let stale = self.reader.stale(self.clock.now());
-        json!({ "age_ms": self.view_age_ms(), "stale": stale })
+        let reader = *self.links.reading.borrow();
+        json!({ "age_ms": self.view_age_ms(), "stale": stale, "reader": reader })
     }
 
     pub(crate) fn vm_list_status(&self) -> Value {
--- a/crates/daemon/src/trail.rs
+++ b/crates/daemon/src/trail.rs
@@ -115,14 +115,15 @@
     fn log_records(&mut self) {
         for record in self.audit.run(self.trail.logged, LOG_BATCH) {
             self.trail.logged = record.seq;
+            let version = record.version.unwrap_or_default();
             log::info!(
                 kind = &*record.kind,
                 subject = &*record.subject,
                 source = &*record.source,
                 cause = &*record.cause,
                 seq = record.seq,
-                generation:? = record.version.map(|version| version.generation),
-                revision:? = record.version.map(|version| version.revision);
+                generation = version.generation,
+                revision = version.revision;
                 "audit"
             );
         }
