Keep a histogram of the time a call spends inside the process

Cause: the latency that the path adds was measured from outside only. Change: each call records the time from its head to the end of its answer without the wait for its target; /v1/status gives quantiles and buckets, and the overhead example prints them.

--- a/crates/bench/examples/overhead.rs
+++ b/crates/bench/examples/overhead.rs
@@ -237,10 +237,23 @@
         }
         report(load, callers, &ways);
     }
+    inside(&daemon).await?;
     drop(daemon);
     Ok(())
 }
 
+/// Prints the daemon's own histogram of the time that a call spends inside the process.
+async fn inside(daemon: &Daemon) -> Outcome<()> {
+    let operator = daemon.ports().operator;
+    let answer = oriolecleat_bench::client::get(operator, "operator", "/v1/status").await?;
+    let status: serde_json::Value = serde_json::from_slice(answer.body())?;
+    println!(
+        "{}",
+        json!({ "case": "inside the process", "inside_us": status["inside_us"] })
+    );
+    Ok(())
+}
+
 fn way(name: &'static str, address: SocketAddr) -> Outcome<Way> {
     Ok(Way {
         name,
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A call in the balancer and its attempts at targets.
 
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::task::Context;
 use std::task::Poll;
@@ -13,6 +14,7 @@
 use oriolecleat_core::balance::Refusal;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
 
 use crate::node::Shared;
 use crate::service;
@@ -87,6 +89,7 @@
             call: self.ask.call,
             target,
             started,
+            waited: Cell::new(Span::ZERO),
             open: true,
         }
     }
@@ -111,6 +114,8 @@
     call: Call,
     target: target::Key,
     started: Instant,
+    /// Time from the choice of the target to the head of its answer.
+    waited: Cell<Span>,
     open: bool,
 }
 
@@ -122,9 +127,17 @@
     /// The head of the answer arrived.
     pub(crate) fn observe(&self, headers: &HeaderMap) {
         let mut node = self.node.borrow_mut();
+        self.waited.set(node.clock.now().since(self.started));
         node.observe(self.service, self.target, self.started, headers);
     }
 
+    /// The whole answer to a request whose head was read at `arrived` was passed on.
+    pub(crate) fn delivered(&self, arrived: Instant) {
+        let mut node = self.node.borrow_mut();
+        let total = node.clock.now().since(arrived);
+        node.metrics.record_inside(total.less(self.waited.get()));
+    }
+
     /// The exchange carried `bytes` in both directions.
     pub(crate) fn carried(&self, bytes: u64) {
         let mut node = self.node.borrow_mut();
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -86,6 +86,7 @@
             },
             "services": self.services.values().map(|service| self.service(service)).collect::<Vec<_>>(),
             "totals": self.metrics.totals(),
+            "inside_us": self.metrics.inside(),
         })
     }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -168,17 +168,23 @@
     totals: [u64; COUNTS.len()],
     reported: [u64; COUNTS.len()],
     latency: Histogram<u64>,
+    /// Time inside the process since its start, for each call.
+    inside: Histogram<u64>,
 }
 
 impl Metrics {
     /// Metrics that go to `statsd`, or nowhere without one.
     pub(crate) fn new(statsd: Option<SocketAddr>, vm: &str) -> Self {
-        let latency = Histogram::new_with_max(LATENCY_MAX_US, LATENCY_DIGITS);
+        let histogram = || {
+            Histogram::new_with_max(LATENCY_MAX_US, LATENCY_DIGITS)
+                .expect("the bounds of the histogram are constant and valid")
+        };
         Self {
             client: client(statsd, vm),
             totals: [0; COUNTS.len()],
             reported: [0; COUNTS.len()],
-            latency: latency.expect("the bounds of the histogram are constant and valid"),
+            latency: histogram(),
+            inside: histogram(),
         }
     }
 
@@ -196,6 +202,29 @@
         self.latency.saturating_record(latency.as_micros());
     }
 
+    /// Records the time of one call without the wait for its target.
+    pub(crate) fn record_inside(&mut self, time: Span) {
+        self.inside.saturating_record(time.as_micros());
+    }
+
+    /// Histogram of the time inside the process in microseconds.
+    pub(crate) fn inside(&self) -> Value {
+        let quantile = |quantile| self.inside.value_at_quantile(quantile);
+        let buckets = self.inside.iter_log(1, 2.0);
+        let buckets: Vec<Value> = buckets
+            .map(|bucket| {
+                json!([
+                    bucket.value_iterated_to(),
+                    bucket.count_since_last_iteration()
+                ])
+            })
+            .collect();
+        json!({
+            "calls": self.inside.len(), "p50": quantile(0.5), "p99": quantile(0.99),
+            "p999": quantile(0.999), "buckets": buckets,
+        })
+    }
+
     /// Sends what changed since the last report, with `gauges` as they are now.
     pub(crate) fn report(&mut self, gauges: &[(Gauge, u64)]) {
         for count in COUNTS {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -67,6 +67,7 @@
         }
         self.held.ran();
         attempt.carried(self.carried);
+        attempt.delivered(self.active.visit.arrived);
         attempt.answered(self.failed);
         self.line.close();
     }
--- a/crates/daemon/src/visit.rs
+++ b/crates/daemon/src/visit.rs
@@ -32,6 +32,8 @@
 /// One request in flight; dropped with the last byte of its answer.
 pub(crate) struct Visit {
     node: Shared,
+    /// When the head was read.
+    pub(crate) arrived: Instant,
 }
 
 impl Visit {
@@ -42,7 +44,10 @@
         state.visits.in_flight += 1;
         state.visits.last_arrival = now;
         drop(state);
-        Self { node: node.clone() }
+        Self {
+            node: node.clone(),
+            arrived: now,
+        }
     }
 
     /// The caller of this request waits until `deadline`.
