Forget the quotas of entries that are gone and share the start of experiments

Cause: the quota of a deleted entry stayed in memory, and three examples built the daemon and their loop with the same lines. Change: a catalogue change drops the quotas of entries that no route names; the examples start through process::experiment.

--- a/crates/bench/examples/call_slopes.rs
+++ b/crates/bench/examples/call_slopes.rs
@@ -17,7 +17,6 @@
 use oriolecleat_bench::process::Usage;
 use serde_json::Value;
 use serde_json::json;
-use tokio::task::LocalSet;
 
 const RUNS: usize = 3;
 const LOAD_LENGTH: Duration = Duration::from_secs(3);
@@ -42,11 +41,7 @@
 }
 
 fn main() -> Outcome<()> {
-    let binary = process::build()?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, run(&binary))
+    process::experiment(run)
 }
 
 async fn run(binary: &Path) -> Outcome<()> {
--- a/crates/bench/examples/demo.rs
+++ b/crates/bench/examples/demo.rs
@@ -14,7 +14,6 @@
 use oriolecleat_bench::deployment::Named;
 use oriolecleat_bench::process;
 use oriolecleat_bench::process::Daemon;
-use tokio::task::LocalSet;
 
 const TARGETS: usize = 4;
 const VMS: usize = 3;
@@ -26,11 +25,7 @@
 type Outcome<T> = Result<T, Box<dyn Error>>;
 
 fn main() -> Outcome<()> {
-    let binary = process::build()?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, run(&binary))
+    process::experiment(run)
 }
 
 async fn run(binary: &Path) -> Outcome<()> {
--- a/crates/bench/examples/replace_fleet.rs
+++ b/crates/bench/examples/replace_fleet.rs
@@ -20,7 +20,6 @@
 use oriolecleat_bench::process;
 use serde_json::json;
 use tokio::task::JoinSet;
-use tokio::task::LocalSet;
 
 const TARGETS: usize = 6;
 const VMS: usize = 3;
@@ -52,11 +51,7 @@
 }
 
 fn main() -> Outcome<()> {
-    let binary = process::build()?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, run(&binary))
+    process::experiment(run)
 }
 
 async fn run(binary: &Path) -> Outcome<()> {
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -17,6 +17,7 @@
 use nix::unistd::Pid;
 use serde_json::Value;
 use serde_json::json;
+use tokio::task::LocalSet;
 
 use crate::client;
 
@@ -210,6 +211,21 @@
     }
 }
 
+/// Builds the daemon and runs `experiment` with its path on an event loop of its own.
+///
+/// # Errors
+///
+/// Returns why the build or the experiment failed.
+pub fn experiment(
+    experiment: impl AsyncFnOnce(&Path) -> Result<(), client::Failure>,
+) -> Result<(), client::Failure> {
+    let binary = build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, experiment(&binary))
+}
+
 /// Builds the daemon with cargo and returns its path.
 ///
 /// # Errors
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -5,6 +5,7 @@
 use oriolecleat_core::route;
 
 use crate::node::Node;
+use crate::quota;
 use crate::quota::Division;
 use crate::quota::Quota;
 use crate::service;
@@ -45,6 +46,14 @@
                 quota.retry.update(entry.retry.budget_percent);
             }
         }
+        let routes = &self.routes;
+        let is_named = |name: &str| {
+            let mut entries = routes.services().flat_map(|(_, entries)| entries);
+            entries.any(|(named, _)| **named == *name)
+        };
+        self.entries.retain(|name, _| is_named(name));
+        let kept: Set<quota::Key> = self.entries.values().copied().collect();
+        self.quotas.retain(|key, _| kept.contains(&key));
     }
 
     /// Brings routes and services in line with the catalogue.
