--- a/crates/bench/src/model/world.rs
+++ b/crates/bench/src/model/world.rs
@@ -136,6 +136,7 @@
             region: format!("r{}", site.region).into(),
             data_center: format!("c{}", site.center).into(),
             slots: u64::try_from(self.slots).unwrap_or(u64::MAX),
+            incarnation: 0,
         };
         self.targets.iter().enumerate().map(spec).collect()
     }
--- a/crates/core/src/address.rs
+++ b/crates/core/src/address.rs
@@ -5,7 +5,9 @@
 
 use std::net::SocketAddr;
 
+use crate::map::Map;
 use crate::member::State;
+use crate::member::hash;
 
 data! {
     /// An entry VM that might be named.
@@ -91,3 +93,54 @@
     }
     ranked
 }
+
+/// The `count` candidates that the callers at `place` use for `service`, the preferred one first.
+///
+/// All callers of a region get the same candidates for a service, so that few VMs send to the
+/// targets of the service in the region and know what they have there. `services` are all services
+/// in order: each one has its own VMs as far as there are enough.
+#[must_use]
+pub fn homes<'a>(
+    place: Place<'_>,
+    candidates: &'a [Candidate],
+    services: &[&str],
+    service: &str,
+    count: usize,
+) -> Vec<&'a Candidate> {
+    let serves = |candidate: &&Candidate| candidate.state == State::Alive;
+    let all: Vec<&Candidate> = candidates.iter().filter(serves).collect();
+    let near = |candidate: &&Candidate| *candidate.region == *place.region;
+    let mut pool: Vec<&Candidate> = all.iter().copied().filter(near).collect();
+    if pool.is_empty() {
+        pool = all;
+    }
+    let mut taken: Map<&str, usize> = Map::default();
+    for other in services.iter().copied().filter(|other| *other != service) {
+        if other > service {
+            break;
+        }
+        for home in ranked_for(&pool, &taken, other).into_iter().take(count) {
+            *taken.entry(&home.vm).or_default() += 1;
+        }
+    }
+    let mut homes = ranked_for(&pool, &taken, service);
+    homes.truncate(count);
+    homes
+}
+
+/// The candidates by the number of services that they are home to already, then by a hash of VM and
+/// service: few callers move when a VM joins or leaves.
+fn ranked_for<'a>(
+    pool: &[&'a Candidate],
+    taken: &Map<&str, usize>,
+    service: &str,
+) -> Vec<&'a Candidate> {
+    let order = |candidate: &&Candidate| {
+        let homes = taken.get(&*candidate.vm).copied().unwrap_or(0);
+        let weight = hash(&[candidate.vm.as_bytes(), service.as_bytes()]);
+        (homes, std::cmp::Reverse(weight))
+    };
+    let mut ranked = pool.to_vec();
+    ranked.sort_by_cached_key(order);
+    ranked
+}
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -88,6 +88,8 @@
     records: Map<Box<str>, Record>,
     bytes: usize,
     digest: [u64; BUCKETS],
+    /// Prefixes of the keys whose texts an adapter decodes.
+    foreign: Vec<Box<str>>,
 }
 
 impl Default for Catalogue {
@@ -96,11 +98,26 @@
             records: Map::default(),
             bytes: 0,
             digest: [0; BUCKETS],
+            foreign: Vec::new(),
         }
     }
 }
 
 impl Catalogue {
+    /// A catalogue that also holds keys below `foreign`, whose texts an adapter decodes.
+    #[must_use]
+    pub fn hosting(foreign: Vec<Box<str>>) -> Self {
+        Self {
+            foreign,
+            ..Self::default()
+        }
+    }
+
+    /// Whether an adapter decodes the text of `key`.
+    fn is_foreign(&self, key: &str) -> bool {
+        self.foreign.iter().any(|prefix| key.starts_with(&**prefix))
+    }
+
     /// The version of a content that the configuration service delivered at `revision`.
     ///
     /// A deletion, and a text whose generation cannot be read, get the key's highest generation.
@@ -108,7 +125,8 @@
     pub fn version(&self, key: &str, revision: u64, text: Option<&str>) -> Version {
         let newest = self.records.get(key).and_then(Record::newest);
         let known = newest.map_or(0, |mark| mark.version.generation);
-        let generation = text.and_then(check::written_generation).unwrap_or(known);
+        let stated = text.filter(|_| !self.is_foreign(key));
+        let generation = stated.and_then(check::written_generation).unwrap_or(known);
         Version {
             generation,
             revision,
@@ -123,7 +141,8 @@
         text: Option<&str>,
         source: Source,
     ) -> Verdict {
-        if let Err(reason) = check::check_offer(key, text) {
+        let foreign = self.is_foreign(key);
+        if let Err(reason) = check::check_offer(key, text, foreign) {
             return Verdict::Refused(reason.into());
         }
         let mark = record::mark(version, text);
@@ -131,7 +150,12 @@
         if let Some(verdict) = record.and_then(|record| check::settled(record, mark)) {
             return verdict;
         }
-        match check::check_text(key, text) {
+        let checked = if foreign {
+            Ok((None, check::foreign(text)))
+        } else {
+            check::check_text(key, text)
+        };
+        match checked {
             Ok((stated, _)) if stated.is_some_and(|stated| stated != version.generation) => {
                 Verdict::Refused("the text's generation is not the version's".into())
             }
@@ -198,17 +222,23 @@
             let name = key.strip_prefix(ENTRY_PREFIX)?;
             match &record.valid.as_ref()?.value {
                 Value::Entry(entry) => Some((name, entry)),
-                Value::Constants(_) | Value::Deleted => None,
+                Value::Constants(_) | Value::Foreign | Value::Deleted => None,
             }
         })
     }
 
+    /// Copies of the entries in effect by name, in no order.
+    pub fn copies(&self) -> impl Iterator<Item = (Box<str>, Entry)> {
+        let entries = self.entries();
+        entries.map(|(name, entry)| (name.into(), entry.clone()))
+    }
+
     /// The deployment's constants, if they are known.
     #[must_use]
     pub fn constants(&self) -> Option<Constants> {
         match self.get(FLEET_KEY)?.valid.as_ref()?.value {
             Value::Constants(constants) => Some(constants),
-            Value::Entry(_) | Value::Deleted => None,
+            Value::Entry(_) | Value::Foreign | Value::Deleted => None,
         }
     }
 
@@ -220,6 +250,12 @@
         })
     }
 
+    /// The text in effect of `key`; none if it is not known or was deleted.
+    #[must_use]
+    pub fn text(&self, key: &str) -> Option<&str> {
+        self.get(key)?.valid.as_ref()?.text.as_deref()
+    }
+
     /// What is known of `key`.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<&Record> {
--- a/crates/core/src/catalogue/check.rs
+++ b/crates/core/src/catalogue/check.rs
@@ -32,9 +32,13 @@
 }
 
 /// Whether the key and the size of an offer are within the bounds.
-pub(crate) fn check_offer(key: &str, text: Option<&str>) -> Result<(), &'static str> {
+pub(crate) fn check_offer(
+    key: &str,
+    text: Option<&str>,
+    foreign: bool,
+) -> Result<(), &'static str> {
     let is_entry = key.strip_prefix(ENTRY_PREFIX).is_some_and(read::is_name);
-    if !is_entry && key != FLEET_KEY {
+    if !is_entry && !foreign && key != FLEET_KEY {
         return Err("the key is neither fleet nor entries/NAME");
     }
     if key == FLEET_KEY && text.is_none() {
@@ -46,6 +50,15 @@
     Ok(())
 }
 
+/// What the text of a key stands for that an adapter decodes.
+pub(crate) fn foreign(text: Option<&str>) -> Value {
+    if text.is_some() {
+        Value::Foreign
+    } else {
+        Value::Deleted
+    }
+}
+
 /// What `text` stands for, with the generation that it states; none for a deletion.
 pub(crate) fn check_text(
     key: &str,
--- a/crates/core/src/catalogue/record.rs
+++ b/crates/core/src/catalogue/record.rs
@@ -34,6 +34,8 @@
         Entry(Entry),
         /// The deployment's constants.
         Constants(Constants),
+        /// A text that an adapter decodes.
+        Foreign,
         /// Nothing: the key was deleted.
         Deleted,
     }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -107,6 +107,8 @@
         pub data_center: Box<str>,
         /// Requests that the target works on at once.
         pub slots: u64,
+        /// Tells apart starts of a target under one name; 0 if it is not told.
+        pub incarnation: u64,
     }
 }
 
@@ -278,6 +280,7 @@
     let region = reader.name("region");
     let data_center = reader.name("data_center");
     let slots = reader.integer("slots", 1..=1_024, Some(4));
+    let incarnation = reader.integer("incarnation", 0..=u64::MAX, Some(0));
     if name.clone().is_some_and(|name| !places.names.insert(name)) {
         reader.refuse("name", "must be unique within the entry");
     }
@@ -305,6 +308,7 @@
         region: region?,
         data_center: data_center?,
         slots: slots?,
+        incarnation: incarnation?,
     })
 }
 
@@ -365,6 +369,7 @@
             "region": self.region,
             "data_center": self.data_center,
             "slots": self.slots,
+            "incarnation": self.incarnation,
         })
     }
 }
--- a/crates/core/src/read.rs
+++ b/crates/core/src/read.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde_json::Map;
 use serde_json::Value;
@@ -200,6 +201,62 @@
         }
     }
 
+    /// A decimal number with up to three digits after the point, as thousandths within `range`;
+    /// `default` stands in for a field left out.
+    pub fn thousandths(
+        &mut self,
+        name: &str,
+        range: RangeInclusive<u32>,
+        default: u64,
+    ) -> Option<u64> {
+        let Some(value) = self.fields.remove(name) else {
+            return Some(default);
+        };
+        let decimal = |thousandths: &u32| f64::from(*thousandths) / 1_000.0;
+        let (first, last) = (decimal(range.start()), decimal(range.end()));
+        match value.as_f64() {
+            // A duration keeps the number's nanoseconds, which round to whole thousandths.
+            Some(number) if (first..=last).contains(&number) => {
+                let micros = Duration::from_secs_f64(number).as_micros();
+                Some(u64::try_from((micros + 500) / 1_000).unwrap_or(u64::MAX))
+            }
+            _ => self.none(name, &format!("must be a number from {first} to {last}")),
+        }
+    }
+
+    /// An object whose values are texts, in the order of its names; an empty one stands in for a
+    /// field left out.
+    pub fn named_texts(&mut self, name: &str) -> Vec<(Box<str>, Box<str>)> {
+        let mut texts = Vec::new();
+        match self.fields.remove(name) {
+            Some(Value::Object(fields)) => {
+                for (key, value) in fields {
+                    match value {
+                        Value::String(text) if is_text(&text) => {
+                            texts.push((key.into(), text.into()));
+                        }
+                        _ => self.refuse(&format!("{name}.{key}"), TEXT_REASON),
+                    }
+                }
+            }
+            Some(_) => self.refuse(name, "must be a JSON object"),
+            None => {}
+        }
+        texts
+    }
+
+    /// Reads a nested object that may be left out or null; none if it does not hold.
+    pub fn optional<T>(
+        &mut self,
+        name: &str,
+        parse: impl FnOnce(&mut Self) -> Option<T>,
+    ) -> Option<Option<T>> {
+        match self.fields.remove(name) {
+            None | Some(Value::Null) => Some(None),
+            Some(value) => self.descend(&self.at(name), value, parse).map(Some),
+        }
+    }
+
     /// A boolean; `default` stands in for a field left out.
     pub fn flag(&mut self, name: &str, default: bool) -> bool {
         match self.fields.remove(name) {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -30,6 +30,8 @@
         pub depth: u64,
         /// Attempts in all, the first included.
         pub attempts: u64,
+        /// Times that the request may be written to a target, shed attempts included.
+        pub sends: u64,
     }
 
     /// An end without an answer of a target.
@@ -49,7 +51,13 @@
     #[must_use]
     pub fn read(status: u16, outcome: Option<&[u8]>) -> Option<Self> {
         let not_run = outcome == Some(Outcome::NotRun.as_str().as_bytes());
-        (status == 503 && not_run).then_some(Self(()))
+        Self::declared(status == 503 && not_run)
+    }
+
+    /// The proof if the target declared that it did not run the request.
+    #[must_use]
+    pub fn declared(not_run: bool) -> Option<Self> {
+        not_run.then_some(Self(()))
     }
 }
 
@@ -59,6 +67,8 @@
     terms: Terms,
     attempt: u64,
     requeues: u64,
+    /// Times that the request was written.
+    sent: u64,
     /// `NotRun` until an attempt was written and not shed.
     outcome: Outcome,
 }
@@ -116,11 +126,13 @@
             deadline: self.arrived + limit,
             depth: self.depth,
             attempts: entry.retry.attempts.max(1),
+            sends: u64::MAX,
         };
         Ok(Admitted(Course {
             terms,
             attempt: 1,
             requeues: 0,
+            sent: 0,
             outcome: Outcome::NotRun,
         }))
     }
@@ -146,6 +158,19 @@
         self.0.terms
     }
 
+    /// Bounds the times that the request may be written to a target.
+    #[must_use]
+    pub const fn limit_sends(mut self, sends: u64) -> Self {
+        self.0.terms.sends = sends;
+        self
+    }
+
+    /// Whether the request was written to a target before.
+    #[must_use]
+    pub const fn is_repeated(&self) -> bool {
+        self.0.sent > 0
+    }
+
     /// Ends the request.
     #[must_use]
     pub fn refuse(self, code: Code) -> End {
@@ -202,10 +227,11 @@
     /// # Errors
     ///
     /// Returns the end if the deadline passed.
-    pub fn write(self, now: Instant) -> Result<Sent, End> {
+    pub fn write(mut self, now: Instant) -> Result<Sent, End> {
         if now >= self.0.terms.deadline {
             return Err(self.0.end(Code::Deadline));
         }
+        self.0.sent += 1;
         Ok(match self.0.terms.class {
             Class::Once => Sent::Once(Written(self.0, PhantomData)),
             Class::Interactive | Class::Batch => Sent::Idempotent(Written(self.0, PhantomData)),
@@ -322,7 +348,7 @@
     ///
     /// Returns the end if too many targets shed the request, or if its body cannot be sent again.
     pub fn shed(self, _proof: Shed, replayable: bool) -> Result<Admitted, End> {
-        if !replayable {
+        if !replayable || self.0.sent >= self.0.terms.sends {
             return Err(self.0.end(Code::Overloaded));
         }
         self.0.requeue(Code::Overloaded)
@@ -357,6 +383,7 @@
     /// Permits a second copy of the request while the first runs. From then on the request is never
     /// reported as not run.
     pub fn copy(&mut self) {
+        self.0.sent += 1;
         self.0.outcome = Outcome::Unknown;
     }
 
@@ -365,7 +392,7 @@
     #[must_use]
     pub const fn may_retry(&self) -> bool {
         let terms = self.0.terms;
-        terms.depth == 0 && self.0.attempt < terms.attempts
+        terms.depth == 0 && self.0.attempt < terms.attempts && self.0.sent < terms.sends
     }
 
     /// No answer head arrived; the request waits for another target if `allowed` by its body and
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,6 +1,5 @@
 //! Finds the entry of a request by service and method.
 
-use crate::catalogue::Catalogue;
 use crate::entry::Entry;
 use crate::map::Map;
 
@@ -25,13 +24,13 @@
 }
 
 impl Table {
-    /// Builds the table of the entries in force.
+    /// Builds the table of the entries in force, by name.
     #[must_use]
-    pub fn build(catalogue: &Catalogue) -> Self {
+    pub fn build(entries: impl Iterator<Item = (Box<str>, Entry)>) -> Self {
         let mut services: Map<Box<str>, Vec<(Box<str>, Entry)>> = Map::default();
-        for (key, entry) in catalogue.entries() {
+        for (name, entry) in entries {
             let entries = services.entry(entry.service.clone()).or_default();
-            entries.push((key.into(), entry.clone()));
+            entries.push((name, entry));
         }
         for entries in services.values_mut() {
             entries.sort_by(|left, right| left.0.cmp(&right.0));
@@ -50,6 +49,15 @@
         Some((key, entry))
     }
 
+    /// The entry of `service` called `name`.
+    #[must_use]
+    pub fn named(&self, service: &str, name: &str) -> Option<(&str, &Entry)> {
+        let entries = self.services.get(service)?;
+        let index = entries.binary_search_by(|(known, _)| (**known).cmp(name));
+        let (name, entry) = &entries[index.ok()?];
+        Some((name, entry))
+    }
+
     /// Names of the services with their entries.
     pub fn services(&self) -> impl Iterator<Item = (&str, &[(Box<str>, Entry)])> {
         self.services
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -11,8 +11,12 @@
 use crate::time::Span;
 
 mod builder;
+mod hosting;
 
 pub use builder::Builder;
+pub use hosting::Hosting;
+pub use hosting::Region;
+pub use hosting::Repeats;
 
 data! {
     /// Settings of one VM's daemon.
@@ -43,6 +47,8 @@
         pub evidence: Evidence,
         /// Address of a statsd server; no metrics are sent without it.
         pub statsd: Option<SocketAddr>,
+        /// What a platform that hosts the fleet asks for; absent where the fleet stands alone.
+        pub hosting: Option<Hosting>,
     }
 
     /// Addresses to listen on.
@@ -61,8 +67,8 @@
     pub struct Platform {
         /// Configuration service.
         pub configuration: SocketAddr,
-        /// List of live and leaving VMs.
-        pub vm_list: SocketAddr,
+        /// List of live and leaving VMs; none is read without it.
+        pub vm_list: Option<SocketAddr>,
     }
 
     /// Bounds on the age of the catalogue view.
@@ -137,6 +143,7 @@
     let http = reader.nested("http", http);
     let evidence = reader.nested("evidence", evidence);
     let statsd = reader.optional_address("statsd");
+    let hosting = reader.optional("hosting", hosting::read);
     if let (Some(listen), Some(platform)) = (&listen, &platform) {
         check_platform(reader, listen, platform);
     }
@@ -154,6 +161,7 @@
         http: http?,
         evidence: evidence?,
         statsd,
+        hosting: hosting?,
     })
 }
 
@@ -209,11 +217,11 @@
         ("operator", listen.operator),
     ];
     let others = [
-        ("configuration", platform.configuration),
+        ("configuration", Some(platform.configuration)),
         ("vm_list", platform.vm_list),
     ];
     for (other, address) in others {
-        if let Some((name, _)) = own.iter().find(|(_, own)| *own == address) {
+        if let Some((name, _)) = own.iter().find(|(_, own)| Some(*own) == address) {
             let path = format!("platform.{other}");
             reader.refuse(&path, &format!("must differ from listen.{name}"));
         }
@@ -222,10 +230,10 @@
 
 fn platform(reader: &mut Reader) -> Option<Platform> {
     let configuration = reader.address("configuration");
-    let vm_list = reader.address("vm_list");
+    let vm_list = reader.optional_address("vm_list");
     Some(Platform {
         configuration: configuration?,
-        vm_list: vm_list?,
+        vm_list,
     })
 }
 
@@ -316,7 +324,7 @@
             },
             "platform": {
                 "configuration": self.platform.configuration.to_string(),
-                "vm_list": self.platform.vm_list.to_string(),
+                "vm_list": self.platform.vm_list.map(|address| address.to_string()),
             },
             "seeds": seeds,
             "view": {
@@ -343,6 +351,7 @@
                 "probe_timeout_ms": self.evidence.probe_timeout.as_millis(),
             },
             "statsd": self.statsd.map(|address| address.to_string()),
+            "hosting": self.hosting.as_ref().map(Hosting::to_json),
         })
     }
 }
--- a/crates/core/src/settings/builder.rs
+++ b/crates/core/src/settings/builder.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use super::Evidence;
+use super::Hosting;
 use super::Http;
 use super::Listen;
 use super::Platform;
@@ -36,7 +37,7 @@
             },
             platform: Platform {
                 configuration: SocketAddr::from((Ipv4Addr::LOCALHOST, 2379)),
-                vm_list: SocketAddr::from((Ipv4Addr::LOCALHOST, 2380)),
+                vm_list: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 2380))),
             },
             seeds: Vec::new(),
             view: View::default(),
@@ -44,6 +45,7 @@
             http: Http::default(),
             evidence: Evidence::default(),
             statsd: None,
+            hosting: None,
         };
         Self { settings }
     }
@@ -112,6 +114,13 @@
         self
     }
 
+    /// Sets what a hosting platform asks for.
+    #[must_use]
+    pub fn hosting(mut self, hosting: Hosting) -> Self {
+        self.settings.hosting = Some(hosting);
+        self
+    }
+
     /// The settings, not checked; [`super::parse`] checks their JSON text.
     #[must_use]
     pub fn build(self) -> Settings {
--- /dev/null
+++ b/crates/core/src/settings/hosting.rs
@@ -0,0 +1,115 @@
+//! Settings of a fleet that a platform hosts.
+
+use std::net::SocketAddr;
+
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::read::Reader;
+use crate::time::Span;
+
+data! {
+    /// What a platform that hosts the fleet asks for.
+    pub struct Hosting {
+        /// The platform asks here whether callers may come.
+        pub ready: SocketAddr,
+        /// Counters and histograms are served here as text; off without it.
+        pub metrics: Option<SocketAddr>,
+        /// Bound on the repeats of requests to a service.
+        pub repeats: Repeats,
+        /// Longest time from the order to stop until the process is ended by force.
+        pub grace: Span,
+        /// Entry VMs that an answer of the directory names, at most.
+        pub named: usize,
+        /// Region of each data centre that targets may name.
+        pub regions: Vec<Region>,
+    }
+
+    /// Bound on the repeats of requests to a service, over all VMs: in each window at most `ratio`
+    /// for each request, and `slack` more.
+    #[derive(Copy)]
+    pub struct Repeats {
+        /// Thousandths of a repeat for each request.
+        pub ratio_thousandths: u64,
+        /// Repeats on top of the ratio.
+        pub slack: u64,
+        /// Length of the window.
+        pub window: Span,
+        /// Largest number of VM processes that share the slack.
+        pub vm_ceiling: u64,
+    }
+
+    /// The region that a data centre belongs to.
+    pub struct Region {
+        /// The data centre.
+        pub data_center: Box<str>,
+        /// Its region.
+        pub name: Box<str>,
+    }
+}
+
+/// Reads the section.
+pub(super) fn read(reader: &mut Reader) -> Option<Hosting> {
+    let ready = reader.listen_address("ready");
+    let metrics = reader.optional_address("metrics");
+    let repeats = reader.nested("repeats", repeats);
+    let grace = reader.thousandths("grace_s", 1..=600_000, 6_000);
+    let named = reader.integer("named", 1..=64, Some(2));
+    let regions = reader.named_texts("regions");
+    let region = |(data_center, name)| Region { data_center, name };
+    Some(Hosting {
+        ready: ready?,
+        metrics,
+        repeats: repeats?,
+        grace: Span::from_millis(grace?),
+        named: usize::try_from(named?).unwrap_or(usize::MAX),
+        regions: regions.into_iter().map(region).collect(),
+    })
+}
+
+fn repeats(reader: &mut Reader) -> Option<Repeats> {
+    let ratio = reader.thousandths("ratio", 0..=10_000, 100);
+    let slack = reader.integer("slack", 0..=1_000_000, Some(0));
+    let window = reader.thousandths("window_s", 1..=3_600_000, 10_000);
+    let ceiling = reader.integer("vm_ceiling", 1..=4_096, Some(32));
+    Some(Repeats {
+        ratio_thousandths: ratio?,
+        slack: slack?,
+        window: Span::from_millis(window?),
+        vm_ceiling: ceiling?,
+    })
+}
+
+impl Hosting {
+    /// The region of `data_center`, which stands for itself if it is not named.
+    #[must_use]
+    pub fn region(&self, data_center: &str) -> Box<str> {
+        let mut regions = self.regions.iter();
+        let found = regions.find(|region| *region.data_center == *data_center);
+        found.map_or_else(|| data_center.into(), |region| region.name.clone())
+    }
+
+    pub(super) fn to_json(&self) -> Value {
+        let region = |region: &Region| (String::from(&*region.data_center), json!(region.name));
+        let regions: Map<String, Value> = self.regions.iter().map(region).collect();
+        json!({
+            "ready": self.ready.to_string(),
+            "metrics": self.metrics.map(|address| address.to_string()),
+            "repeats": {
+                "ratio": decimal(self.repeats.ratio_thousandths),
+                "slack": self.repeats.slack,
+                "window_s": decimal(self.repeats.window.as_millis()),
+                "vm_ceiling": self.repeats.vm_ceiling,
+            },
+            "grace_s": decimal(self.grace.as_millis()),
+            "named": self.named,
+            "regions": regions,
+        })
+    }
+}
+
+/// `thousandths` as a decimal number.
+fn decimal(thousandths: u64) -> f64 {
+    f64::from(u32::try_from(thousandths).unwrap_or(u32::MAX)) / 1_000.0
+}
--- /dev/null
+++ b/crates/core/src/site/plan.rs
@@ -0,0 +1,94 @@
+//! The plan of a platform: its rules, its services and the bounds on its callers.
+
+use crate::entry;
+use crate::entry::Entry;
+use crate::site::rule::Rule;
+use crate::time::Span;
+
+data! {
+    /// A service as the plan describes it.
+    pub struct Service {
+        /// Its name.
+        pub name: Box<str>,
+        /// Path at which its targets tell whether they are well.
+        pub health_path: Box<str>,
+        /// Connections that one target accepts from all VMs together; none if it is not told.
+        pub connections: Option<u64>,
+    }
+
+    /// What callers may send, and how slowly.
+    #[derive(Copy)]
+    pub struct Bounds {
+        /// Largest head of a request.
+        pub head_bytes: u64,
+        /// Largest body of a request.
+        pub body_bytes: u64,
+        /// Longest wait for the head of a request.
+        pub head_timeout: Span,
+        /// Longest time that a connection may stay idle.
+        pub idle_timeout: Span,
+    }
+
+    /// One version of the plan.
+    pub struct Plan {
+        /// Orders plans; a lower one never replaces a higher one.
+        pub version: u64,
+        /// Its rules.
+        pub rules: Vec<Rule>,
+        /// Its services.
+        pub services: Vec<Service>,
+        /// Bounds on callers; none if they are not told.
+        pub bounds: Option<Bounds>,
+    }
+}
+
+/// Requests that may wait on one VM for a target of one service.
+const QUEUE: u64 = 256;
+/// Calls a second, and at once, that an entry lets in. The plan states no rate limit.
+const UNLIMITED: u64 = 1_000_000;
+/// Bytes between regions that an entry lets through. The plan states no limit, and the choice of a
+/// target weighs the longer way.
+const UNLIMITED_BYTES: u64 = 1 << 40;
+
+impl Plan {
+    /// Name of the entry of `rule` at `service`.
+    #[must_use]
+    pub fn entry_name(rule: &str, service: &str) -> Box<str> {
+        format!("{rule}/{service}").into()
+    }
+
+    /// The entries that the rules stand for, one for each part, by name.
+    pub fn entries(&self) -> impl Iterator<Item = (Box<str>, Entry)> {
+        self.rules.iter().flat_map(|rule| {
+            rule.parts.iter().map(|part| {
+                let name = Self::entry_name(&rule.name, &part.service);
+                (name, entry(rule, &part.service))
+            })
+        })
+    }
+}
+
+/// The entry of `rule` at `service`. The plan names no owner apart from the rule itself.
+fn entry(rule: &Rule, service: &str) -> Entry {
+    let limits = entry::Limits {
+        rate_per_s: UNLIMITED,
+        rate_burst: UNLIMITED,
+        concurrency: UNLIMITED,
+        queue: QUEUE,
+        measuring_bytes_per_s: 0,
+        measuring_burst_bytes: 0,
+        cross_region_bytes_per_s: UNLIMITED_BYTES,
+        cross_region_burst_bytes: UNLIMITED_BYTES,
+    };
+    Entry {
+        deadline: rule.timeout,
+        limits,
+        retry: entry::Retry {
+            attempts: rule.attempts,
+            budget_percent: 0,
+        },
+        ..entry::Builder::new(service, rule.class)
+            .owner(&rule.name)
+            .build()
+    }
+}
--- /dev/null
+++ b/crates/core/src/site/rule.rs
@@ -0,0 +1,107 @@
+//! Finds the rule of a request by host and longest prefix, and the part of it by weight.
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::entry::Class;
+use crate::map::Map;
+use crate::time::Span;
+
+data! {
+    /// One of the services that the requests of a rule are divided among.
+    pub struct Part {
+        /// The service.
+        pub service: Box<str>,
+        /// Share of the requests, in proportion to the weights of the other parts.
+        pub weight: u32,
+    }
+
+    /// How the requests below a path of a host are served.
+    pub struct Rule {
+        /// Name, unique within the plan.
+        pub name: Box<str>,
+        /// Host that callers name, in lower case.
+        pub host: Box<str>,
+        /// Start of the path; begins and ends with a slash.
+        pub prefix: Box<str>,
+        /// How its requests may be treated.
+        pub class: Class,
+        /// Longest time until a final answer.
+        pub timeout: Span,
+        /// Time within which an answer is of full use to the caller.
+        pub objective: Span,
+        /// Rank against other rules of the service; 0 goes first.
+        pub urgency: u8,
+        /// Targets that one request may be sent to, the first included.
+        pub attempts: u64,
+        /// Where its requests go; never empty.
+        pub parts: Vec<Part>,
+    }
+}
+
+impl Rule {
+    /// Draws a part in proportion to the weights.
+    #[must_use]
+    pub fn draw(&self, random: &mut dyn Rng) -> Option<&Part> {
+        if let [only] = self.parts.as_slice() {
+            return Some(only);
+        }
+        let total: u32 = self.parts.iter().map(|part| part.weight).sum();
+        if total == 0 {
+            return self.parts.first();
+        }
+        let mut left = random.random_range(0..total);
+        self.parts.iter().find(|part| {
+            let drawn = left < part.weight;
+            left = left.saturating_sub(part.weight);
+            drawn
+        })
+    }
+}
+
+/// Rules by host.
+#[derive(Debug, Default)]
+pub struct Table {
+    /// Longest prefix first.
+    hosts: Map<Box<str>, Vec<Rule>>,
+}
+
+impl Table {
+    /// Builds the table of `rules`.
+    #[must_use]
+    pub fn build(rules: &[Rule]) -> Self {
+        let mut hosts: Map<Box<str>, Vec<Rule>> = Map::default();
+        for rule in rules {
+            let rules = hosts.entry(rule.host.clone()).or_default();
+            rules.push(rule.clone());
+        }
+        for rules in hosts.values_mut() {
+            rules.sort_by_key(|rule| std::cmp::Reverse(rule.prefix.len()));
+        }
+        Self { hosts }
+    }
+
+    /// The rule with the longest prefix that begins `path`. The case and the port of `host` do not
+    /// matter.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Rule> {
+        let rules = self.at(host)?;
+        rules.iter().find(|rule| path.starts_with(&*rule.prefix))
+    }
+
+    /// The rules of `host`, longest prefix first.
+    #[must_use]
+    pub fn at(&self, host: &str) -> Option<&[Rule]> {
+        let name = host.split(':').next().unwrap_or_default();
+        if let Some(rules) = self.hosts.get(name) {
+            return Some(rules);
+        }
+        let lower = name.to_ascii_lowercase();
+        self.hosts.get(&*lower).map(Vec::as_slice)
+    }
+
+    /// All rules.
+    pub fn iter(&self) -> impl Iterator<Item = &Rule> {
+        self.hosts.values().flatten()
+    }
+}
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -33,6 +33,7 @@
         region: "cai".into(),
         data_center: "cai-1".into(),
         slots: 1,
+        incarnation: 0,
     }
 }
 
--- a/crates/core/tests/balance_machine.rs
+++ b/crates/core/tests/balance_machine.rs
@@ -137,6 +137,7 @@
         region: if index < 3 { "near" } else { "far" }.into(),
         data_center: "c".into(),
         slots: SLOTS,
+        incarnation: 0,
     }
 }
 
--- a/crates/core/tests/measuring.rs
+++ b/crates/core/tests/measuring.rs
@@ -78,6 +78,7 @@
             region: "".into(),
             data_center: "".into(),
             slots: 64,
+            incarnation: 0,
         };
         let targets: Vec<Target> = (1..4).map(target).collect();
         balancer.update(Instant::default(), &targets);
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -8,10 +8,12 @@
 use http::request::Parts;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -24,6 +26,7 @@
 use oriolecleat_core::request::End;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::request::Received;
+use oriolecleat_core::site::plan::Plan;
 use oriolecleat_core::stop::Phase;
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
@@ -34,14 +37,15 @@
 use crate::attempt::Line;
 use crate::clock;
 use crate::exchange::Exchange;
+use crate::gather::Answer;
 use crate::head;
 use crate::head::Facts;
 use crate::head::Outgoing;
 use crate::metrics::Count;
+use crate::node::Node;
 use crate::node::Shared;
 use crate::quota;
 use crate::quota::Pass;
-use crate::race::Reply;
 use crate::refusal;
 use crate::relay::Delivery;
 use crate::relay::Download;
@@ -56,6 +60,9 @@
 
 /// Headers in one head.
 const HEADERS_MAX: usize = 64;
+/// Seconds after which a refused caller may come again: about the time in which slots of a full
+/// service become free, spread so that callers do not return together.
+const RETRY_AFTER_S: std::ops::Range<f64> = 0.05..0.15;
 
 /// Accepts callers until the process ends.
 pub(crate) async fn serve(node: Shared, listener: TcpListener) {
@@ -158,7 +165,8 @@
 ) -> Result<Response<Download>, Infallible> {
     let (parts, body) = request.into_parts();
     node.borrow_mut().metrics.add(Count::Calls, 1);
-    let id = head::request_id(&parts.headers).unwrap_or_else(|| new_id(&node));
+    let dialect = Rc::clone(&node.borrow().dialect);
+    let id = head::request_id(&parts.headers, &dialect).unwrap_or_else(|| new_id(&node));
     let admitted = admit(&node, &active, &parts, body.size_hint().exact());
     let prepared = admitted.and_then(|(service, admitted, ask, quota)| {
         active.pass = Pass::enter(&node, quota);
@@ -168,8 +176,8 @@
             return Err(End { code, outcome });
         }
         let held = match ask.class {
-            Class::Once => Held::claim(&node, &parts.headers)?,
-            Class::Interactive | Class::Batch => Held::none(&node),
+            Class::Once if dialect.own => Held::claim(&node, &parts.headers)?,
+            Class::Once | Class::Interactive | Class::Batch => Held::none(&node),
         };
         Ok((service, quota, admitted, ask, held))
     });
@@ -189,14 +197,14 @@
         service,
         quota,
         line: Line::new(&node, service, ask, id.clone()),
-        outgoing: Outgoing::new(parts, depth, id.clone()),
+        outgoing: Outgoing::new(parts, depth, id.clone(), dialect),
         body: upload::Shared::new(body, idle),
         held,
         end,
         deadline: Box::pin(tokio::time::sleep_until(deadline)),
     };
     let mut response = match exchange.run(admitted).await {
-        Ok((reply, outcome)) => deliver(exchange, active, reply, outcome, id).await,
+        Ok((answer, outcome)) => deliver(exchange, active, answer, outcome, id).await,
         Err(end) => refuse(&node, active, end, id),
     };
     if !node.borrow().phase().is_named() {
@@ -228,7 +236,8 @@
     if !node.borrow().phase().accepts() {
         return Err(refused(Code::Stopping));
     }
-    let facts = head::check(parts).map_err(|cause| {
+    let dialect = Rc::clone(&node.borrow().dialect);
+    let facts = head::check(parts, &dialect).map_err(|cause| {
         log::info!(cause; "malformed head");
         refused(Code::BadRequest)
     })?;
@@ -244,14 +253,25 @@
     let mut node = node.borrow_mut();
     let call = node.new_call();
     let received = Received::new(node.clock.now(), facts.limit, facts.depth);
-    let key = node.names.get(&facts.service).copied();
-    let found = node.routes.find(&facts.service, parts.method.as_str());
+    let aim = match node.aim(facts, parts) {
+        Ok(aim) => aim,
+        Err(code) => return Err(received.refuse(code)),
+    };
+    let key = node.names.get(&aim.service).copied();
+    let found = match &aim.entry {
+        Some(name) => node.routes.named(&aim.service, name),
+        None => node.routes.find(&aim.service, parts.method.as_str()),
+    };
     let (Some(key), Some((name, entry))) = (key, found) else {
         return Err(received.refuse(Code::UnknownService));
     };
     let quota = node.entries.get(name).copied().unwrap_or_default();
     let number = node.quotas.get(quota).map_or(0, |quota| quota.number);
-    let admitted = received.admit(entry)?;
+    let hosted = node.hosted.is_some();
+    let mut admitted = received.admit(entry)?;
+    if hosted {
+        admitted = admitted.limit_sends(entry.retry.attempts);
+    }
     let terms = admitted.terms();
     let ask = Ask {
         call,
@@ -261,9 +281,40 @@
         hedge_percent: hedge_percent(entry),
         bytes: body.map(|body| body + head::outgoing_bytes(parts)),
     };
+    node.requested(key);
     Ok((key, admitted, ask, quota))
 }
 
+/// The service that a request goes to.
+struct Aim {
+    service: Box<str>,
+    /// Name of its entry, if the rules of a plan tell it.
+    entry: Option<Box<str>>,
+}
+
+impl Node {
+    /// Finds the service of a request.
+    fn aim(&mut self, facts: &Facts, parts: &Parts) -> Result<Aim, Code> {
+        let Some(hosted) = &self.hosted else {
+            return Ok(Aim {
+                service: facts.host.clone(),
+                entry: None,
+            });
+        };
+        // A VM that knows no plan cannot say that there is no such route.
+        if hosted.plan.is_none() {
+            return Err(Code::NoTarget);
+        }
+        let rule = hosted.rules.find(&facts.host, parts.uri.path());
+        let rule = rule.ok_or(Code::UnknownService)?;
+        let part = rule.draw(&mut self.rng).ok_or(Code::NoTarget)?;
+        Ok(Aim {
+            service: part.service.clone(),
+            entry: Some(Plan::entry_name(&rule.name, &part.service)),
+        })
+    }
+}
+
 /// An id for a request that came without one.
 fn new_id(node: &Shared) -> HeaderValue {
     let id: u128 = node.borrow_mut().rng.random();
@@ -283,17 +334,29 @@
 async fn deliver(
     exchange: Exchange,
     active: Active,
-    reply: Reply,
+    answer: Answer,
     outcome: Outcome,
     id: HeaderValue,
 ) -> Response<Download> {
     exchange.node.borrow_mut().metrics.add(Count::Ran, 1);
     active.count(outcome);
+    let dialect = Rc::clone(&exchange.node.borrow().dialect);
+    let reply = match answer {
+        Answer::Whole(mut parts, bytes) => {
+            head::answer(&mut parts.headers, &dialect, id, outcome.as_str());
+            let body = Download::Own {
+                bytes: (!bytes.is_empty()).then_some(bytes),
+                _active: active,
+            };
+            return Response::from_parts(*parts, body);
+        }
+        Answer::Stream(reply) => *reply,
+    };
     let idle = exchange.idle();
     let sent = exchange.outgoing.bytes() + exchange.body.sent();
     let (mut parts, body) = reply.response.into_parts();
     let carried = sent + head::bytes(&parts.headers);
-    head::answer(&mut parts.headers, id, outcome.as_str());
+    head::answer(&mut parts.headers, &dialect, id, outcome.as_str());
     let mut delivery = Box::new(Delivery {
         node: exchange.node,
         body,
@@ -342,8 +405,13 @@
         bytes: Some(body),
         _active: active,
     });
-    let (status, mut headers) = refusal::head(end);
-    headers.insert("oriolecleat-request-id", id);
+    let hosted = node.borrow().hosted.is_some();
+    let (status, mut headers) = refusal::head(end, hosted);
+    if hosted && status == StatusCode::SERVICE_UNAVAILABLE {
+        headers.insert(RETRY_AFTER, retry_after(node));
+    }
+    let name = node.borrow().dialect.request_id.clone();
+    headers.insert(name, id);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     if last {
@@ -352,6 +420,12 @@
     response
 }
 
+/// Seconds after which a caller may come again.
+fn retry_after(node: &Shared) -> HeaderValue {
+    let seconds: f64 = node.borrow_mut().rng.random_range(RETRY_AFTER_S);
+    HeaderValue::try_from(format!("{seconds:.3}")).expect("a decimal number forms a header value")
+}
+
 /// Tells the caller to use a new connection for its next request.
 fn close(response: &mut Response<Download>) {
     let close = HeaderValue::from_static("close");
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -1,5 +1,6 @@
 //! Carries calls between the request path and the balancers.
 
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -17,7 +18,6 @@
 use crate::metrics::Count;
 use crate::node::Node;
 use crate::probe;
-use crate::report;
 use crate::service;
 use crate::service::Decision;
 use crate::service::Grant;
@@ -102,15 +102,49 @@
         let Some(found) = self.services.get_mut(service) else {
             return;
         };
-        if let Some(report) = report::parse(headers) {
+        let dialect = Rc::clone(&self.dialect);
+        if let Some(report) = (dialect.load)(headers) {
             found.balancer.report(now, target, report, Span::ZERO);
         }
-        let draining = headers.contains_key("oriolecleat-drain");
+        let draining = dialect.own && headers.contains_key("oriolecleat-drain");
         if found.answered(now, target, sent, draining) {
             self.leaving(service, target, "drain header on an answer");
         }
     }
 
+    /// The store of the platform could not be read.
+    pub(crate) fn interrupted(&mut self) {
+        let now = self.clock.now();
+        if let Some(hosted) = &mut self.hosted {
+            hosted.roster.interrupted(now);
+        }
+    }
+
+    /// A request arrived for the first time.
+    pub(crate) fn requested(&mut self, service: service::Key) {
+        let now = self.clock.now();
+        if let (Some(hosted), Some(found)) = (&mut self.hosted, self.services.get(service)) {
+            hosted.repeats(&found.name).requested(now);
+        }
+    }
+
+    /// Takes permission to send a request to the service once more, within the bound of the
+    /// platform.
+    pub(crate) fn may_repeat(&mut self, service: service::Key) -> bool {
+        let now = self.clock.now();
+        match (&mut self.hosted, self.services.get(service)) {
+            (Some(hosted), Some(found)) => hosted.repeats(&found.name).take(now),
+            (None, Some(_)) => true,
+            (_, None) => false,
+        }
+    }
+
+    /// Another target has the address of `target`.
+    pub(crate) fn misdirected(&mut self, service: service::Key, target: target::Key) {
+        // The target left, as one does that refuses connections.
+        self.refused(service, target);
+    }
+
     /// The target refused a connection.
     pub(crate) fn refused(&mut self, service: service::Key, target: target::Key) {
         let now = self.clock.now();
@@ -217,6 +251,7 @@
                 call,
                 decision(Grant {
                     target,
+                    name: spec.name.clone(),
                     address,
                     queue,
                     report,
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -1,9 +1,13 @@
 //! Takes catalogue changes into use.
 
+use oriolecleat_core::entry;
+use oriolecleat_core::entry::Entry;
 use oriolecleat_core::leaving;
 use oriolecleat_core::map::Set;
 use oriolecleat_core::route;
+use oriolecleat_core::site::plan::Plan;
 
+use crate::host::Effect;
 use crate::node::Node;
 use crate::quota;
 use crate::quota::Division;
@@ -46,19 +50,93 @@
                 quota.retry.update(entry.retry.budget_percent);
             }
         }
-        let routes = &self.routes;
-        let is_named = |name: &str| {
-            let mut entries = routes.services().flat_map(|(_, entries)| entries);
-            entries.any(|(named, _)| **named == *name)
-        };
-        self.entries.retain(|name, _| is_named(name));
+        let entries = self.routes.services().flat_map(|(_, entries)| entries);
+        let named: Set<&str> = entries.map(|(name, _)| &**name).collect();
+        self.entries.retain(|name, _| named.contains(&**name));
         let kept: Set<quota::Key> = self.entries.values().copied().collect();
         self.quotas.retain(|key, _| kept.contains(&key));
     }
 
-    /// Brings routes and services in line with the catalogue.
+    /// Takes changed keys of the catalogue into use.
+    pub(crate) fn adopt(&mut self, keys: &[Box<str>]) {
+        let now = self.clock.now();
+        let Some(hosted) = &mut self.hosted else {
+            return self.apply();
+        };
+        let mut replanned = false;
+        let mut services: Set<Box<str>> = Set::default();
+        for key in keys {
+            match hosted.take(now, &self.catalogue, key) {
+                Effect::Plan => replanned = true,
+                Effect::Targets(changed) => services.extend(changed),
+            }
+        }
+        if replanned {
+            self.apply();
+        } else if !services.is_empty() {
+            self.refresh(&services);
+        }
+    }
+
+    /// Forgets registrations that did not come back after the store did.
+    pub(crate) fn expire_registrations(&mut self) {
+        let now = self.clock.now();
+        let Some(hosted) = &mut self.hosted else {
+            return;
+        };
+        let services: Set<Box<str>> = hosted.roster.expire(now).into_iter().collect();
+        if !services.is_empty() {
+            self.refresh(&services);
+        }
+    }
+
+    /// The entries in force, by name.
+    fn entries_in_force(&self) -> Vec<(Box<str>, Entry)> {
+        match &self.hosted {
+            Some(hosted) => hosted.plan.iter().flat_map(Plan::entries).collect(),
+            None => self.catalogue.copies().collect(),
+        }
+    }
+
+    /// The targets of `service`, whose entries are `entries`.
+    fn targets_of(&self, service: &str, entries: &[(Box<str>, Entry)]) -> Vec<entry::Target> {
+        match &self.hosted {
+            Some(hosted) => {
+                let region = |data_center: &str| hosted.settings.region(data_center);
+                hosted.roster.targets(service, region)
+            }
+            None => service::targets(entries),
+        }
+    }
+
+    /// Brings the targets of `services` in line with the registrations.
+    fn refresh(&mut self, services: &Set<Box<str>>) {
+        let now = self.clock.now();
+        let bounds = leaving::Bounds::from(&self.settings.evidence);
+        for name in services {
+            let Some(key) = self.names.get(name).copied() else {
+                continue;
+            };
+            let targets = self.targets_of(name, &[]);
+            if let Some(service) = self.services.get_mut(key) {
+                service.balancer.update(now, &targets);
+                service.align(bounds);
+            }
+        }
+        self.release_connections();
+    }
+
+    /// Closes idle connections to addresses that no target has.
+    fn release_connections(&mut self) {
+        let services = self.services.values();
+        let targets = services.flat_map(|service| service.balancer.targets().iter());
+        let addresses = targets.map(|(_, target)| target.spec.address).collect();
+        self.pool.retain(&addresses);
+    }
+
+    /// Brings routes and services in line with the entries in force.
     pub(crate) fn apply(&mut self) {
-        self.routes = route::Table::build(&self.catalogue);
+        self.routes = route::Table::build(self.entries_in_force().into_iter());
         self.applied += 1;
         let now = self.clock.now();
         let place = self.place();
@@ -67,7 +145,7 @@
         let mut named = Set::default();
         for (name, entries) in self.routes.services() {
             let limits = service::limits(entries, ceiling);
-            let targets = service::targets(entries);
+            let targets = self.targets_of(name, entries);
             let key = *self.names.entry(name.into()).or_insert_with(|| {
                 self.services
                     .insert(Service::new(now, name, place.clone(), limits.clone()))
@@ -86,9 +164,6 @@
             }
         }
         self.divide();
-        let services = self.services.values();
-        let targets = services.flat_map(|service| service.balancer.targets().iter());
-        let addresses = targets.map(|(_, target)| target.spec.address).collect();
-        self.pool.retain(&addresses);
+        self.release_connections();
     }
 }
--- /dev/null
+++ b/crates/daemon/src/dialect.rs
@@ -0,0 +1,57 @@
+//! The headers that callers and targets speak.
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::HeaderName;
+use oriolecleat_core::estimate::Report;
+use oriolecleat_core::request::Outcome;
+
+use crate::report;
+
+/// Which headers carry what, on requests and on answers.
+#[derive(Clone, Debug)]
+pub struct Dialect {
+    /// Id of a request, which targets return on their answers.
+    pub request_id: HeaderName,
+    /// Milliseconds that the sender still waits.
+    pub deadline: HeaderName,
+    /// Names the only target that may run the request; not sent without it.
+    pub target: Option<HeaderName>,
+    /// Proof on an answer that a target gave it; not asked for without it.
+    pub signature: Option<HeaderName>,
+    /// Whether the product's own headers are understood: tickets, depth, attempt, queue limit and
+    /// outcome.
+    pub own: bool,
+    /// Whether an answer may have no length and end with its connection.
+    pub open_ended: bool,
+    /// The load that an answer reports.
+    pub load: fn(&HeaderMap) -> Option<Report>,
+    /// Whether an answer says that the target did not run the request.
+    pub is_shed: fn(StatusCode, &HeaderMap) -> bool,
+    /// Whether an answer says that another target has the address.
+    pub is_misdirected: fn(StatusCode) -> bool,
+}
+
+impl Dialect {
+    /// The product's own headers.
+    #[must_use]
+    pub fn own() -> Self {
+        Self {
+            request_id: HeaderName::from_static("oriolecleat-request-id"),
+            deadline: HeaderName::from_static("oriolecleat-deadline-ms"),
+            target: None,
+            signature: None,
+            own: true,
+            open_ended: false,
+            load: report::parse,
+            is_shed,
+            is_misdirected: |_| false,
+        }
+    }
+}
+
+fn is_shed(status: StatusCode, headers: &HeaderMap) -> bool {
+    let outcome = headers.get("oriolecleat-outcome");
+    let not_run = outcome.is_some_and(|outcome| *outcome == Outcome::NotRun.as_str());
+    status == StatusCode::SERVICE_UNAVAILABLE && not_run
+}
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -20,6 +20,8 @@
 
 use crate::attempt::Line;
 use crate::clock;
+use crate::gather::Answer;
+use crate::gather::Gathered;
 use crate::head::Outgoing;
 use crate::metrics::Count;
 use crate::node::Shared;
@@ -29,7 +31,6 @@
 use crate::quota;
 use crate::race::Copy;
 use crate::race::Raced;
-use crate::race::Reply;
 use crate::service;
 use crate::service::Grant;
 use crate::ticketed::Held;
@@ -76,7 +77,7 @@
 
 impl Exchange {
     /// Sends the request until there is an answer or an end.
-    pub(crate) async fn run(&mut self, admitted: Admitted) -> Result<(Reply, Outcome), End> {
+    pub(crate) async fn run(&mut self, admitted: Admitted) -> Result<(Answer, Outcome), End> {
         let mut admitted = admitted;
         loop {
             let (assigned, grant) = self.assign(admitted).await?;
@@ -117,14 +118,34 @@
             let copy = Copy::new(attempt, connection, request);
             let raced = self.race(copy, || permit(&mut sent)).await;
             admitted = match raced {
-                Raced::Answer(reply) => return Ok((*reply, sent.answer().outcome())),
+                Raced::Answer(reply) => {
+                    if self.retries_errors() && reply.is_error() && self.can_retry(&sent) {
+                        reply.attempt.answered(true);
+                        self.retry(sent, Code::TargetFailed)?
+                    } else {
+                        match self.gather(*reply).await {
+                            Gathered::Answer(answer) => {
+                                return Ok((answer, sent.answer().outcome()));
+                            }
+                            Gathered::Cut if self.retries_errors() => {
+                                self.retry(sent, Code::TargetBadAnswer)?
+                            }
+                            Gathered::Cut => return Err(sent.discard(Code::TargetBadAnswer)),
+                            Gathered::Late => return Err(sent.fail(Code::Deadline)),
+                        }
+                    }
+                }
                 Raced::Shed(shed, fate) => {
                     self.held.shed();
                     let admitted = sent.shed(shed, self.body.is_replayable())?;
+                    if !self.node.borrow_mut().may_repeat(self.service) {
+                        return Err(admitted.refuse(Code::Overloaded));
+                    }
                     self.requeued(fate);
                     admitted
                 }
                 Raced::Failed(code) => self.retry(sent, code)?,
+                Raced::Discarded(code) if self.retries_errors() => self.retry(sent, code)?,
                 Raced::Discarded(code) => return Err(sent.discard(code)),
                 Raced::Late => return Err(sent.fail(Code::Deadline)),
             };
@@ -157,12 +178,8 @@
         match sent {
             Sent::Once(written) => Err(written.fail(code)),
             Sent::Idempotent(written) => {
-                let quota = self.quota;
                 // The budget is asked last, so that only a retry that happens is paid for.
-                let allowed = self.body.is_replayable()
-                    && written.may_retry()
-                    && (self.node.borrow_mut().quotas.get_mut(quota))
-                        .is_some_and(|quota| quota.retry.take());
+                let allowed = self.body.is_replayable() && written.may_retry() && self.take_retry();
                 let admitted = written.retry(code, allowed)?;
                 self.node.borrow_mut().metrics.add(Count::Retries, 1);
                 self.line.again();
@@ -171,6 +188,30 @@
         }
     }
 
+    /// Takes permission for a retry from the budget.
+    fn take_retry(&self) -> bool {
+        let mut node = self.node.borrow_mut();
+        if node.hosted.is_some() {
+            return node.may_repeat(self.service);
+        }
+        let quota = node.quotas.get_mut(self.quota);
+        quota.is_some_and(|quota| quota.retry.take())
+    }
+
+    /// Whether errors and bad answers of targets lead to a retry. The product's own targets answer
+    /// an error only where another target would, too.
+    fn retries_errors(&self) -> bool {
+        self.node.borrow().hosted.is_some()
+    }
+
+    /// Whether the terms leave another attempt.
+    fn can_retry(&self, sent: &Sent) -> bool {
+        match sent {
+            Sent::Once(_) => false,
+            Sent::Idempotent(written) => written.may_retry() && self.body.is_replayable(),
+        }
+    }
+
     /// The request goes back to the queue, in which the balancer keeps it if `fate` is pending.
     fn requeued(&mut self, fate: Fate) {
         if fate == Fate::Over {
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -27,6 +27,7 @@
     pub(crate) fn answer(&mut self, question: Question) -> Answer {
         match question {
             Question::Addresses(service) => self.addresses(&service),
+            Question::Homes(query) => self.homes(&query),
             Question::Health => Answer::ok(json!({ "state": "alive" })),
             Question::Readiness => self.readiness(),
             Question::Status => Answer::ok(self.status()),
@@ -124,7 +125,7 @@
         };
         let entry = record.valid.as_ref().and_then(|valid| match &valid.value {
             Content::Entry(entry) => Some((valid, entry)),
-            Content::Constants(_) | Content::Deleted => None,
+            Content::Constants(_) | Content::Foreign | Content::Deleted => None,
         });
         let mut body = key_row(&key, record);
         body["name"] = json!(name);
@@ -266,10 +267,10 @@
     let valid = record.valid.as_ref();
     let entry = valid.and_then(|valid| match &valid.value {
         Content::Entry(entry) => Some(entry),
-        Content::Constants(_) | Content::Deleted => None,
+        Content::Constants(_) | Content::Foreign | Content::Deleted => None,
     });
     let state = match valid.map(|valid| &valid.value) {
-        Some(Content::Entry(_) | Content::Constants(_)) => "in_effect",
+        Some(Content::Entry(_) | Content::Constants(_) | Content::Foreign) => "in_effect",
         Some(Content::Deleted) => "deleted",
         None => "rejected",
     };
--- /dev/null
+++ b/crates/daemon/src/feed.rs
@@ -0,0 +1,176 @@
+//! Reads the store of the platform that hosts the fleet, while this VM is a reader.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use oriolecleat_core::site::feed;
+use oriolecleat_core::site::feed::Session;
+use oriolecleat_core::time::Span;
+use rand::RngExt;
+use tokio::net::TcpStream;
+
+use crate::host::Host;
+use crate::metrics::Count;
+use crate::node::Shared;
+
+/// Longest wait for changes in one call. A connection that went silent is noticed after it.
+const WAIT: Duration = Duration::from_secs(2);
+/// Time on top of the wait in which the answer to a call has to arrive; the store answers within
+/// milliseconds and may be two regions away.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause after changes, so that changes that come together take one call.
+const SETTLE: Duration = Duration::from_millis(60);
+/// Pauses after failed calls: a random part of a limit that doubles from the first to the last.
+const RETRY_FIRST: Duration = Duration::from_millis(150);
+const RETRY_LAST: Duration = Duration::from_secs(1);
+/// Largest answer: 500 items or 1 MB of values in base64 with their frames.
+const ANSWER_BYTES: usize = 8 << 20;
+
+/// A call that failed.
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// A connection to the store.
+struct Line {
+    sender: http1::SendRequest<Empty<Bytes>>,
+    driver: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Reads the store whenever this VM is a reader.
+pub(crate) async fn follow(node: Shared, host: Rc<dyn Host>) {
+    let address = node.borrow().settings.platform.configuration;
+    let mut reading = node.borrow().links.reading.subscribe();
+    loop {
+        // The node holds the sender, so the channel is open until the process ends.
+        let _ = reading.wait_for(|reading| *reading).await;
+        tokio::select! {
+            () = read(&node, &*host, address) => {}
+            _ = reading.wait_for(|reading| !*reading) => {}
+        }
+    }
+}
+
+/// Reads the store until this VM is no reader any more.
+async fn read(node: &Shared, host: &dyn Host, address: SocketAddr) {
+    let mut session = Session::default();
+    let mut line = None;
+    let mut failures: u32 = 0;
+    loop {
+        match step(node, host, address, &mut session, &mut line).await {
+            Ok(changed) => {
+                if failures > 0 {
+                    log::info!(failures; "the store answers again");
+                }
+                failures = 0;
+                if changed {
+                    tokio::time::sleep(SETTLE).await;
+                }
+            }
+            Err(error) => {
+                if failures == 0 {
+                    log::warn!(cause:% = error; "reading the store failed");
+                }
+                line = None;
+                let wait = {
+                    let mut node = node.borrow_mut();
+                    node.interrupted();
+                    let limit = RETRY_FIRST * 2_u32.saturating_pow(failures.min(8));
+                    let share = node.rng.random_range(0.5..1.0);
+                    limit.min(RETRY_LAST).mul_f64(share)
+                };
+                failures = failures.saturating_add(1);
+                tokio::time::sleep(wait).await;
+            }
+        }
+    }
+}
+
+/// Makes one call; whether something changed.
+async fn step(
+    node: &Shared,
+    host: &dyn Host,
+    address: SocketAddr,
+    session: &mut Session,
+    line: &mut Option<Line>,
+) -> Result<bool, Failure> {
+    let call = session.call();
+    let waits = matches!(call, feed::Call::Wait { .. });
+    let limit = if waits { WAIT } else { Duration::ZERO } + CALL_TIMEOUT;
+    let path = host.call(&call, WAIT);
+    node.borrow_mut().metrics.add(Count::ConfigurationCalls, 1);
+    let asked = node.borrow().clock.now();
+    let (status, body) = tokio::time::timeout(limit, ask(line, address, &path)).await??;
+    let news = if waits {
+        let changes = host.changes(status, &body)?;
+        let gone = matches!(changes, feed::Changes::Gone);
+        let news = session.changes(changes);
+        if gone || news.is_none() {
+            log::warn!("the history of the store was cut: reading all keys anew");
+            node.borrow_mut().interrupted();
+        }
+        news
+    } else if status.is_success() {
+        session.page(host.page(&body)?)
+    } else {
+        return Err(format!("the store answered with status {status}").into());
+    };
+    let Some(news) = news else {
+        return Ok(false);
+    };
+    let changed = !news.changes.is_empty();
+    let age = if waits {
+        Span::ZERO
+    } else {
+        node.borrow().clock.now().since(asked)
+    };
+    node.borrow_mut().learn(node, news, age);
+    Ok(changed && waits)
+}
+
+/// Status and body of one call.
+async fn ask(
+    line: &mut Option<Line>,
+    address: SocketAddr,
+    path: &str,
+) -> Result<(StatusCode, Bytes), Failure> {
+    // A line on which a call was not finished must not carry another one.
+    let mut used = match line.take() {
+        Some(line) if line.sender.is_ready() => line,
+        Some(_) | None => connect(address).await?,
+    };
+    let request = Request::get(path)
+        .header("host", address.to_string())
+        .body(Empty::new())?;
+    let response = used.sender.send_request(request).await?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), ANSWER_BYTES);
+    let body = body.collect().await?.to_bytes();
+    *line = Some(used);
+    Ok((status, body))
+}
+
+async fn connect(address: SocketAddr) -> Result<Line, Failure> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!(cause:% = error; "connection to the store ended");
+        }
+    });
+    Ok(Line { sender, driver })
+}
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -71,6 +71,7 @@
             state.event(&node, |gossip, context| gossip.depart(context, departures));
             state.event(&node, Gossip::tick);
             state.step();
+            state.expire_registrations();
             state.trail();
         }
         tokio::time::sleep(TICK).await;
@@ -81,7 +82,8 @@
 pub(crate) async fn join(node: &Shared) {
     let wait = {
         let node = node.borrow();
-        let alone = node.settings.seeds.is_empty();
+        // A platform tells apart the starts of a VM, so no peer has to be asked first.
+        let alone = node.settings.seeds.is_empty() || node.hosted.is_some();
         if alone {
             Span::ZERO
         } else {
@@ -152,7 +154,7 @@
             random: &mut self.rng,
         };
         let mut actions: VecDeque<Action> = event(&mut self.gossip, &mut context).into();
-        let mut changed = false;
+        let mut changed = Vec::new();
         while let Some(action) = actions.pop_front() {
             match action {
                 Action::Send(links, message) => self.send(node, &links, message),
@@ -160,7 +162,11 @@
                     tokio::task::spawn_local(peer::dial(node.clone(), address));
                 }
                 Action::Close(link) => drop(self.links.queues.remove(&link)),
-                Action::Offered(key, verdict) => changed |= self.judged(&key, &verdict),
+                Action::Offered(key, verdict) => {
+                    if self.judged(&key, &verdict) {
+                        changed.push(key);
+                    }
+                }
                 Action::Departed(departure) => self.departed(&departure),
                 Action::Loaded(_, reports) => self.loaded(&reports),
                 Action::Members => self.count_members(),
@@ -178,8 +184,8 @@
                 }
             }
         }
-        if changed {
-            self.apply();
+        if !changed.is_empty() {
+            self.adopt(&changed);
             self.share_budget();
         }
     }
--- /dev/null
+++ b/crates/daemon/src/gather.rs
@@ -0,0 +1,128 @@
+//! Reads small answers whole before the caller gets their first byte, so that an answer that breaks
+//! off can be replaced by that of another target.
+
+use std::future::Future;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::response::Parts;
+use http_body::Body;
+use oriolecleat_core::balance::Ending;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+use crate::exchange::Exchange;
+use crate::head;
+use crate::race::Reply;
+
+/// Largest answer that is read whole. A larger one is passed on as it arrives.
+const GATHER_BYTES: u64 = 131_072;
+
+/// An answer for the caller.
+pub(crate) enum Answer {
+    /// It was read whole.
+    Whole(Box<Parts>, Bytes),
+    /// Its head was read, the body follows.
+    Stream(Box<Reply>),
+}
+
+/// How the reading of an answer ended.
+pub(crate) enum Gathered {
+    /// There is an answer for the caller.
+    Answer(Answer),
+    /// The answer broke off.
+    Cut,
+    /// The deadline passed.
+    Late,
+}
+
+/// How the reading of a body ended.
+enum Progress {
+    Whole,
+    Cut,
+    Late,
+}
+
+impl Exchange {
+    /// Reads the answer whole if it is small and its length is known.
+    pub(crate) async fn gather(&mut self, mut reply: Reply) -> Gathered {
+        let length = reply.response.body().size_hint().exact();
+        let small = length.is_some_and(|length| length <= GATHER_BYTES);
+        if self.node.borrow().dialect.own || !small {
+            return Gathered::Answer(Answer::Stream(Box::new(reply)));
+        }
+        let mut bytes = BytesMut::new();
+        let mut idle = Box::pin(tokio::time::sleep(self.idle()));
+        let progress =
+            poll_fn(|context| self.poll_gather(context, &mut reply, &mut bytes, &mut idle)).await;
+        match progress {
+            Progress::Whole => {}
+            Progress::Cut => {
+                log::info!(id = self.line.id(); "the answer of a target broke off");
+                reply.attempt.end(Ending::Broken { written: true });
+                return Gathered::Cut;
+            }
+            Progress::Late => {
+                reply.attempt.end(Ending::Cancelled);
+                return Gathered::Late;
+            }
+        }
+        let Reply {
+            response,
+            connection,
+            attempt,
+        } = reply;
+        let mut connection = Some(connection);
+        poll_fn(|context| {
+            if let Some(connection) = connection.take() {
+                self.node.borrow_mut().pool.put(connection, context);
+            }
+            Poll::Ready(())
+        })
+        .await;
+        let (parts, _) = response.into_parts();
+        let sent = self.outgoing.bytes() + self.body.sent();
+        let received = head::bytes(&parts.headers) + length.unwrap_or(0);
+        attempt.carried(sent + received);
+        attempt.answered(parts.status.is_server_error());
+        self.held.ran();
+        self.line.close();
+        Gathered::Answer(Answer::Whole(Box::new(parts), bytes.freeze()))
+    }
+
+    fn poll_gather(
+        &mut self,
+        context: &mut Context<'_>,
+        reply: &mut Reply,
+        bytes: &mut BytesMut,
+        idle: &mut Pin<Box<Sleep>>,
+    ) -> Poll<Progress> {
+        let mut driven = false;
+        loop {
+            match Pin::new(reply.response.body_mut()).poll_frame(context) {
+                Poll::Ready(None) => return Poll::Ready(Progress::Whole),
+                Poll::Ready(Some(Err(_))) => return Poll::Ready(Progress::Cut),
+                Poll::Ready(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        bytes.extend_from_slice(&data);
+                    }
+                    idle.as_mut().reset(Instant::now() + self.idle());
+                    driven = false;
+                }
+                Poll::Pending if !driven => {
+                    reply.connection.drive(context);
+                    driven = true;
+                }
+                Poll::Pending => break,
+            }
+        }
+        if self.deadline.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Progress::Late);
+        }
+        idle.as_mut().poll(context).map(|()| Progress::Cut)
+    }
+}
--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and answers: what is checked, passed on and left out.
 
+use std::rc::Rc;
+
 use http::request::Parts;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -15,14 +17,13 @@
 use hyper::header::UPGRADE;
 use oriolecleat_core::time::Span;
 
+use crate::dialect::Dialect;
 use crate::service::Grant;
 use crate::upload;
 use crate::upload::Upload;
 
 const PREFIX: &str = "oriolecleat-";
-const REQUEST_ID: HeaderName = HeaderName::from_static("oriolecleat-request-id");
 const TICKET: HeaderName = HeaderName::from_static("oriolecleat-ticket");
-const DEADLINE: HeaderName = HeaderName::from_static("oriolecleat-deadline-ms");
 const DEPTH: HeaderName = HeaderName::from_static("oriolecleat-depth");
 const ATTEMPT: HeaderName = HeaderName::from_static("oriolecleat-attempt");
 const QUEUE: HeaderName = HeaderName::from_static("oriolecleat-queue-ms");
@@ -43,8 +44,8 @@
 
 /// What a caller's head says to the balancer.
 pub(crate) struct Facts {
-    /// Name of the service.
-    pub(crate) service: Box<str>,
+    /// Host that the caller names, without its port.
+    pub(crate) host: Box<str>,
     /// Longest time that the caller waits.
     pub(crate) limit: Option<Span>,
     /// Calls above this one in the chain.
@@ -62,8 +63,8 @@
 }
 
 /// The id in the head, if there is exactly one and it holds.
-pub(crate) fn request_id(headers: &HeaderMap) -> Option<HeaderValue> {
-    let id = single(headers, &REQUEST_ID).ok()??;
+pub(crate) fn request_id(headers: &HeaderMap, dialect: &Dialect) -> Option<HeaderValue> {
+    let id = single(headers, &dialect.request_id).ok()??;
     let plain = |byte: &u8| byte.is_ascii_alphanumeric() || b"-_.".contains(byte);
     let bytes = id.as_bytes();
     let valid = (1..=REQUEST_ID_MAX_BYTES).contains(&bytes.len()) && bytes.iter().all(plain);
@@ -77,7 +78,7 @@
 }
 
 /// Checks a caller's head; the error says what is wrong.
-pub(crate) fn check(head: &Parts) -> Result<Facts, &'static str> {
+pub(crate) fn check(head: &Parts, dialect: &Dialect) -> Result<Facts, &'static str> {
     if head.method == Method::CONNECT {
         return Err("CONNECT is not supported");
     }
@@ -87,14 +88,14 @@
     let headers = &head.headers;
     let host = single(headers, &HOST)?.ok_or("there is no Host header")?;
     let host = host.to_str().map_err(|_| "the Host header is not text")?;
-    let service = host.split(':').next().unwrap_or_default();
-    if headers.contains_key(REQUEST_ID) && request_id(headers).is_none() {
-        return Err("oriolecleat-request-id does not hold");
+    let host = host.split(':').next().unwrap_or_default();
+    if headers.contains_key(&dialect.request_id) && request_id(headers, dialect).is_none() {
+        return Err("the id of the request does not hold");
     }
     single(headers, &TICKET)?;
     Ok(Facts {
-        service: service.into(),
-        limit: number(headers, &DEADLINE)?.map(Span::from_millis),
+        host: host.into(),
+        limit: number(headers, &dialect.deadline)?.map(Span::from_millis),
         depth: number(headers, &DEPTH)?.unwrap_or(0),
     })
 }
@@ -119,7 +120,7 @@
     let number = value.to_str().ok().and_then(|text| text.parse().ok());
     match number {
         Some(number) if digits => Ok(Some(number)),
-        _ => Err("oriolecleat-deadline-ms and oriolecleat-depth have to be whole numbers"),
+        _ => Err("deadline and depth have to be whole numbers"),
     }
 }
 
@@ -147,10 +148,11 @@
     head: Parts,
     depth: u64,
     id: HeaderValue,
+    dialect: Rc<Dialect>,
 }
 
 impl Outgoing {
-    pub(crate) fn new(mut head: Parts, depth: u64, id: HeaderValue) -> Self {
+    pub(crate) fn new(mut head: Parts, depth: u64, id: HeaderValue, dialect: Rc<Dialect>) -> Self {
         let trailers = head
             .headers
             .get(TE)
@@ -163,7 +165,12 @@
             head.headers
                 .insert(TE, HeaderValue::from_static("trailers"));
         }
-        Self { head, depth, id }
+        Self {
+            head,
+            depth,
+            id,
+            dialect,
+        }
     }
 
     /// The request of one attempt.
@@ -178,13 +185,20 @@
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         let mut headers = self.head.headers.clone();
-        headers.insert(QUEUE, grant.queue.as_millis().into());
-        headers.insert(DEADLINE, left.as_millis().into());
-        headers.insert(DEPTH, (self.depth + 1).into());
-        headers.insert(ATTEMPT, attempt.into());
-        headers.insert(REQUEST_ID, self.id.clone());
-        if !grant.report {
-            headers.insert(REPORT, HeaderValue::from_static("0"));
+        headers.insert(&self.dialect.deadline, left.as_millis().into());
+        headers.insert(&self.dialect.request_id, self.id.clone());
+        if let Some(name) = &self.dialect.target
+            && let Ok(target) = HeaderValue::from_str(&grant.name)
+        {
+            headers.insert(name, target);
+        }
+        if self.dialect.own {
+            headers.insert(QUEUE, grant.queue.as_millis().into());
+            headers.insert(DEPTH, (self.depth + 1).into());
+            headers.insert(ATTEMPT, attempt.into());
+            if !grant.report {
+                headers.insert(REPORT, HeaderValue::from_static("0"));
+            }
         }
         *request.headers_mut() = headers;
         request
@@ -198,7 +212,8 @@
     /// Whether an answer with these headers may belong to this request: a target that returns the
     /// request id returns the right one.
     pub(crate) fn is_answered_by(&self, headers: &HeaderMap) -> bool {
-        headers.get(REQUEST_ID).is_none_or(|id| *id == self.id)
+        let id = headers.get(&self.dialect.request_id);
+        id.is_none_or(|id| *id == self.id)
     }
 }
 
@@ -209,10 +224,17 @@
 }
 
 /// Turns the headers of a target's answer into those that the caller gets.
-pub(crate) fn answer(headers: &mut HeaderMap, id: HeaderValue, outcome: &'static str) {
+pub(crate) fn answer(
+    headers: &mut HeaderMap,
+    dialect: &Dialect,
+    id: HeaderValue,
+    outcome: &'static str,
+) {
     strip(headers);
-    headers.insert("oriolecleat-outcome", HeaderValue::from_static(outcome));
-    headers.insert(REQUEST_ID, id);
+    if dialect.own {
+        headers.insert("oriolecleat-outcome", HeaderValue::from_static(outcome));
+    }
+    headers.insert(&dialect.request_id, id);
 }
 
 /// Bytes of a status line, or of a request line without its path.
--- /dev/null
+++ b/crates/daemon/src/host.rs
@@ -0,0 +1,184 @@
+//! The platform that hosts the fleet: what an adapter translates, and what this VM knows from it.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use oriolecleat_core::catalogue::Catalogue;
+use oriolecleat_core::map::Map;
+use oriolecleat_core::map::Set;
+use oriolecleat_core::repeat;
+use oriolecleat_core::settings::Hosting;
+use oriolecleat_core::site::feed;
+use oriolecleat_core::site::plan::Plan;
+use oriolecleat_core::site::roster::Registration;
+use oriolecleat_core::site::roster::Roster;
+use oriolecleat_core::site::rule;
+use oriolecleat_core::time::Instant;
+use serde_json::Value;
+
+use crate::dialect::Dialect;
+
+/// Why a message of the platform is not understood.
+pub type Fault = Box<dyn Error + Send + Sync>;
+
+/// What a key of the platform's store holds.
+#[derive(Debug)]
+pub enum Content {
+    /// The plan.
+    Plan(Plan),
+    /// The registration of a target.
+    Registration(Registration),
+}
+
+/// What a caller says when it asks for addresses.
+#[derive(Clone, Debug, Default)]
+pub struct Caller {
+    /// Host that it wants to reach.
+    pub host: Box<str>,
+    /// Its region.
+    pub region: Box<str>,
+    /// Its data centre.
+    pub data_center: Box<str>,
+}
+
+/// Paths of the calls that a platform and its callers make.
+#[derive(Clone, Copy, Debug)]
+pub struct Paths {
+    /// Whether callers may come, on the readiness address.
+    pub ready: &'static str,
+    /// Which addresses to use, on the directory address.
+    pub addresses: &'static str,
+}
+
+/// Translates between a platform and the product. An adapter holds no state and decides nothing.
+pub trait Host {
+    /// Headers that callers and targets speak.
+    fn dialect(&self) -> Dialect;
+    /// Paths of the calls that arrive.
+    fn paths(&self) -> Paths;
+    /// Prefix of the keys of the store that are read.
+    fn prefix(&self) -> &'static str;
+    /// Prefixes of the keys that the adapter understands.
+    fn keys(&self) -> Vec<Box<str>>;
+    /// Path and query of a call to the store that answers within `wait`.
+    fn call(&self, call: &feed::Call, wait: Duration) -> Box<str>;
+    /// Reads a page of keys.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is not understood.
+    fn page(&self, body: &[u8]) -> Result<feed::Page, Fault>;
+    /// Reads the result of a wait.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is not understood.
+    fn changes(&self, status: StatusCode, body: &[u8]) -> Result<feed::Changes, Fault>;
+    /// Reads the text of a key.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot be used.
+    fn content(&self, key: &str, text: &str) -> Result<Content, Fault>;
+    /// Reads the query of a caller that asks for addresses.
+    fn caller(&self, query: &str) -> Caller;
+    /// The answer to a caller that asks for addresses.
+    fn addresses(&self, addresses: &[SocketAddr], ttl: Duration) -> Value;
+}
+
+/// What this VM knows from the platform.
+pub(crate) struct Hosted {
+    pub(crate) host: Rc<dyn Host>,
+    pub(crate) settings: Hosting,
+    /// The plan in force.
+    pub(crate) plan: Option<Plan>,
+    pub(crate) rules: rule::Table,
+    pub(crate) roster: Roster,
+    pub(crate) repeats: Map<Box<str>, repeat::Budget>,
+}
+
+/// What a change of a key means for the services.
+#[derive(Debug)]
+pub(crate) enum Effect {
+    /// Another plan is in force.
+    Plan,
+    /// The targets of these services changed.
+    Targets(Vec<Box<str>>),
+}
+
+impl Hosted {
+    pub(crate) fn new(host: Rc<dyn Host>, settings: Hosting) -> Self {
+        Self {
+            host,
+            settings,
+            plan: None,
+            rules: rule::Table::default(),
+            roster: Roster::default(),
+            repeats: Map::default(),
+        }
+    }
+
+    /// Takes over changed settings.
+    pub(crate) fn configure(&mut self, settings: Hosting) {
+        for budget in self.repeats.values_mut() {
+            budget.bound(settings.repeats);
+        }
+        self.settings = settings;
+    }
+
+    /// Takes the text of `key` in `catalogue` into use.
+    pub(crate) fn take(&mut self, now: Instant, catalogue: &Catalogue, key: &str) -> Effect {
+        let Some(text) = catalogue.text(key) else {
+            return Effect::Targets(self.roster.remove(now, key));
+        };
+        match self.host.content(key, text) {
+            Ok(Content::Plan(plan)) => self.adopt(plan),
+            Ok(Content::Registration(registration)) => {
+                Effect::Targets(self.roster.put(now, key, Some(registration)))
+            }
+            Err(fault) => {
+                log::warn!(key, cause:% = fault; "a text of the store cannot be used");
+                Effect::Targets(self.roster.put(now, key, None))
+            }
+        }
+    }
+
+    /// Puts `plan` in force if its version is higher.
+    fn adopt(&mut self, plan: Plan) -> Effect {
+        let known = self.plan.as_ref().map(|plan| plan.version);
+        if known.is_some_and(|known| plan.version <= known) {
+            log::warn!(
+                version = plan.version, known = known.unwrap_or_default();
+                "a plan that is not newer was passed over"
+            );
+            return Effect::Targets(Vec::new());
+        }
+        log::info!(
+            version = plan.version, before = known, rules = plan.rules.len();
+            "plan in force"
+        );
+        self.rules = rule::Table::build(&plan.rules);
+        self.plan = Some(plan);
+        Effect::Plan
+    }
+
+    /// The repeats of the requests to `service`.
+    pub(crate) fn repeats(&mut self, service: &str) -> &mut repeat::Budget {
+        if !self.repeats.contains_key(service) {
+            let budget = repeat::Budget::new(self.settings.repeats);
+            self.repeats.insert(service.into(), budget);
+        }
+        self.repeats
+            .get_mut(service)
+            .expect("the budget was inserted if it was missing")
+    }
+
+    /// The services of the plan.
+    pub(crate) fn services(&self) -> Set<Box<str>> {
+        let rules = self.rules.iter().flat_map(|rule| &rule.parts);
+        rules.map(|part| part.service.clone()).collect()
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,7 +4,6 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use oriolecleat_core::settings;
 
 /// Load balancer daemon for one entry VM.
 #[derive(Bpaf, Clone, Debug)]
@@ -20,37 +19,13 @@
 
 fn main() -> ExitCode {
     let arguments = arguments().run();
-    let text = match std::fs::read_to_string(&arguments.settings) {
-        Ok(text) => text,
-        Err(error) => {
-            eprintln!("{}: {error}", arguments.settings.display());
-            return ExitCode::from(2);
-        }
-    };
-    let settings = match settings::parse(&text) {
+    let settings = match oriolecleatd::read_settings(&arguments.settings) {
         Ok(settings) => settings,
-        Err(faults) => {
-            for fault in faults {
-                eprintln!(
-                    "{}: {}: {}",
-                    arguments.settings.display(),
-                    fault.path,
-                    fault.reason
-                );
-            }
-            return ExitCode::from(1);
-        }
+        Err(status) => return status,
     };
     if arguments.check {
         println!("{}: the settings hold", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    oriolecleatd::init_logs();
-    match oriolecleatd::run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            log::error!(cause:% = format!("{report:?}"); "the daemon stopped on an error");
-            ExitCode::from(2)
-        }
-    }
+    oriolecleatd::run_to_end(|| oriolecleatd::run(settings, &arguments.settings))
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -24,8 +24,11 @@
 
 use crate::clock;
 use crate::clock::Clock;
+use crate::dialect::Dialect;
 use crate::fleet::Links;
 use crate::halt::Phases;
+use crate::host::Host;
+use crate::host::Hosted;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::probe;
@@ -81,6 +84,9 @@
     pub(crate) reader: Reader,
     pub(crate) visits: Visits,
     pub(crate) phases: Phases,
+    pub(crate) dialect: Rc<Dialect>,
+    /// What is known from the platform that hosts the fleet, if one does.
+    pub(crate) hosted: Option<Hosted>,
 }
 
 impl Node {
@@ -89,13 +95,23 @@
         clock: Clock,
         mut rng: SmallRng,
         probes: mpsc::UnboundedSender<probe::Order>,
+        host: Option<Rc<dyn Host>>,
     ) -> Self {
         let incarnation = clock::wall_ms();
         let now = clock.now();
         let hold = settings.evidence.leaving_hold;
         let own = record(&settings, incarnation);
         let reader = Reader::new(now, settings.view.clone(), &mut rng);
+        let dialect = host
+            .as_ref()
+            .map_or_else(Dialect::own, |host| host.dialect());
+        let foreign = host.as_ref().map_or_else(Vec::new, |host| host.keys());
+        let hosted = host
+            .zip(settings.hosting.clone())
+            .map(|(host, hosting)| Hosted::new(host, hosting));
         Self {
+            dialect: Rc::new(dialect),
+            hosted,
             issuer: ticket::Issuer::new(settings.fleet_key.as_bytes()),
             ledger: ticket::Ledger::new(&settings.vm, incarnation, LEDGER_CAPACITY),
             metrics: Metrics::new(settings.statsd, &settings.vm),
@@ -104,7 +120,7 @@
             routes: route::Table::default(),
             pool: Pool::default(),
             revision: 0,
-            catalogue: Catalogue::default(),
+            catalogue: Catalogue::hosting(foreign),
             vm_list: vmlist::List::default(),
             services: SlotMap::with_key(),
             names: Map::default(),
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -66,6 +66,15 @@
         .fold(Router::new(), Router::push)
 }
 
+/// The page that a platform asks whether callers may come.
+pub(crate) fn readiness(client: &Client, path: &str) -> Router {
+    let page = Page {
+        client: client.clone(),
+        question: |_| Question::Readiness,
+    };
+    Router::with_path(path).get(page)
+}
+
 fn param(request: &Request, name: &str) -> Box<str> {
     request.param::<String>(name).unwrap_or_default().into()
 }
--- a/crates/daemon/src/overview.rs
+++ b/crates/daemon/src/overview.rs
@@ -1,5 +1,7 @@
 //! What the operator pages say of the view, the fleet and the audit trail.
 
+use std::net::SocketAddr;
+
 use oriolecleat_core::address;
 use oriolecleat_core::address::Candidate;
 use oriolecleat_core::address::Place;
@@ -13,6 +15,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::clock;
 use crate::halt;
 use crate::node::Node;
 use crate::query::Answer;
@@ -22,10 +25,15 @@
     /// Why this VM should not be used; nothing if it should.
     pub(crate) fn unready(&self) -> Vec<&'static str> {
         let mut reasons = Vec::new();
-        if self.catalogue.records().next().is_none() {
+        let planless = self
+            .hosted
+            .as_ref()
+            .is_some_and(|hosted| hosted.plan.is_none());
+        if planless || self.catalogue.records().next().is_none() {
             reasons.push("no_catalogue");
         }
-        if self.reader.stale(self.clock.now()) {
+        // A platform's store may be away for long: what was read last then stays in force.
+        if self.hosted.is_none() && self.reader.stale(self.clock.now()) {
             reasons.push("view_stale");
         }
         if !self.phase().is_named() {
@@ -173,6 +181,34 @@
         }))
     }
 
+    /// The addresses for a caller of the platform.
+    pub(crate) fn homes(&mut self, query: &str) -> Answer {
+        let now = self.clock.now();
+        let candidates = self.candidates(now);
+        let Some(hosted) = &self.hosted else {
+            return Answer::unknown("no platform hosts the fleet");
+        };
+        let caller = hosted.host.caller(query);
+        let services = hosted.services();
+        let mut services: Vec<&str> = services.iter().map(|name| &**name).collect();
+        services.sort_unstable();
+        let rules = hosted.rules.at(&caller.host).unwrap_or_default();
+        let part = rules.iter().flat_map(|rule| &rule.parts).next();
+        let service = part.map_or(&*caller.host, |part| &*part.service);
+        let place = Place {
+            region: &caller.region,
+            data_center: &caller.data_center,
+        };
+        let named = hosted.settings.named;
+        let homes = address::homes(place, &candidates, &services, service, named);
+        let addresses: Vec<SocketAddr> = homes.iter().map(|home| home.address).collect();
+        if addresses.is_empty() {
+            return Answer::unavailable(json!({ "error": "no VM is known to serve" }));
+        }
+        let ttl = clock::duration(self.settings.stop.address_ttl);
+        Answer::ok(hosted.host.addresses(&addresses, ttl))
+    }
+
     fn candidates(&self, now: Instant) -> Vec<Candidate> {
         let candidate = |member: &Member| {
             let record = member.record();
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -50,9 +50,9 @@
 }
 
 impl Feed {
-    fn address(self, platform: &Platform) -> SocketAddr {
+    fn address(self, platform: &Platform) -> Option<SocketAddr> {
         match self {
-            Self::Catalogue => platform.configuration,
+            Self::Catalogue => Some(platform.configuration),
             Self::VmList => platform.vm_list,
         }
     }
@@ -68,6 +68,9 @@
 /// Reads and watches `feed` whenever this VM is a reader.
 pub(crate) async fn follow(node: Shared, feed: Feed) {
     let address = feed.address(&node.borrow().settings.platform);
+    let Some(address) = address else {
+        return;
+    };
     let mut reading = node.borrow().links.reading.subscribe();
     let mut session = feed.session();
     loop {
@@ -186,7 +189,7 @@
     }
 
     /// Takes news of the configuration service that were complete `age` ago.
-    fn learn(&mut self, node: &Shared, news: News, age: Span) {
+    pub(crate) fn learn(&mut self, node: &Shared, news: News, age: Span) {
         let now = self.clock.now();
         self.reader.respond();
         let content = |key: Box<str>, revision, text: Option<Box<str>>| Content {
--- /dev/null
+++ b/crates/daemon/src/program.rs
@@ -0,0 +1,81 @@
+//! What the binaries share: reading the settings file and turning an end into an exit status.
+
+use std::fmt;
+use std::path::Path;
+use std::process::ExitCode;
+
+use error_stack::Report;
+use oriolecleat_core::read::Fault;
+use oriolecleat_core::settings;
+use oriolecleat_core::settings::Settings;
+
+use crate::logs;
+use crate::start::Failure;
+
+/// Status of a settings file that does not hold.
+const INVALID: u8 = 1;
+/// Status of a file that cannot be read, and of a daemon that stopped on an error.
+const FAILED: u8 = 2;
+
+/// Why settings cannot be used.
+#[derive(Debug)]
+pub enum Unusable {
+    /// The file could not be read.
+    Unreadable(std::io::Error),
+    /// The file was read and has these faults.
+    Faulty(Vec<Fault>),
+}
+
+impl fmt::Display for Unusable {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable(error) => error.fmt(formatter),
+            Self::Faulty(faults) => {
+                let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+                formatter.write_str(&faults.join("; "))
+            }
+        }
+    }
+}
+
+/// Reads and checks the settings file.
+///
+/// # Errors
+///
+/// Returns why the settings cannot be used.
+pub fn load(path: &Path) -> Result<Settings, Unusable> {
+    let text = std::fs::read_to_string(path).map_err(Unusable::Unreadable)?;
+    settings::parse(&text).map_err(Unusable::Faulty)
+}
+
+/// Reads the settings file; reports what is wrong with it on standard error.
+///
+/// # Errors
+///
+/// Returns the exit status if the settings cannot be used.
+pub fn read_settings(path: &Path) -> Result<Settings, ExitCode> {
+    load(path).map_err(|unusable| match unusable {
+        Unusable::Unreadable(error) => {
+            eprintln!("{}: {error}", path.display());
+            ExitCode::from(FAILED)
+        }
+        Unusable::Faulty(faults) => {
+            for fault in faults {
+                eprintln!("{}: {}: {}", path.display(), fault.path, fault.reason);
+            }
+            ExitCode::from(INVALID)
+        }
+    })
+}
+
+/// Runs the daemon with logs on standard output and gives its exit status.
+pub fn run_to_end(run: impl FnOnce() -> Result<(), Report<Failure>>) -> ExitCode {
+    logs::init();
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            log::error!(cause:% = format!("{report:?}"); "the daemon stopped on an error");
+            ExitCode::from(FAILED)
+        }
+    }
+}
--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -19,6 +19,8 @@
 pub(crate) enum Question {
     /// Which addresses may a caller of the service use?
     Addresses(Box<str>),
+    /// Which addresses may a caller of the platform use, by its query?
+    Homes(Box<str>),
     /// Does the loop answer?
     Health,
     /// Does this VM serve callers on a fresh view?
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -3,20 +3,24 @@
 use std::future::Future;
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_ENCODING;
 use oriolecleat_core::balance::Ending;
 use oriolecleat_core::balance::Fate;
 use oriolecleat_core::request::Code;
 use oriolecleat_core::request::Shed;
 
 use crate::attempt::Attempt;
+use crate::dialect::Dialect;
 use crate::exchange::Exchange;
 use crate::exchange::Unconnected;
 use crate::head;
@@ -33,6 +37,13 @@
     pub(crate) attempt: Attempt,
 }
 
+impl Reply {
+    /// Whether the target answered with an error of its own.
+    pub(crate) fn is_error(&self) -> bool {
+        self.response.status().is_server_error()
+    }
+}
+
 /// How the copies of a request ended.
 pub(crate) enum Raced {
     /// One has an answer.
@@ -107,8 +118,10 @@
             match decision {
                 Decision::Hedge(grant) => {
                     let attempt = self.line.attempt(grant.target);
-                    if self.body.is_replayable() && permit() {
-                        copies.push(self.copy(grant, attempt));
+                    let allowed = self.body.is_replayable()
+                        && self.node.borrow_mut().may_repeat(self.service);
+                    if allowed && permit() {
+                        copies.push(self.copy(&grant, attempt));
                     }
                 }
                 Decision::Cancel(target) => {
@@ -124,10 +137,10 @@
     }
 
     /// A second copy; it opens its connection while the first copy runs.
-    fn copy(&self, grant: Grant, attempt: Attempt) -> Copy {
+    fn copy(&self, grant: &Grant, attempt: Attempt) -> Copy {
         let left = self.left();
-        let request = self.outgoing.request(&grant, 1, left, &self.body);
-        let connected = self.connect(&grant);
+        let request = self.outgoing.request(grant, 1, left, &self.body);
+        let connected = self.connect(grant);
         let flow = async move {
             let mut connection = match connected.await {
                 Ok(connection) => connection,
@@ -205,6 +218,21 @@
         })
     }
 
+    fn dialect(&self) -> Rc<Dialect> {
+        Rc::clone(&self.node.borrow().dialect)
+    }
+
+    /// Whether a success lacks the proof that a target gave it. A body with an encoding that nobody
+    /// asked for is not the target's.
+    fn is_unsigned(&self, status: StatusCode, headers: &HeaderMap) -> bool {
+        let dialect = self.dialect();
+        let Some(signature) = &dialect.signature else {
+            return false;
+        };
+        let proved = headers.contains_key(signature) && !headers.contains_key(CONTENT_ENCODING);
+        status.is_success() && !proved
+    }
+
     fn answered(
         &mut self,
         context: &mut Context<'_>,
@@ -224,8 +252,10 @@
             Some("the target switched protocols unasked")
         } else if !self.outgoing.is_answered_by(headers) {
             Some("the answer carries the id of another request")
-        } else if !head::is_delimited(headers, length) {
+        } else if !self.dialect().open_ended && !head::is_delimited(headers, length) {
             Some("the answer has no length and is not chunked")
+        } else if self.is_unsigned(status, headers) {
+            Some("the answer does not prove that a target gave it")
         } else {
             None
         };
@@ -234,8 +264,13 @@
             attempt.end(Ending::Broken { written: true });
             return Raced::Discarded(Code::TargetBadAnswer);
         }
-        let outcome = headers.get("oriolecleat-outcome");
-        if let Some(shed) = Shed::read(status.as_u16(), outcome.map(AsRef::as_ref)) {
+        let dialect = self.dialect();
+        if (dialect.is_misdirected)(status) {
+            log::info!(id = self.line.id(); "another target has the address");
+            let mut node = self.node.borrow_mut();
+            node.misdirected(self.service, attempt.target());
+        }
+        if let Some(shed) = Shed::declared((dialect.is_shed)(status, headers)) {
             if response.body().is_end_stream() {
                 self.node.borrow_mut().pool.put(connection, context);
             }
--- /dev/null
+++ b/crates/daemon/src/reload.rs
@@ -0,0 +1,74 @@
+//! Takes a changed settings file into use.
+
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use oriolecleat_core::settings::Settings;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::node::Node;
+use crate::node::Shared;
+use crate::program;
+
+/// Time between two looks at the file, which may change without a signal.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Reloads the settings file on SIGHUP, and when it was written.
+pub(crate) async fn listen(node: Shared, path: PathBuf) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        log::error!("SIGHUP cannot be received: it would end the process");
+        return;
+    };
+    let written = |path: &PathBuf| -> Option<SystemTime> {
+        std::fs::metadata(path)
+            .and_then(|file| file.modified())
+            .ok()
+    };
+    let mut known = written(&path);
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(LOOK) => false,
+        };
+        let latest = written(&path);
+        if !signalled && latest == known {
+            continue;
+        }
+        known = latest;
+        match program::load(&path) {
+            Ok(settings) => node.borrow_mut().reload(&settings),
+            Err(unusable) => {
+                log::error!(cause:% = unusable; "reload: the settings in force stay");
+            }
+        }
+    }
+}
+
+impl Node {
+    /// Takes over what can change while the process runs.
+    fn reload(&mut self, settings: &Settings) {
+        let mut next = self.settings.clone();
+        next.view = settings.view.clone();
+        next.stop = settings.stop.clone();
+        next.http = settings.http.clone();
+        next.evidence = settings.evidence.clone();
+        next.seeds.clone_from(&settings.seeds);
+        if let (Some(own), Some(new)) = (&mut next.hosting, &settings.hosting) {
+            own.repeats = new.repeats;
+            own.grace = new.grace;
+            own.named = new.named;
+            own.regions.clone_from(&new.regions);
+        }
+        let changed = next != self.settings;
+        if next != *settings {
+            log::warn!("reload: a name or an address changed, which takes a restart");
+        }
+        log::info!(changed; "reload: the settings hold");
+        if let (Some(hosted), Some(hosting)) = (&mut self.hosted, &next.hosting) {
+            hosted.configure(hosting.clone());
+        }
+        self.settings = next;
+    }
+}
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -32,9 +32,10 @@
 
 data! {
     /// A target that a call may be sent to.
-    #[derive(Copy)]
     pub(crate) struct Grant {
         pub(crate) target: target::Key,
+        /// Name of the target.
+        pub(crate) name: Box<str>,
         pub(crate) address: std::net::SocketAddr,
         /// Longest wait in the target before it sheds the request.
         pub(crate) queue: Span,
@@ -53,7 +54,7 @@
 }
 
 /// A decision for one call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Decision {
     /// Send the request.
     Send(Grant),
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::fmt;
+use std::path::Path;
 use std::rc::Rc;
 
 use error_stack::Report;
@@ -21,8 +22,10 @@
 use crate::caller;
 use crate::clock::Clock;
 use crate::directory;
+use crate::feed;
 use crate::fleet;
 use crate::halt;
+use crate::host::Host;
 use crate::node::Node;
 use crate::node::Shared;
 use crate::operator;
@@ -32,6 +35,7 @@
 use crate::probe;
 use crate::query::Client;
 use crate::query::Query;
+use crate::reload;
 use crate::timer;
 
 const QUERY_QUEUE: usize = 256;
@@ -48,20 +52,45 @@
 
 impl std::error::Error for Failure {}
 
-/// Runs the daemon until it is told to stop.
+/// Runs the daemon with `settings`, which were read from `path`, until it is told to stop.
 ///
 /// # Errors
 ///
 /// Returns why the daemon could not start.
-pub fn run(settings: Settings) -> Result<(), Report<Failure>> {
+pub fn run(settings: Settings, path: &Path) -> Result<(), Report<Failure>> {
+    start(settings, path, None)
+}
+
+/// Runs the daemon for a platform until its planned stop is complete.
+///
+/// # Errors
+///
+/// Returns why the daemon could not start.
+pub fn run_hosted(
+    settings: Settings,
+    path: &Path,
+    host: Rc<dyn Host>,
+) -> Result<(), Report<Failure>> {
+    start(settings, path, Some(host))
+}
+
+fn start(
+    settings: Settings,
+    path: &Path,
+    host: Option<Rc<dyn Host>>,
+) -> Result<(), Report<Failure>> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .change_context(Failure("the event loop could not be created"))?;
-    LocalSet::new().block_on(&runtime, serve(settings))
+    LocalSet::new().block_on(&runtime, serve(settings, path, host))
 }
 
-async fn serve(settings: Settings) -> Result<(), Report<Failure>> {
+async fn serve(
+    settings: Settings,
+    path: &Path,
+    host: Option<Rc<dyn Host>>,
+) -> Result<(), Report<Failure>> {
     let listen = settings.listen.clone();
     let callers = TcpListener::bind(listen.caller)
         .await
@@ -80,24 +109,41 @@
     let vm = settings.vm.clone();
     let rng = SmallRng::from_rng(&mut rand::rng());
     let (probes, orders) = mpsc::unbounded_channel();
-    let node = Node::new(settings, Clock::start(), rng, probes);
+    let hosting = settings.hosting.clone();
+    let paths = host.as_ref().map(|host| host.paths());
+    let node = Node::new(settings, Clock::start(), rng, probes, host.clone());
     let node: Shared = Rc::new(RefCell::new(node));
     tokio::task::spawn_local(peer::serve(node.clone(), peers));
     tokio::task::spawn_local(fleet::run(node.clone()));
     fleet::join(&node).await;
     let (sender, queries) = mpsc::channel(QUERY_QUEUE);
     let client = Client::new(sender);
-    spawn_pages(directory, directory::router(client.clone()));
+    spawn_pages(directory, directory::router(&client, paths));
     spawn_pages(operators, operator::router(&client));
+    if let (Some(hosting), Some(paths)) = (&hosting, paths) {
+        let ready = salvo::conn::TcpListener::new(hosting.ready)
+            .try_bind()
+            .await
+            .change_context(Failure("the readiness port could not be opened"))?;
+        spawn_pages(ready, operator::readiness(&client, paths.ready));
+    }
     tokio::task::spawn_local(answer(node.clone(), queries));
-    for feed in [Feed::Catalogue, Feed::VmList] {
-        tokio::task::spawn_local(platform::follow(node.clone(), feed));
+    match host {
+        Some(host) => {
+            tokio::task::spawn_local(feed::follow(node.clone(), host));
+        }
+        None => {
+            for feed in [Feed::Catalogue, Feed::VmList] {
+                tokio::task::spawn_local(platform::follow(node.clone(), feed));
+            }
+        }
     }
     tokio::task::spawn_local(probe::run(node.clone(), orders));
     tokio::task::spawn_local(timer::run(node.clone()));
     log::info!(vm:% = vm, caller:% = listen.caller, directory:% = listen.directory; "serving");
     let mut phases = node.borrow().phases.subscribe();
     tokio::task::spawn_local(halt::listen(node.clone()));
+    tokio::task::spawn_local(reload::listen(node.clone(), path.to_owned()));
     let stopping = node.clone();
     tokio::task::spawn_local(caller::serve(node, callers));
     // The node holds the sender, so the channel is open until the process ends.
