Place the calls of platform targets by expected loss

The balancer knew neither the pace of a machine nor the knee of a target, and sent calls beside noisy neighbours: most late calls took about four times their work. Change: the package core gets the folder place/: what is known of a target by the age of each figure, the expected loss of a call there, probes of the load before a call that a noisy neighbour would make late, calls that wait here by urgency and time left, refusals at once, copies of late idempotent calls. The daemon chooses it for targets of a platform; the balancer of the product's own protocol is as it was.

--- a/crates/bench/src/model/run.rs
+++ b/crates/bench/src/model/run.rs
@@ -154,6 +154,7 @@
         let idle = Report {
             running: 0,
             queued: 0,
+            pace: None,
         };
         Self {
             world,
@@ -222,6 +223,7 @@
             return Report {
                 running: 0,
                 queued: 0,
+                pace: None,
             };
         }
         if !self.plan.scenario.reports_frozen(now) {
@@ -271,6 +273,7 @@
             report: Report {
                 running: 0,
                 queued: 0,
+                pace: None,
             },
             open: true,
             sent: now,
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -121,8 +121,16 @@
         pub call: Call,
         /// Class of its entry.
         pub class: Class,
+        /// When the request arrived at this VM.
+        pub arrived: Instant,
         /// When the caller stops waiting.
         pub deadline: Instant,
+        /// Time since the arrival within which an answer is of full use.
+        pub objective: Span,
+        /// Rank against the calls of other entries; 0 goes first.
+        pub urgency: u8,
+        /// A target that failed the request before.
+        pub avoid: Option<target::Key>,
         /// Tells the entries of the service apart.
         pub entry: u32,
         /// Copies permitted, as a percentage of the calls; zero for none.
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -12,6 +12,8 @@
         pub running: u64,
         /// Requests that wait in the target.
         pub queued: u64,
+        /// How long work takes on the target's machine now, in hundredths of the usual, if told.
+        pub pace: Option<u64>,
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod news;
 mod outcome;
 mod peer;
+pub mod place;
 mod queue;
 pub mod read;
 pub mod reader;
--- a/crates/core/tests/balance_machine.rs
+++ b/crates/core/tests/balance_machine.rs
@@ -81,7 +81,16 @@
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let report = |(target, running, queued)| Step::Report(target, Report { running, queued });
+    let report = |(target, running, queued)| {
+        Step::Report(
+            target,
+            Report {
+                running,
+                queued,
+                pace: None,
+            },
+        )
+    };
     prop_oneof![
         12 => (class(), 0..3_u32, 10..5_000_u64, 0..50_u8)
             .prop_map(|(class, entry, deadline, hedge)| Step::Arrive(class, entry, deadline, hedge)),
@@ -281,6 +290,10 @@
             call: Call(self.next),
             class,
             deadline: self.now + deadline,
+            arrived: self.now,
+            objective: Span::ZERO,
+            urgency: 0,
+            avoid: None,
             entry,
             hedge_percent,
             bytes: Some(REQUEST_BYTES),
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -28,6 +28,8 @@
     ask: Ask,
     id: HeaderValue,
     open: bool,
+    /// Target of the newest attempt.
+    last: Cell<Option<target::Key>>,
 }
 
 impl Line {
@@ -40,6 +42,7 @@
             ask,
             id,
             open: true,
+            last: Cell::new(None),
         }
     }
 
@@ -53,11 +56,12 @@
         self.open = false;
     }
 
-    /// Offers the request to the balancer as a new call.
+    /// Offers the request to the balancer as a new call that avoids the target it had last.
     pub(crate) fn again(&mut self) {
         self.leave();
         let mut node = self.node.borrow_mut();
         self.ask.call = node.new_call();
+        self.ask.avoid = self.last.get();
         node.arrive(self.service, self.ask.clone());
         self.open = true;
     }
@@ -83,6 +87,7 @@
     /// Begins an attempt at a target that was granted.
     pub(crate) fn attempt(&self, target: target::Key) -> Attempt {
         let started = self.node.borrow().clock.now();
+        self.last.set(Some(target));
         Attempt {
             node: self.node.clone(),
             service: self.service,
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -21,6 +21,7 @@
 use oriolecleat_core::balance::Ask;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::entry::Entry;
+use oriolecleat_core::estimate::seconds;
 use oriolecleat_core::request::Admitted;
 use oriolecleat_core::request::Code;
 use oriolecleat_core::request::End;
@@ -28,6 +29,7 @@
 use oriolecleat_core::request::Received;
 use oriolecleat_core::site::plan::Plan;
 use oriolecleat_core::stop::Phase;
+use oriolecleat_core::time::Span;
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -60,9 +62,10 @@
 
 /// Headers in one head.
 const HEADERS_MAX: usize = 64;
-/// Seconds after which a refused caller may come again: about the time in which slots of a full
-/// service become free, spread so that callers do not return together.
-const RETRY_AFTER_S: std::ops::Range<f64> = 0.05..0.15;
+/// Bounds on the seconds after which a refused caller may come again. The least is about the time in
+/// which one slot becomes free; callers do not wait longer than a third of their time.
+const RETRY_AFTER_LEAST_S: f64 = 0.04;
+const RETRY_AFTER_MOST_S: f64 = 0.5;
 
 /// Accepts callers until the process ends.
 pub(crate) async fn serve(node: Shared, listener: TcpListener) {
@@ -183,7 +186,7 @@
     });
     let (service, quota, admitted, ask, held) = match prepared {
         Ok(prepared) => prepared,
-        Err(end) => return Ok(refuse(&node, active, end, id)),
+        Err(end) => return Ok(refuse(&node, active, end, id, None)),
     };
     let depth = admitted.terms().depth;
     let end = ask.deadline;
@@ -205,7 +208,7 @@
     };
     let mut response = match exchange.run(admitted).await {
         Ok((answer, outcome)) => deliver(exchange, active, answer, outcome, id).await,
-        Err(end) => refuse(&node, active, end, id),
+        Err(end) => refuse(&node, active, end, id, Some(service)),
     };
     if !node.borrow().phase().is_named() {
         close(&mut response);
@@ -276,7 +279,11 @@
     let ask = Ask {
         call,
         class: terms.class,
+        arrived: node.clock.now(),
         deadline: terms.deadline,
+        objective: aim.objective,
+        urgency: aim.urgency,
+        avoid: None,
         entry: number,
         hedge_percent: hedge_percent(entry),
         bytes: body.map(|body| body + head::outgoing_bytes(parts)),
@@ -290,6 +297,10 @@
     service: Box<str>,
     /// Name of its entry, if the rules of a plan tell it.
     entry: Option<Box<str>>,
+    /// Time within which an answer is of full use.
+    objective: Span,
+    /// Rank against the calls of other entries.
+    urgency: u8,
 }
 
 impl Node {
@@ -299,6 +310,8 @@
             return Ok(Aim {
                 service: facts.host.clone(),
                 entry: None,
+                objective: Span::ZERO,
+                urgency: 0,
             });
         };
         // A VM that knows no plan cannot say that there is no such route.
@@ -311,6 +324,8 @@
         Ok(Aim {
             service: part.service.clone(),
             entry: Some(Plan::entry_name(&rule.name, &part.service)),
+            objective: rule.objective,
+            urgency: rule.urgency,
         })
     }
 }
@@ -380,7 +395,13 @@
 }
 
 /// Answers a request that has no answer of a target.
-fn refuse(node: &Shared, active: Active, end: End, id: HeaderValue) -> Response<Download> {
+fn refuse(
+    node: &Shared,
+    active: Active,
+    end: End,
+    id: HeaderValue,
+    service: Option<service::Key>,
+) -> Response<Download> {
     let text = id.to_str().unwrap_or_default();
     log::info!(
         id = text,
@@ -408,7 +429,7 @@
     let hosted = node.borrow().hosted.is_some();
     let (status, mut headers) = refusal::head(end, hosted);
     if hosted && status == StatusCode::SERVICE_UNAVAILABLE {
-        headers.insert(RETRY_AFTER, retry_after(node));
+        headers.insert(RETRY_AFTER, retry_after(node, service));
     }
     let name = node.borrow().dialect.request_id.clone();
     headers.insert(name, id);
@@ -420,10 +441,18 @@
     response
 }
 
-/// Seconds after which a caller may come again.
-fn retry_after(node: &Shared) -> HeaderValue {
-    let seconds: f64 = node.borrow_mut().rng.random_range(RETRY_AFTER_S);
-    HeaderValue::try_from(format!("{seconds:.3}")).expect("a decimal number forms a header value")
+/// Seconds after which a caller may come again: the expected wait, spread so that callers that were
+/// refused together do not return together.
+fn retry_after(node: &Shared, service: Option<service::Key>) -> HeaderValue {
+    let mut node = node.borrow_mut();
+    let now = node.clock.now();
+    let found = service.and_then(|service| node.services.get(service));
+    let wait = found.and_then(|found| found.balancer.wait(now));
+    let wait = wait.map_or(RETRY_AFTER_LEAST_S, seconds);
+    let wait = wait.clamp(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S);
+    let spread: f64 = node.rng.random_range(0.75..1.5);
+    let text = format!("{:.3}", wait * spread);
+    HeaderValue::try_from(text).expect("a decimal number forms a header value")
 }
 
 /// Tells the caller to use a new connection for its next request.
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -10,6 +10,7 @@
 use oriolecleat_core::balance::Call;
 use oriolecleat_core::balance::Ending;
 use oriolecleat_core::balance::Fate;
+use oriolecleat_core::estimate::Report;
 use oriolecleat_core::leaving::Probe;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
@@ -104,7 +105,7 @@
         };
         let dialect = Rc::clone(&self.dialect);
         if let Some(report) = (dialect.load)(headers) {
-            found.balancer.report(now, target, report, Span::ZERO);
+            found.balancer.report(now, target, report);
         }
         let draining = dialect.own && headers.contains_key("oriolecleat-drain");
         if found.answered(now, target, sent, draining) {
@@ -120,6 +121,16 @@
         }
     }
 
+    /// Path at which the targets of the service tell their load.
+    pub(crate) fn health_path(&self, service: service::Key) -> Box<str> {
+        let plan = self.hosted.as_ref().and_then(|hosted| hosted.plan.as_ref());
+        let name = self.services.get(service).map(|found| &found.name);
+        let mut services = plan.into_iter().flat_map(|plan| &plan.services);
+        services
+            .find(|known| Some(&known.name) == name)
+            .map_or_else(|| "/".into(), |known| known.health_path.clone())
+    }
+
     /// A request arrived for the first time.
     pub(crate) fn requested(&mut self, service: service::Key) {
         let now = self.clock.now();
@@ -285,6 +296,19 @@
         }
     }
 
+    /// A probe of the load of a target of the platform was answered, or not in time.
+    pub(crate) fn sounded(&mut self, order: probe::Order, report: Option<Report>) {
+        let now = self.clock.now();
+        let Some(found) = self.services.get_mut(order.service) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        found
+            .balancer
+            .sounded(now, order.target, report, &mut self.rng, &mut actions);
+        self.act(order.service, &actions);
+    }
+
     /// A probe that was sent at `sent` ended.
     pub(crate) fn probed(&mut self, order: probe::Order, sent: Instant, result: Probe) {
         let now = self.clock.now();
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -3,9 +3,11 @@
 use oriolecleat_core::entry;
 use oriolecleat_core::entry::Entry;
 use oriolecleat_core::leaving;
+use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
 use oriolecleat_core::route;
 use oriolecleat_core::site::plan::Plan;
+use oriolecleat_core::time::Instant;
 
 use crate::host::Effect;
 use crate::node::Node;
@@ -109,6 +111,18 @@
         }
     }
 
+    /// Until when the targets of `service` are slow after their start, by id.
+    fn cold_targets(&self, service: &str) -> Map<Box<str>, Instant> {
+        let now = self.clock.now();
+        let Some(hosted) = &self.hosted else {
+            return Map::default();
+        };
+        let cold = hosted.roster.cold(service);
+        cold.filter(|(_, until)| *until > now)
+            .map(|(id, until)| (id.into(), until))
+            .collect()
+    }
+
     /// Brings the targets of `services` in line with the registrations.
     fn refresh(&mut self, services: &Set<Box<str>>) {
         let now = self.clock.now();
@@ -118,8 +132,10 @@
                 continue;
             };
             let targets = self.targets_of(name, &[]);
+            let cold = self.cold_targets(name);
             if let Some(service) = self.services.get_mut(key) {
-                service.balancer.update(now, &targets);
+                let cold = |id: &str| cold.get(id).copied();
+                service.balancer.update(now, &targets, cold);
                 service.align(bounds);
             }
         }
@@ -142,24 +158,32 @@
         let place = self.place();
         let ceiling = self.vm_ceiling();
         let bounds = leaving::Bounds::from(&self.settings.evidence);
+        let hosted = self.hosted.is_some();
         let mut named = Set::default();
         for (name, entries) in self.routes.services() {
             let limits = service::limits(entries, ceiling);
             let targets = self.targets_of(name, entries);
+            let cold = self.cold_targets(name);
             let key = *self.names.entry(name.into()).or_insert_with(|| {
-                self.services
-                    .insert(Service::new(now, name, place.clone(), limits.clone()))
+                self.services.insert(Service::new(
+                    now,
+                    name,
+                    place.clone(),
+                    limits.clone(),
+                    hosted,
+                ))
             });
             named.insert(key);
             if let Some(service) = self.services.get_mut(key) {
                 service.balancer.limit(now, limits);
-                service.balancer.update(now, &targets);
+                let cold = |id: &str| cold.get(id).copied();
+                service.balancer.update(now, &targets, cold);
                 service.align(bounds);
             }
         }
         for (key, service) in &mut self.services {
             if !named.contains(&key) {
-                service.balancer.update(now, &[]);
+                service.balancer.update(now, &[], |_| None);
                 service.align(bounds);
             }
         }
--- a/crates/daemon/src/evidence.rs
+++ b/crates/daemon/src/evidence.rs
@@ -72,7 +72,7 @@
         sent: Instant,
         probe: Probe,
     ) -> bool {
-        self.balancer.probed(target, false);
+        self.balancer.confirmed(target);
         let evidence = self.evidence.get_mut(target);
         evidence.is_some_and(|evidence| evidence.probed(now, sent, probe))
     }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -14,6 +14,7 @@
 use oriolecleat_core::request::End;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::request::Sent;
+use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 use tokio::time::Sleep;
@@ -24,6 +25,7 @@
 use crate::gather::Gathered;
 use crate::head::Outgoing;
 use crate::metrics::Count;
+use crate::node::Node;
 use crate::node::Shared;
 use crate::pool::Bounds;
 use crate::pool::Connection;
@@ -60,6 +62,22 @@
     }
 }
 
+impl Node {
+    /// Bounds on the connections of this VM to `target`.
+    pub(crate) fn bounds(&self, service: service::Key, target: target::Key) -> Bounds {
+        let found = self.services.get(service);
+        let target = found.and_then(|found| found.balancer.targets().get(target));
+        let slots = target.map_or(1, |target| target.spec.slots);
+        let http = &self.settings.http;
+        let share = http.connections_per_target / self.vm_ceiling();
+        let connections = share.max(CONNECTIONS_PER_SLOT * slots);
+        Bounds {
+            head: usize::try_from(http.head_bytes).unwrap_or(usize::MAX),
+            connections: usize::try_from(connections).unwrap_or(usize::MAX),
+        }
+    }
+}
+
 /// A request on its way to an answer.
 pub(crate) struct Exchange {
     pub(crate) node: Shared,
@@ -226,21 +244,8 @@
     ) -> impl Future<Output = Result<Connection, Unconnected>> + use<> {
         let (taken, limit, left) = {
             let mut node = self.node.borrow_mut();
-            let ceiling = node.vm_ceiling();
-            let targets = node
-                .services
-                .get(self.service)
-                .map(|found| found.balancer.targets());
-            let target = targets.and_then(|targets| targets.get(grant.target));
-            let slots = target.map_or(1, |target| target.spec.slots);
-            let http = &node.settings.http;
-            let limit = http.connect_timeout;
-            let share = http.connections_per_target / ceiling;
-            let connections = share.max(CONNECTIONS_PER_SLOT * slots);
-            let bounds = Bounds {
-                head: usize::try_from(http.head_bytes).unwrap_or(usize::MAX),
-                connections: usize::try_from(connections).unwrap_or(usize::MAX),
-            };
+            let bounds = node.bounds(self.service, grant.target);
+            let limit = node.settings.http.connect_timeout;
             let taken = node.pool.take(grant.address, bounds);
             (taken, limit, self.end.since(node.clock.now()))
         };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod overview;
 mod peer;
 mod platform;
+mod policy;
 mod pool;
 mod probe;
 mod program;
--- /dev/null
+++ b/crates/daemon/src/policy.rs
@@ -0,0 +1,208 @@
+//! How the calls to a service are placed: by the product's own protocol with its targets, or by what
+//! the targets of a hosting platform tell.
+
+use oriolecleat_core::balance;
+use oriolecleat_core::balance::Action;
+use oriolecleat_core::balance::Ask;
+use oriolecleat_core::balance::Balancer;
+use oriolecleat_core::balance::Call;
+use oriolecleat_core::balance::Ending;
+use oriolecleat_core::balance::Fate;
+use oriolecleat_core::entry;
+use oriolecleat_core::estimate::Report;
+use oriolecleat_core::place;
+use oriolecleat_core::place::Placer;
+use oriolecleat_core::target;
+use oriolecleat_core::target::Standing;
+use oriolecleat_core::target::Table;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+use rand::rngs::SmallRng;
+
+/// Queue and targets of one service.
+pub(crate) enum Policy {
+    /// Targets that speak the product's own protocol.
+    Own(Box<Balancer>),
+    /// Targets of a platform.
+    Hosted(Box<Placer>),
+}
+
+impl Policy {
+    pub(crate) fn limit(&mut self, now: Instant, limits: balance::Limits) {
+        match self {
+            Self::Own(balancer) => balancer.limit(now, limits),
+            Self::Hosted(placer) => placer.limit(place::Limits {
+                queue: limits.queue,
+            }),
+        }
+    }
+
+    /// Takes over the targets in force; `cold` tells until when one is slow after its start.
+    pub(crate) fn update(
+        &mut self,
+        now: Instant,
+        targets: &[entry::Target],
+        cold: impl Fn(&str) -> Option<Instant>,
+    ) {
+        match self {
+            Self::Own(balancer) => balancer.update(now, targets),
+            Self::Hosted(placer) => placer.update(now, targets, cold),
+        }
+    }
+
+    pub(crate) fn targets(&self) -> &Table {
+        match self {
+            Self::Own(balancer) => balancer.targets(),
+            Self::Hosted(placer) => placer.targets(),
+        }
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        match self {
+            Self::Own(balancer) => balancer.waiting(),
+            Self::Hosted(placer) => placer.waiting(),
+        }
+    }
+
+    pub(crate) fn stand(&mut self, target: target::Key, standing: Standing) {
+        match self {
+            Self::Own(balancer) => balancer.stand(target, standing),
+            Self::Hosted(placer) => placer.stand(target, standing),
+        }
+    }
+
+    /// Whether a probe can confirm a target whose evidence is old. The registrations of a platform
+    /// say which targets to use, so that none has to be confirmed there.
+    pub(crate) fn can_probe(&self) -> bool {
+        match self {
+            Self::Own(balancer) => balancer.can_probe(),
+            Self::Hosted(_) => false,
+        }
+    }
+
+    pub(crate) fn arrive(
+        &mut self,
+        now: Instant,
+        ask: Ask,
+        rng: &mut SmallRng,
+        out: &mut Vec<Action>,
+    ) {
+        match self {
+            Self::Own(balancer) => balancer.arrive(now, ask, rng, out),
+            Self::Hosted(placer) => placer.arrive(now, ask, rng, out),
+        }
+    }
+
+    pub(crate) fn report(&mut self, now: Instant, target: target::Key, report: Report) {
+        match self {
+            Self::Own(balancer) => balancer.report(now, target, report, Span::ZERO),
+            Self::Hosted(placer) => placer.report(now, target, report),
+        }
+    }
+
+    /// A peer passed on a report that it got `age` ago.
+    pub(crate) fn peer_load(
+        &mut self,
+        now: Instant,
+        target: target::Key,
+        report: Report,
+        age: Span,
+    ) {
+        match self {
+            Self::Own(balancer) => balancer.peer_load(now, target, report, age),
+            // Targets of a platform are asked for their load when it is needed.
+            Self::Hosted(_) => {}
+        }
+    }
+
+    pub(crate) fn finish(
+        &mut self,
+        now: Instant,
+        call: Call,
+        target: target::Key,
+        ending: Ending,
+        rng: &mut SmallRng,
+        out: &mut Vec<Action>,
+    ) -> Fate {
+        match self {
+            Self::Own(balancer) => balancer.finish(now, call, target, ending, rng, out),
+            Self::Hosted(placer) => placer.finish(now, call, target, ending, rng, out),
+        }
+    }
+
+    pub(crate) fn withdraw(&mut self, now: Instant, call: Call, out: &mut Vec<Action>) {
+        match self {
+            Self::Own(balancer) => balancer.withdraw(now, call, out),
+            Self::Hosted(placer) => placer.withdraw(call, out),
+        }
+    }
+
+    /// A probe that was to confirm `target` ended.
+    pub(crate) fn confirmed(&mut self, target: target::Key) {
+        match self {
+            Self::Own(balancer) => balancer.probed(target, false),
+            Self::Hosted(_) => {}
+        }
+    }
+
+    /// A probe of the load of `target` was answered, or not in time.
+    pub(crate) fn sounded(
+        &mut self,
+        now: Instant,
+        target: target::Key,
+        report: Option<Report>,
+        rng: &mut SmallRng,
+        out: &mut Vec<Action>,
+    ) {
+        match self {
+            Self::Own(_) => {}
+            Self::Hosted(placer) => placer.probed(now, target, report, rng, out),
+        }
+    }
+
+    /// An exchange with `target` carried `bytes`.
+    pub(crate) fn carried(&mut self, now: Instant, target: target::Key, bytes: u64) {
+        match self {
+            Self::Own(balancer) => balancer.carried(now, target, bytes),
+            Self::Hosted(_) => {}
+        }
+    }
+
+    pub(crate) fn tick(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
+        match self {
+            Self::Own(balancer) => balancer.tick(now, rng, out),
+            Self::Hosted(placer) => placer.tick(now, rng, out),
+        }
+    }
+
+    pub(crate) fn next_tick(&self, now: Instant) -> Option<Instant> {
+        match self {
+            Self::Own(balancer) => balancer.next_tick(now),
+            Self::Hosted(placer) => placer.next_tick(now),
+        }
+    }
+
+    /// Expected wait of a new call.
+    pub(crate) fn wait(&self, now: Instant) -> Option<Span> {
+        match self {
+            Self::Own(_) => None,
+            Self::Hosted(placer) => Some(placer.wait(now)),
+        }
+    }
+
+    /// Measuring bytes spent so far.
+    pub(crate) fn measured(&self) -> u64 {
+        match self {
+            Self::Own(balancer) => balancer.measured(),
+            Self::Hosted(_) => 0,
+        }
+    }
+
+    /// Bytes to and from other regions so far.
+    pub(crate) fn remote_bytes(&self) -> u64 {
+        match self {
+            Self::Own(balancer) => balancer.remote_bytes(),
+            Self::Hosted(_) => 0,
+        }
+    }
+}
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -1,15 +1,21 @@
 //! Probes targets.
 
+use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Limited;
 use hyper::Request;
+use hyper::body::Body;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use oriolecleat_core::estimate::Report;
 use oriolecleat_core::leaving::Probe;
 use oriolecleat_core::target;
 use tokio::net::TcpStream;
@@ -17,7 +23,9 @@
 
 use crate::clock;
 use crate::node::Shared;
+use crate::pool::Taken;
 use crate::service;
+use crate::upload;
 
 const BODY_LIMIT_BYTES: usize = 4_096;
 
@@ -33,6 +41,10 @@
 pub(crate) async fn run(node: Shared, mut orders: mpsc::UnboundedReceiver<Order>) {
     while let Some(order) = orders.recv().await {
         let node = node.clone();
+        if node.borrow().hosted.is_some() {
+            tokio::task::spawn_local(sound(node, order));
+            continue;
+        }
         tokio::task::spawn_local(async move {
             let limit = clock::duration(node.borrow().settings.evidence.probe_timeout);
             let sent = node.borrow().clock.now();
@@ -46,6 +58,69 @@
     }
 }
 
+/// Asks a target of the platform for its load, on a connection like those of requests.
+async fn sound(node: Shared, order: Order) {
+    let limit = clock::duration(node.borrow().settings.evidence.probe_timeout);
+    let report = match tokio::time::timeout(limit, load(&node, order)).await {
+        Ok(Ok(report)) => report,
+        Ok(Err(error)) => {
+            log::debug!(address:% = order.address, cause:% = error; "a probe failed");
+            None
+        }
+        Err(_) => {
+            log::debug!(address:% = order.address; "a probe was not answered in time");
+            None
+        }
+    };
+    node.borrow_mut().sounded(order, report);
+}
+
+/// The load that a target tells on its health endpoint; none if it tells none.
+async fn load(
+    node: &Shared,
+    order: Order,
+) -> Result<Option<Report>, Box<dyn std::error::Error + Send + Sync>> {
+    let (taken, path, dialect) = {
+        let mut node = node.borrow_mut();
+        let bounds = node.bounds(order.service, order.target);
+        let path = node.health_path(order.service);
+        let dialect = Rc::clone(&node.dialect);
+        (node.pool.take(order.address, bounds), path, dialect)
+    };
+    let mut connection = match taken {
+        Taken::Idle(connection) => connection,
+        Taken::New(permit) => permit.open().await?,
+        Taken::Full => return Ok(None),
+    };
+    let request = Request::get(&*path)
+        .header("host", order.address.to_string())
+        .body(upload::Shared::empty().upload())?;
+    let response = connection.send(request).await?;
+    let report = (dialect.load)(response.headers());
+    let mut body = response.into_body();
+    poll_fn(|context| {
+        connection.drive(context);
+        loop {
+            match Pin::new(&mut body).poll_frame(context) {
+                Poll::Ready(Some(Ok(_))) => {}
+                Poll::Ready(Some(Err(error))) => return Poll::Ready(Err(error)),
+                Poll::Ready(None) => return Poll::Ready(Ok(())),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    })
+    .await?;
+    let mut connection = Some(connection);
+    poll_fn(|context| {
+        if let Some(connection) = connection.take() {
+            node.borrow_mut().pool.put(connection, context);
+        }
+        Poll::Ready(())
+    })
+    .await;
+    Ok(report)
+}
+
 /// What the target answers on its health endpoint.
 async fn probe(address: SocketAddr) -> Result<Probe, Box<dyn std::error::Error + Send + Sync>> {
     let stream = match TcpStream::connect(address).await {
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -8,12 +8,15 @@
 use oriolecleat_core::data;
 use oriolecleat_core::entry;
 use oriolecleat_core::entry::Entry;
+use oriolecleat_core::place;
+use oriolecleat_core::place::Placer;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 
 use crate::evidence;
+use crate::policy::Policy;
 
 slotmap::new_key_type! {
     /// Names a service of the node.
@@ -26,7 +29,7 @@
 /// A service with its balancer.
 pub(crate) struct Service {
     pub(crate) name: Box<str>,
-    pub(crate) balancer: Balancer,
+    pub(crate) balancer: Policy,
     pub(crate) evidence: evidence::Map,
 }
 
@@ -76,10 +79,23 @@
 }
 
 impl Service {
-    pub(crate) fn new(now: Instant, name: &str, place: Place, limits: Limits) -> Self {
+    /// A service of the product's own targets, or of those of a platform if `hosted`.
+    pub(crate) fn new(
+        now: Instant,
+        name: &str,
+        place: Place,
+        limits: Limits,
+        hosted: bool,
+    ) -> Self {
+        let balancer = if hosted {
+            let queue = limits.queue;
+            Policy::Hosted(Box::new(Placer::new(place, place::Limits { queue })))
+        } else {
+            Policy::Own(Box::new(Balancer::new(now, place, limits)))
+        };
         Self {
             name: name.into(),
-            balancer: Balancer::new(now, place, limits),
+            balancer,
             evidence: evidence::Map::new(),
         }
     }
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use oriolecleat_core::balance::Balancer;
 use tokio::time::Instant;
 
 use crate::clock;
@@ -10,6 +9,7 @@
 use crate::metrics::Gauge;
 use crate::node::Node;
 use crate::node::Shared;
+use crate::policy::Policy;
 
 const IDLE_TICK: Duration = Duration::from_millis(100);
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -44,8 +44,8 @@
 
 fn count_bytes(node: &mut Node) {
     let balancers = || node.services.values().map(|service| &service.balancer);
-    let measuring = balancers().map(Balancer::measured).sum();
-    let remote = balancers().map(Balancer::remote_bytes).sum();
+    let measuring = balancers().map(Policy::measured).sum();
+    let remote = balancers().map(Policy::remote_bytes).sum();
     node.metrics.set(Count::MeasuringBytes, measuring);
     node.metrics.set(Count::CrossRegionBytes, remote);
 }
--- a/crates/daemon/src/upload.rs
+++ b/crates/daemon/src/upload.rs
@@ -84,6 +84,11 @@
         }))))
     }
 
+    /// A body without bytes.
+    pub(crate) fn empty() -> Self {
+        Self(None)
+    }
+
     /// A reader of the whole body.
     pub(crate) fn upload(&self) -> Upload {
         Upload {
