--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -12,7 +12,7 @@
 const FAILED_REPEATABLE: f64 = 0.6;
 /// What the bytes of a longer way cost, to another data centre and to another region.
 const DATA_CENTER: f64 = 0.12;
-const REGION: f64 = 0.4;
+const REGION: f64 = 0.7;
 /// Loss for each objective's length of expected time, so that of two targets in time the faster one
 /// is taken.
 const TIME: f64 = 0.15;
--- a/crates/core/src/place/sight.rs
+++ b/crates/core/src/place/sight.rs
@@ -17,7 +17,9 @@
 const FAILURE_MEMORY_S: f64 = 3.0;
 /// Time after which a difference in speed counts for 1/e without new answers.
 const SPEED_MEMORY_S: f64 = 6.0;
-/// Weight of a new answer in speed and failures.
+/// Time after which the usual load of other VMs counts for 1/e without new reports.
+const OTHERS_MEMORY_S: f64 = 1.0;
+/// Weight of a new answer in speed and failures, and of a report in the usual load of others.
 const WEIGHT: f64 = 0.2;
 /// Times slower or faster than predicted that one answer may count.
 const RATIO_LIMIT: f64 = 8.0;
@@ -40,6 +42,8 @@
     heard: Option<Instant>,
     /// Requests of other VMs at the newest report.
     others: f64,
+    /// Their mean over the last reports.
+    usual_others: f64,
     /// How long work took at the newest report that told it, 1 for as usual.
     pace: f64,
     /// Natural logarithm of the time that answers took against what was expected.
@@ -57,6 +61,7 @@
         Self {
             heard: None,
             others: 0.0,
+            usual_others: 0.0,
             pace: 1.0,
             slowness: 0.0,
             slowness_at: Instant::default(),
@@ -73,6 +78,7 @@
     pub(crate) fn report(&mut self, now: Instant, report: Report, own: usize) {
         let own = u64::try_from(own).unwrap_or(u64::MAX);
         self.others = number((report.running + report.queued).saturating_sub(own));
+        self.usual_others += (self.others - self.usual_others) * WEIGHT;
         if let Some(pace) = report.pace {
             self.pace = number(pace).max(1.0) / 100.0;
         }
@@ -175,9 +181,11 @@
     /// Requests at the target, own ones included; `memory` is the time after which other VMs'
     /// requests of a report count for 1/e.
     pub(crate) fn load(&self, now: Instant, memory: f64) -> f64 {
-        let others = self
-            .heard
-            .map_or(0.0, |at| self.others * fade(now.since(at), memory));
+        let others = self.heard.map_or(0.0, |at| {
+            let age = now.since(at);
+            let usual = self.usual_others * fade(age, OTHERS_MEMORY_S);
+            usual + (self.others - self.usual_others) * fade(age, memory)
+        });
         let own = u64::try_from(self.runs.len()).unwrap_or(u64::MAX);
         number(own) + others
     }
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -113,6 +113,12 @@
         }
     }
 
+    /// A wait for changes is pending at the store of the platform.
+    pub(crate) fn confirm_view(&mut self) {
+        let now = self.clock.now();
+        self.reader.confirm(now, Span::ZERO);
+    }
+
     /// The store of the platform could not be read.
     pub(crate) fn interrupted(&mut self) {
         let now = self.clock.now();
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -21,14 +21,18 @@
 use crate::host::Host;
 use crate::metrics::Count;
 use crate::node::Shared;
+use crate::socket;
 
-/// Longest wait for changes in one call. A connection that went silent is noticed after it.
-const WAIT: Duration = Duration::from_secs(2);
+/// Longest wait for changes in one call. Each call is paid for; a connection that goes silent is
+/// closed by its keep-alive long before.
+const WAIT: Duration = Duration::from_secs(20);
+/// While a wait is pending, the view counts as confirmed this often.
+const CONFIRM_EVERY: Duration = Duration::from_secs(1);
 /// Time on top of the wait in which the answer to a call has to arrive; the store answers within
 /// milliseconds and may be two regions away.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after changes, so that changes that come together take one call.
-const SETTLE: Duration = Duration::from_millis(60);
+const SETTLE: Duration = Duration::from_millis(200);
 /// Pauses after failed calls: a random part of a limit that doubles from the first to the last.
 const RETRY_FIRST: Duration = Duration::from_millis(150);
 const RETRY_LAST: Duration = Duration::from_secs(1);
@@ -113,7 +117,18 @@
     let path = host.call(&call, WAIT);
     node.borrow_mut().metrics.add(Count::ConfigurationCalls, 1);
     let asked = node.borrow().clock.now();
-    let (status, body) = tokio::time::timeout(limit, ask(line, address, &path)).await??;
+    let answer = tokio::time::timeout(limit, ask(line, address, &path));
+    let confirm = async {
+        while waits {
+            tokio::time::sleep(CONFIRM_EVERY).await;
+            node.borrow_mut().confirm_view();
+        }
+        std::future::pending().await
+    };
+    let (status, body) = tokio::select! {
+        answer = answer => answer??,
+        never = confirm => never,
+    };
     let news = if waits {
         let changes = host.changes(status, &body)?;
         let gone = matches!(changes, feed::Changes::Gone);
@@ -166,6 +181,7 @@
 async fn connect(address: SocketAddr) -> Result<Line, Failure> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
+    socket::keep_alive(&stream)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let driver = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -18,6 +18,7 @@
 use oriolecleat_core::map::Set;
 use tokio::net::TcpStream;
 
+use crate::socket;
 use crate::socket::Socket;
 use crate::upload::Upload;
 
@@ -67,6 +68,7 @@
         let Self(seat, head) = self;
         let stream = TcpStream::connect(seat.address).await?;
         stream.set_nodelay(true)?;
+        socket::keep_alive(&stream)?;
         let socket = Socket::new(stream);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(head)
--- a/crates/daemon/src/socket.rs
+++ b/crates/daemon/src/socket.rs
@@ -7,13 +7,33 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+/// Silence after which the kernel asks whether the other end is still there, and between questions.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Questions without an answer after which a connection is closed.
+const KEEP_ALIVE_RETRIES: u32 = 2;
+/// Time after which bytes that were not confirmed close a connection.
+const UNCONFIRMED: Duration = Duration::from_secs(3);
+
+/// Lets the kernel close a connection whose other end went silent without a reset.
+pub(crate) fn keep_alive(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE)
+        .with_interval(KEEP_ALIVE)
+        .with_retries(KEEP_ALIVE_RETRIES);
+    socket.set_tcp_keepalive(&keep_alive)?;
+    socket.set_tcp_user_timeout(Some(UNCONFIRMED))
+}
+
 /// A connection to a target.
 #[derive(Clone)]
 pub(crate) struct Socket(Rc<TcpStream>);
