Tell registrations that left from those that lapsed, and place homes at the targets

The home of a service stood in any data centre of the region, so bytes crossed data centres. Change: only what the first news after an outage lack, or what vanishes together, is kept for a while; a cut history is no outage. The home of a service stands where most of its targets of the region are.

--- a/crates/core/src/site/roster.rs
+++ b/crates/core/src/site/roster.rs
@@ -1,12 +1,16 @@
 //! Targets as they register themselves, with what to do when a registration vanishes.
 //!
 //! A registration that lapses while the store is away comes back shortly after its return if the
-//! target lives. It is therefore kept for a while, unless it was draining: then it is gone for good.
+//! target lives. It is therefore kept for a while if the first news after an outage lack it, or if
+//! many of a service vanish together. One that vanishes alone has left or crashed, and one that was
+//! draining is gone for good.
 
 use std::net::SocketAddr;
 
 use crate::entry;
+use crate::estimate::number;
 use crate::map::Map;
+use crate::map::Set;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -47,25 +51,46 @@
 struct Known {
     registration: Registration,
     read: Instant,
-    vanished: Option<Instant>,
+    vanished: Option<Vanished>,
 }
 
-/// Time for which a registration that vanished while the store was away is kept after the store's
-/// return. Those of living targets are back within about two seconds.
+/// How a registration vanished.
+#[derive(Clone, Copy, Debug)]
+struct Vanished {
+    at: Instant,
+    /// Whether the first news after an outage of the store lacked it.
+    lapsed: bool,
+}
+
+/// Time for which a registration is kept that the first news after an outage of the store lack.
+/// Those of living targets are back within about two seconds.
 pub const RETURN_LIMIT: Span = Span::from_millis(2_500);
+/// Time for which registrations are kept that vanished together. A target that leaves without a word
+/// serves for about two and a half seconds, of which the news take up to half a second.
+pub const TOGETHER_LIMIT: Span = Span::from_millis(1_800);
+/// Time in which it shows whether others vanish together with a registration.
+pub const ALONE_LIMIT: Span = Span::from_millis(300);
+/// Registrations of a service that vanish together, at least: a share of all of them, and a number.
+const TOGETHER_SHARE: f64 = 0.3;
+const TOGETHER_LEAST: usize = 2;
 
 /// All registrations by key.
 #[derive(Debug, Default)]
 pub struct Roster {
     known: Map<Box<str>, Known>,
-    /// When the store was last known to be away.
-    away: Option<Instant>,
+    /// Whether the store was away when it was last asked.
+    away: bool,
 }
 
 impl Roster {
-    /// The store could not be read at `now`, or its history was cut.
-    pub fn interrupted(&mut self, now: Instant) {
-        self.away = Some(now);
+    /// The store could not be read.
+    pub fn interrupted(&mut self) {
+        self.away = true;
+    }
+
+    /// The store was read again, and what it told was put into the roster.
+    pub fn resumed(&mut self) {
+        self.away = false;
     }
 
     /// The registration under `key` is now `registration`; none if it is no target to use.
@@ -98,9 +123,11 @@
         let Some(known) = self.known.get_mut(key) else {
             return Vec::new();
         };
-        let lapsed = self.away.is_some_and(|away| now.since(away) < RETURN_LIMIT);
-        if lapsed && known.registration.state == State::Ready {
-            known.vanished.get_or_insert(now);
+        if known.registration.state == State::Ready {
+            known.vanished.get_or_insert(Vanished {
+                at: now,
+                lapsed: self.away,
+            });
             return Vec::new();
         }
         self.known.remove(key).into_iter().map(service).collect()
@@ -109,14 +136,42 @@
     /// Forgets registrations that did not come back in time. Returns the services whose targets
     /// changed.
     pub fn expire(&mut self, now: Instant) -> Vec<Box<str>> {
+        let services = self.services_with_many_vanished();
         let overdue = |known: &Known| {
-            let since = known.vanished.max(known.vanished.and(self.away));
-            since.is_some_and(|since| now.since(since) >= RETURN_LIMIT)
+            known.vanished.is_some_and(|vanished| {
+                let limit = if vanished.lapsed {
+                    RETURN_LIMIT
+                } else if services.contains(&known.registration.service) {
+                    TOGETHER_LIMIT
+                } else {
+                    ALONE_LIMIT
+                };
+                now.since(vanished.at) >= limit
+            })
         };
         let gone = self.known.extract_if(|_, known| overdue(known));
         gone.map(|(_, known)| known.registration.service).collect()
     }
 
+    /// Services of which many registrations have vanished.
+    fn services_with_many_vanished(&self) -> Set<Box<str>> {
+        let mut counts: Map<&str, (usize, usize)> = Map::default();
+        for known in self.known.values() {
+            let (all, vanished) = counts.entry(&known.registration.service).or_default();
+            *all += 1;
+            *vanished += usize::from(known.vanished.is_some());
+        }
+        let count = |count: usize| number(u64::try_from(count).unwrap_or(u64::MAX));
+        let many = |(all, vanished): (usize, usize)| {
+            vanished >= TOGETHER_LEAST && count(vanished) >= count(all) * TOGETHER_SHARE
+        };
+        counts
+            .into_iter()
+            .filter(|(_, counts)| many(*counts))
+            .map(|(service, _)| service.into())
+            .collect()
+    }
+
     /// The targets of `service` that take new work, by id. `region` tells the region of a data
     /// centre.
     pub fn targets(&self, service: &str, region: impl Fn(&str) -> Box<str>) -> Vec<entry::Target> {
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -121,9 +121,15 @@
 
     /// The store of the platform could not be read.
     pub(crate) fn interrupted(&mut self) {
-        let now = self.clock.now();
         if let Some(hosted) = &mut self.hosted {
-            hosted.roster.interrupted(now);
+            hosted.roster.interrupted();
+        }
+    }
+
+    /// The store of the platform was read.
+    pub(crate) fn resumed(&mut self) {
+        if let Some(hosted) = &mut self.hosted {
+            hosted.roster.resumed();
         }
     }
 
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -119,15 +119,17 @@
     let asked = node.borrow().clock.now();
     let answer = tokio::time::timeout(limit, ask(line, address, &path));
     let confirm = async {
-        while waits {
+        if !waits {
+            std::future::pending::<()>().await;
+        }
+        loop {
             tokio::time::sleep(CONFIRM_EVERY).await;
             node.borrow_mut().confirm_view();
         }
-        std::future::pending().await
     };
     let (status, body) = tokio::select! {
         answer = answer => answer??,
-        never = confirm => never,
+        () = confirm => return Ok(false),
     };
     let news = if waits {
         let changes = host.changes(status, &body)?;
@@ -135,7 +137,6 @@
         let news = session.changes(changes);
         if gone || news.is_none() {
             log::warn!("the history of the store was cut: reading all keys anew");
-            node.borrow_mut().interrupted();
         }
         news
     } else if status.is_success() {
@@ -152,7 +153,10 @@
     } else {
         node.borrow().clock.now().since(asked)
     };
-    node.borrow_mut().learn(node, news, age);
+    let mut state = node.borrow_mut();
+    state.learn(node, news, age);
+    state.resumed();
+    drop(state);
     Ok(changed && waits)
 }
 
--- a/crates/daemon/src/overview.rs
+++ b/crates/daemon/src/overview.rs
@@ -4,6 +4,7 @@
 
 use oriolecleat_core::address;
 use oriolecleat_core::address::Candidate;
+use oriolecleat_core::address::Capacity;
 use oriolecleat_core::address::Place;
 use oriolecleat_core::audit;
 use oriolecleat_core::member::Member;
@@ -200,7 +201,8 @@
             data_center: &caller.data_center,
         };
         let named = hosted.settings.named;
-        let homes = address::homes(place, &candidates, &services, service, named);
+        let capacities = self.capacities(service);
+        let homes = address::homes(place, &candidates, &capacities, &services, service, named);
         let addresses: Vec<SocketAddr> = homes.iter().map(|home| home.address).collect();
         if addresses.is_empty() {
             return Answer::unavailable(json!({ "error": "no VM is known to serve" }));
@@ -209,6 +211,32 @@
         Answer::ok(hosted.host.addresses(&addresses, ttl))
     }
 
+    /// Slots of the targets of `service` by data centre, in order of their names.
+    fn capacities(&self, service: &str) -> Vec<Capacity> {
+        let key = self.names.get(service);
+        let found = key.and_then(|key| self.services.get(*key));
+        let mut capacities: Vec<Capacity> = Vec::new();
+        for (_, target) in found
+            .into_iter()
+            .flat_map(|found| found.balancer.targets().iter())
+        {
+            let spec = &target.spec;
+            let known = capacities
+                .iter_mut()
+                .find(|known| known.data_center == spec.data_center);
+            match known {
+                Some(known) => known.slots += spec.slots,
+                None => capacities.push(Capacity {
+                    data_center: spec.data_center.clone(),
+                    region: spec.region.clone(),
+                    slots: spec.slots,
+                }),
+            }
+        }
+        capacities.sort_by(|left, right| left.data_center.cmp(&right.data_center));
+        capacities
+    }
+
     fn candidates(&self, now: Instant) -> Vec<Candidate> {
         let candidate = |member: &Member| {
             let record = member.record();
