--- /dev/null
+++ b/crates/core/tests/feed.rs
@@ -0,0 +1,95 @@
+//! Guards against changes of the platform's store that are missed or read as something else.
+
+use oriolecleat_core::gateway::Change;
+use oriolecleat_core::site::feed::Call;
+use oriolecleat_core::site::feed::Changes;
+use oriolecleat_core::site::feed::Page;
+use oriolecleat_core::site::feed::Session;
+
+fn change(key: &str, revision: u64) -> Change {
+    Change {
+        key: key.into(),
+        revision,
+        value: Some("text".into()),
+    }
+}
+
+fn page(keys: &[&str], more: bool, revision: u64) -> Page {
+    Page {
+        items: keys.iter().map(|key| change(key, 1)).collect(),
+        more,
+        revision,
+    }
+}
+
+#[test]
+fn waits_begin_at_the_revision_of_the_first_page() {
+    let mut session = Session::default();
+    assert_eq!(session.call(), Call::Page { after: None });
+    assert_eq!(session.page(page(&["a", "b"], true, 10)), None);
+    let after = Some("b".into());
+    assert_eq!(session.call(), Call::Page { after });
+    let news = session
+        .page(page(&["c"], false, 12))
+        .expect("the listing ended");
+    assert_eq!(
+        news.whole,
+        Some(10),
+        "a page may lack changes after the first one"
+    );
+    assert_eq!(news.changes.len(), 3);
+    assert_eq!(session.call(), Call::Wait { after: 10 });
+}
+
+struct Case {
+    name: &'static str,
+    changes: fn() -> Changes,
+    known: bool,
+    next: Call,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "changes move the position",
+        changes: || Changes::Known(vec![change("a", 11)], 11),
+        known: true,
+        next: Call::Wait { after: 11 },
+    },
+    Case {
+        name: "nothing changed",
+        changes: || Changes::Known(Vec::new(), 10),
+        known: true,
+        next: Call::Wait { after: 10 },
+    },
+    Case {
+        name: "the history is gone",
+        changes: || Changes::Gone,
+        known: false,
+        next: Call::Page { after: None },
+    },
+    Case {
+        name: "the store went back",
+        changes: || Changes::Known(vec![change("a", 4)], 4),
+        known: false,
+        next: Call::Page { after: None },
+    },
+];
+
+#[test]
+fn a_session_lists_anew_when_changes_may_be_missing() {
+    for case in CASES {
+        let mut session = Session::default();
+        session.page(page(&["a"], false, 10));
+        assert!(session.is_listed());
+        let news = session.changes((case.changes)());
+        assert_eq!(news.is_some(), case.known, "{}", case.name);
+        assert_eq!(session.call(), case.next, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_page_that_promises_more_and_holds_nothing_ends_the_listing() {
+    let mut session = Session::default();
+    assert!(session.page(page(&[], true, 3)).is_some());
+    assert_eq!(session.call(), Call::Wait { after: 3 });
+}
