Log each placement and answer, and serve metrics as text

Cause: nothing in the logs led from the id of a request to the target that it went to, a slow reader of standard output could stop the loop, and metrics left by UDP only.

--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -10,5 +10,6 @@
 mod sight;
 mod work;
 
+pub use placer::Known;
 pub use placer::Limits;
 pub use placer::Placer;
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -42,6 +42,19 @@
     }
 }
 
+/// What a decision about a target rested on.
+#[derive(Clone, Copy, Debug)]
+pub struct Known {
+    /// Requests there, own ones included.
+    pub load: f64,
+    /// How many times longer work takes than usual.
+    pub factor: f64,
+    /// Share of calls that fail.
+    pub failing: f64,
+    /// Age of the newest report.
+    pub age: Option<Span>,
+}
+
 /// One copy of a call at a target.
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
@@ -168,6 +181,19 @@
         &self.targets
     }
 
+    /// What is known of the load of `target`.
+    #[must_use]
+    pub fn known(&self, now: Instant, target: target::Key) -> Option<Known> {
+        let sight = self.sights.get(target)?;
+        let memory = self.work.typical().unwrap_or(ASSUMED_WORK_S);
+        Some(Known {
+            load: sight.load(now, memory),
+            factor: sight.factor(now, self.usual_pace),
+            failing: sight.failing(now),
+            age: sight.age(now),
+        })
+    }
+
     /// Calls that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -51,6 +51,11 @@
         self.id.to_str().unwrap_or_default()
     }
 
+    /// When the request arrived at this VM.
+    pub(crate) fn arrived(&self) -> Instant {
+        self.ask.arrived
+    }
+
     /// The balancer has forgotten the call.
     pub(crate) fn close(&mut self) {
         self.open = false;
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -356,6 +356,7 @@
     exchange.node.borrow_mut().metrics.add(Count::Ran, 1);
     active.count(outcome);
     let dialect = Rc::clone(&exchange.node.borrow().dialect);
+    exchange.note_answer(answer.status());
     let reply = match answer {
         Answer::Whole(mut parts, bytes) => {
             head::answer(&mut parts.headers, &dialect, id, outcome.as_str());
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -132,6 +132,7 @@
             let left = self.end.since(now);
             let request = self.outgoing.request(&grant, number, left, &self.body);
             let mut sent = assigned.write(now)?;
+            self.note_sent(&grant, number, left);
             self.held.written();
             let copy = Copy::new(attempt, connection, request);
             let raced = self.race(copy, || permit(&mut sent)).await;
@@ -170,6 +171,40 @@
         }
     }
 
+    /// Logs where the request goes, and what that rests on.
+    fn note_sent(&self, grant: &Grant, attempt: u64, left: Span) {
+        let node = self.node.borrow();
+        let Some(found) = node.services.get(self.service) else {
+            return;
+        };
+        let Some(known) = found.balancer.known(node.clock.now(), grant.target) else {
+            return;
+        };
+        let plan = node.hosted.as_ref().and_then(|hosted| hosted.plan.as_ref());
+        log::info!(
+            id = self.line.id(),
+            service = &*found.name,
+            target = &*grant.name,
+            attempt,
+            left_ms = left.as_millis(),
+            load = known.load,
+            slowness = known.factor,
+            failing = known.failing,
+            report_age_ms = known.age.map(Span::as_millis),
+            plan = plan.map(|plan| plan.version);
+            "request sent"
+        );
+    }
+
+    /// Logs the answer that the caller gets.
+    pub(crate) fn note_answer(&self, status: u16) {
+        let node = self.node.borrow();
+        if node.hosted.is_some() {
+            let took = node.clock.now().since(self.line.arrived());
+            log::info!(id = self.line.id(), status, took_ms = took.as_millis(); "request answered");
+        }
+    }
+
     /// Waits for a target.
     async fn assign(&mut self, admitted: Admitted) -> Result<(Assigned, Grant), End> {
         let granted = tokio::select! {
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -19,6 +19,7 @@
 use crate::query::Question;
 use crate::quota::Quota;
 use crate::service::Service;
+use crate::timer;
 
 const DIGEST_BYTES: usize = 8;
 
@@ -30,6 +31,7 @@
             Question::Homes(query) => self.homes(&query),
             Question::Health => Answer::ok(json!({ "state": "alive" })),
             Question::Readiness => self.readiness(),
+            Question::Metrics => Answer::text(self.metrics.text(&timer::gauges(self))),
             Question::Status => Answer::ok(self.status()),
             Question::Catalogue => Answer::ok(self.catalogue_page()),
             Question::Entry(name) => self.explain_entry(&name),
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -30,6 +30,15 @@
     Stream(Box<Reply>),
 }
 
+impl Answer {
+    pub(crate) fn status(&self) -> u16 {
+        match self {
+            Self::Whole(parts, _) => parts.status.as_u16(),
+            Self::Stream(reply) => reply.response.status().as_u16(),
+        }
+    }
+}
+
 /// How the reading of an answer ended.
 pub(crate) enum Gathered {
     /// There is an answer for the caller.
@@ -88,6 +97,7 @@
         let sent = self.outgoing.bytes() + self.body.sent();
         let received = head::bytes(&parts.headers) + length.unwrap_or(0);
         attempt.carried(sent + received);
+        attempt.delivered(self.line.arrived());
         attempt.answered(parts.status.is_server_error());
         self.held.ran();
         self.line.close();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -18,6 +18,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+mod text;
+
 const PREFIX: &str = "oriolecleat";
 const LATENCY_DIGITS: u8 = 3;
 const LATENCY_MAX_US: u64 = 600_000_000;
@@ -168,6 +170,8 @@
     totals: [u64; COUNTS.len()],
     reported: [u64; COUNTS.len()],
     latency: Histogram<u64>,
+    /// Time of each attempt since the start of the process.
+    attempts: Histogram<u64>,
     /// Time inside the process since its start, for each call.
     inside: Histogram<u64>,
 }
@@ -184,6 +188,7 @@
             totals: [0; COUNTS.len()],
             reported: [0; COUNTS.len()],
             latency: histogram(),
+            attempts: histogram(),
             inside: histogram(),
         }
     }
@@ -200,6 +205,7 @@
     /// Records the time of one call.
     pub(crate) fn record(&mut self, latency: Span) {
         self.latency.saturating_record(latency.as_micros());
+        self.attempts.saturating_record(latency.as_micros());
     }
 
     /// Records the time of one call without the wait for its target.
@@ -250,6 +256,41 @@
         let _ = self.client.flush();
     }
 
+    /// Counters, gauges and histograms as text that a collector of metrics reads.
+    pub(crate) fn text(&self, gauges: &[(Gauge, u64)]) -> Box<str> {
+        let counts = COUNTS.iter().map(|count| {
+            let help = "Counted since the start of the process.";
+            (
+                count.name(),
+                help,
+                text::Value::Counter(self.totals[*count as usize]),
+            )
+        });
+        let gauges = gauges.iter().map(|(gauge, value)| {
+            (
+                gauge.name(),
+                "State at the time of the call.",
+                text::Value::Gauge(*value),
+            )
+        });
+        let histograms = [
+            (
+                "attempt",
+                "Seconds from the choice of a target to its whole answer.",
+                &self.attempts,
+            ),
+            (
+                "inside",
+                "Seconds of a call without the wait for its target.",
+                &self.inside,
+            ),
+        ];
+        let histograms = histograms
+            .into_iter()
+            .map(|(name, help, found)| (name, help, text::Value::histogram(found)));
+        text::encode(counts.chain(gauges).chain(histograms))
+    }
+
     /// The totals by name.
     pub(crate) fn totals(&self) -> Value {
         COUNTS
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -66,6 +66,15 @@
         .fold(Router::new(), Router::push)
 }
 
+/// The page that a collector of metrics reads.
+pub(crate) fn metrics(client: &Client) -> Router {
+    let page = Page {
+        client: client.clone(),
+        question: |_| Question::Metrics,
+    };
+    Router::with_path("metrics").get(page)
+}
+
 /// The page that a platform asks whether callers may come.
 pub(crate) fn readiness(client: &Client, path: &str) -> Router {
     let page = Page {
--- a/crates/daemon/src/policy.rs
+++ b/crates/daemon/src/policy.rs
@@ -11,6 +11,7 @@
 use oriolecleat_core::entry;
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::place;
+use oriolecleat_core::place::Known;
 use oriolecleat_core::place::Placer;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Standing;
@@ -57,6 +58,14 @@
         }
     }
 
+    /// What a decision about `target` rests on.
+    pub(crate) fn known(&self, now: Instant, target: target::Key) -> Option<Known> {
+        match self {
+            Self::Own(_) => None,
+            Self::Hosted(placer) => placer.known(now, target),
+        }
+    }
+
     pub(crate) fn waiting(&self) -> usize {
         match self {
             Self::Own(balancer) => balancer.waiting(),
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -71,11 +71,13 @@
 /// Runs the daemon with logs on standard output and gives its exit status.
 pub fn run_to_end(run: impl FnOnce() -> Result<(), Report<Failure>>) -> ExitCode {
     logs::init();
-    match run() {
+    let status = match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             log::error!(cause:% = format!("{report:?}"); "the daemon stopped on an error");
             ExitCode::from(FAILED)
         }
-    }
+    };
+    log::logger().flush();
+    status
 }
--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -3,6 +3,7 @@
 use salvo::Response;
 use salvo::http::StatusCode;
 use salvo::writing::Json;
+use salvo::writing::Text;
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -25,6 +26,8 @@
     Health,
     /// Does this VM serve callers on a fresh view?
     Readiness,
+    /// Which counters, gauges and histograms are there?
+    Metrics,
     /// How is this VM?
     Status,
     /// Which keys does it know?
@@ -53,7 +56,12 @@
 /// An answer with its HTTP status.
 pub(crate) struct Answer {
     status: StatusCode,
-    body: Value,
+    body: Body,
+}
+
+enum Body {
+    Json(Value),
+    Text(Box<str>),
 }
 
 impl Answer {
@@ -61,7 +69,15 @@
     pub(crate) fn ok(body: Value) -> Self {
         Self {
             status: StatusCode::OK,
-            body,
+            body: Body::Json(body),
+        }
+    }
+
+    /// A text with status 200.
+    pub(crate) fn text(text: Box<str>) -> Self {
+        Self {
+            status: StatusCode::OK,
+            body: Body::Text(text),
         }
     }
 
@@ -69,7 +85,7 @@
     pub(crate) fn unknown(what: &str) -> Self {
         Self {
             status: StatusCode::NOT_FOUND,
-            body: json!({ "error": what }),
+            body: Body::Json(json!({ "error": what })),
         }
     }
 
@@ -77,14 +93,17 @@
     pub(crate) fn unavailable(body: Value) -> Self {
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
-            body,
+            body: Body::Json(body),
         }
     }
 
     /// Writes the answer.
     pub(crate) fn render(self, response: &mut Response) {
         response.status_code(self.status);
-        response.render(Json(self.body));
+        match self.body {
+            Body::Json(body) => response.render(Json(body)),
+            Body::Text(text) => response.render(Text::Plain(String::from(text))),
+        }
     }
 }
 
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -126,6 +126,13 @@
             .await
             .change_context(Failure("the readiness port could not be opened"))?;
         spawn_pages(ready, operator::readiness(&client, paths.ready));
+        if let Some(address) = hosting.metrics {
+            let metrics = salvo::conn::TcpListener::new(address)
+                .try_bind()
+                .await
+                .change_context(Failure("the metrics port could not be opened"))?;
+            spawn_pages(metrics, operator::metrics(&client));
+        }
     }
     tokio::task::spawn_local(answer(node.clone(), queries));
     match host {
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -50,7 +50,8 @@
     node.metrics.set(Count::CrossRegionBytes, remote);
 }
 
-fn gauges(node: &Node) -> Vec<(Gauge, u64)> {
+/// The gauges as they are now, but for those that are derived from histograms.
+pub(crate) fn gauges(node: &Node) -> Vec<(Gauge, u64)> {
     let sum = |count: fn(&crate::service::Service) -> u64| -> u64 {
         node.services.values().map(count).sum()
     };
--- a/crates/daemon/src/trail.rs
+++ b/crates/daemon/src/trail.rs
@@ -99,7 +99,8 @@
     }
 
     fn note_shadows(&mut self) {
-        if self.trail.applied == self.applied {
+        // The rules of a platform tell entries apart by host and path, so none shadows another.
+        if self.trail.applied == self.applied || self.hosted.is_some() {
             return;
         }
         self.trail.applied = self.applied;
