--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -41,7 +41,7 @@
 struct Load {
     name: &'static str,
     /// Calls a second as a share of what all slots do without neighbours.
-    load: f64,
+    calls: f64,
     /// Share of the time in which a machine has a noisy neighbour.
     noise: f64,
     /// How many times longer the first target works.
@@ -58,7 +58,7 @@
 
 const CALM: Load = Load {
     name: "calm",
-    load: 0.3,
+    calls: 0.3,
     noise: 0.0,
     slow: 1.0,
     failing: 0.0,
@@ -81,7 +81,7 @@
     },
     Load {
         name: "few calls beside noisy neighbours",
-        load: 0.03,
+        calls: 0.03,
         burst: 0.03,
         noise: 0.25,
         gain: 0.05,
@@ -102,7 +102,7 @@
     },
     Load {
         name: "a burst beyond the knee",
-        load: 0.4,
+        calls: 0.4,
         burst: 1.2,
         gain: 0.02,
         least: 0.8,
@@ -110,7 +110,7 @@
     },
     Load {
         name: "steady overload",
-        load: 0.9,
+        calls: 0.9,
         burst: 0.9,
         gain: 0.2,
         least: 0.7,
@@ -222,7 +222,7 @@
             let load = if burst {
                 self.load.burst
             } else {
-                self.load.load
+                self.load.calls
             };
             let gap = WORK_US / (slots * load);
             time -= gap * (1.0 - self.machine.random::<f64>()).ln();
