Give a service as many homes as carry it, each with targets of its own

Change: one home for each 24 slots of a service in a region, spread over data centres like the targets; each target belongs to one home, and another VM sends there only for a gain; callers are divided by slots. With up to six targets there is one home as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod gateway;
 pub mod gossip;
 pub mod hedge;
+pub mod home;
 mod json;
 pub mod leaving;
 pub mod limit;
--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -13,6 +13,8 @@
 /// What the bytes of a longer way cost, to another data centre and to another region.
 const DATA_CENTER: f64 = 0.12;
 const REGION: f64 = 0.7;
+/// What a call loses at a target that belongs to another VM, which knows its load better.
+const FOREIGN: f64 = 0.1;
 /// Loss for each objective's length of expected time, so that of two targets in time the faster one
 /// is taken.
 const TIME: f64 = 0.15;
@@ -48,6 +50,8 @@
     /// Seconds to the target and back.
     pub(crate) round_trip: f64,
     pub(crate) way: Way,
+    /// Whether another VM sends there first.
+    pub(crate) foreign: bool,
 }
 
 /// A call that needs a target.
@@ -93,11 +97,13 @@
             Way::DataCenter => DATA_CENTER,
             Way::Region => REGION,
         };
+        let foreign = if self.foreign { FOREIGN } else { 0.0 };
         let crowding = if self.is_crowded() { CROWDING } else { 0.0 };
         let objective = need.objective.max(f64::MIN_POSITIVE);
         late(time, need.left) * LATE
             + self.failing * failed
             + way
+            + foreign
             + crowding
             + TIME * (time / objective).min(4.0)
     }
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -17,6 +17,7 @@
 use crate::estimate::seconds;
 use crate::estimate::span;
 use crate::map::Map;
+use crate::map::Set;
 use crate::place::hold::Held;
 use crate::place::hold::Queue;
 use crate::place::loss::CROWDED;
@@ -119,6 +120,8 @@
     place: Place,
     limits: Limits,
     targets: Table,
+    /// Names of the targets that belong to this VM, if they are told apart.
+    own: Option<Set<Box<str>>>,
     sights: SecondaryMap<target::Key, Sight>,
     queue: Queue,
     flights: Map<Call, Flight>,
@@ -139,6 +142,7 @@
             place,
             limits,
             targets: Table::default(),
+            own: None,
             sights: SecondaryMap::new(),
             queue: Queue::default(),
             flights: Map::default(),
@@ -170,6 +174,11 @@
         }
     }
 
+    /// Takes over the names of the targets that belong to this VM; none if none is told apart.
+    pub fn own(&mut self, targets: Option<Set<Box<str>>>) {
+        self.own = targets;
+    }
+
     /// Takes over changed limits.
     pub fn limit(&mut self, limits: Limits) {
         self.limits = limits;
@@ -517,6 +526,7 @@
                 failing: sight.failing(now),
                 round_trip: target.round_trip,
                 way: self.way(&target.spec),
+                foreign: self.is_foreign(&target.spec),
             };
             Some(Choice {
                 target: key,
@@ -537,6 +547,12 @@
         choices
     }
 
+    /// Whether another VM of the region sends to the target first.
+    fn is_foreign(&self, spec: &entry::Target) -> bool {
+        let own = self.own.as_ref();
+        spec.region == self.place.region && own.is_some_and(|own| !own.contains(&spec.name))
+    }
+
     fn way(&self, spec: &entry::Target) -> Way {
         if spec.region != self.place.region {
             Way::Region
--- /dev/null
+++ b/crates/core/tests/home.rs
@@ -0,0 +1,197 @@
+//! Guards against homes that cannot carry their service, that share targets, or that move without
+//! need.
+
+use std::net::SocketAddr;
+
+use oriolecleat_core::address::Candidate;
+use oriolecleat_core::home;
+use oriolecleat_core::home::Home;
+use oriolecleat_core::home::Spot;
+use oriolecleat_core::map::Set;
+use oriolecleat_core::member::State;
+
+fn candidate(name: &str, center: &str, state: State) -> Candidate {
+    Candidate {
+        vm: name.into(),
+        incarnation: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        region: center.split('-').next().expect("a region").into(),
+        data_center: center.into(),
+        state,
+    }
+}
+
+/// `count` VMs in each of the data centres.
+fn fleet(centers: &[(&str, usize)]) -> Vec<Candidate> {
+    let vms = centers.iter().flat_map(|(center, count)| {
+        (0..*count).map(move |index| candidate(&format!("{center}-{index}"), center, State::Alive))
+    });
+    vms.collect()
+}
+
+/// `count` targets of four slots in each of the data centres.
+fn spots(centers: &[(&str, usize)]) -> Vec<Spot> {
+    let spots = centers.iter().flat_map(|(center, count)| {
+        (0..*count).map(move |index| Spot {
+            name: format!("t-{center}-{index}").into(),
+            region: center.split('-').next().expect("a region").into(),
+            data_center: (*center).into(),
+            slots: 4,
+        })
+    });
+    spots.collect()
+}
+
+fn divide(candidates: &[Candidate], services: &[(&str, Vec<Spot>)], service: &str) -> Vec<Home> {
+    let services: Vec<(Box<str>, Vec<Spot>)> = services
+        .iter()
+        .map(|(name, spots)| (Box::from(*name), spots.clone()))
+        .collect();
+    let mut homes = home::divide("cai", candidates, &services);
+    homes.remove(service).expect("the service has homes")
+}
+
+struct Case {
+    name: &'static str,
+    vms: &'static [(&'static str, usize)],
+    targets: &'static [(&'static str, usize)],
+    /// Data centres of the homes, in order.
+    homes: &'static [&'static str],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "a small service has one home, where most of its targets are",
+        vms: &[("cai-a", 5), ("cai-b", 2), ("alx-a", 4)],
+        targets: &[("cai-a", 1), ("cai-b", 3), ("alx-a", 3)],
+        homes: &["cai-b"],
+    },
+    Case {
+        name: "a large one has one for six targets, spread like them",
+        vms: &[("cai-a", 20), ("cai-b", 20)],
+        targets: &[("cai-a", 12), ("cai-b", 6)],
+        homes: &["cai-a", "cai-a", "cai-b"],
+    },
+    Case {
+        name: "no more than there are VMs",
+        vms: &[("cai-a", 2)],
+        targets: &[("cai-a", 60)],
+        homes: &["cai-a", "cai-a"],
+    },
+    Case {
+        name: "callers of a region without a VM are served by another one",
+        vms: &[("alx-a", 2)],
+        targets: &[("cai-a", 3)],
+        homes: &["alx-a"],
+    },
+    Case {
+        name: "a region without targets has a home for its callers",
+        vms: &[("cai-a", 2)],
+        targets: &[("alx-a", 3)],
+        homes: &["cai-a"],
+    },
+    Case {
+        name: "nobody",
+        vms: &[],
+        targets: &[("cai-a", 3)],
+        homes: &[],
+    },
+];
+
+#[test]
+fn homes_carry_their_service_where_its_targets_are() {
+    for case in CASES {
+        let homes = divide(&fleet(case.vms), &[("desk", spots(case.targets))], "desk");
+        let mut centers: Vec<&str> = homes.iter().map(|home| &*home.data_center).collect();
+        centers.sort_unstable();
+        assert_eq!(centers, case.homes, "{}", case.name);
+        let owned: Vec<&str> = homes
+            .iter()
+            .flat_map(|home| &home.targets)
+            .map(|name| &**name)
+            .collect();
+        let distinct: Set<&str> = owned.iter().copied().collect();
+        assert_eq!(
+            owned.len(),
+            distinct.len(),
+            "{}: a target belongs to one home",
+            case.name
+        );
+        let here = case
+            .targets
+            .iter()
+            .filter(|(center, _)| center.starts_with("cai"));
+        let here: usize = here.map(|(_, count)| count).sum();
+        if !homes.is_empty() {
+            assert_eq!(owned.len(), here, "{}: each target has a home", case.name);
+            let part = here.div_ceil(homes.len());
+            assert!(
+                homes.iter().all(|home| home.targets.len() <= part),
+                "{}",
+                case.name
+            );
+        }
+    }
+}
+
+#[test]
+fn a_vm_that_leaves_is_no_home() {
+    let mut vms = fleet(&[("cai-a", 3)]);
+    let services = [("desk", spots(&[("cai-a", 3)]))];
+    let first = divide(&vms, &services, "desk")[0].vm.clone();
+    for state in [State::Leaving, State::Suspect, State::Dead] {
+        let known = vms
+            .iter_mut()
+            .find(|known| known.vm == first)
+            .expect("the home");
+        known.state = state;
+        let second = divide(&vms, &services, "desk")[0].vm.clone();
+        assert_ne!(first, second, "{state:?}");
+    }
+}
+
+#[test]
+fn services_have_homes_of_their_own_while_there_are_enough_vms() {
+    let vms = fleet(&[("cai-a", 3)]);
+    let services: Vec<(&str, Vec<Spot>)> = ["desk", "ledger", "roster"]
+        .into_iter()
+        .map(|name| (name, spots(&[("cai-a", 3)])))
+        .collect();
+    let homes: Set<Box<str>> = services
+        .iter()
+        .map(|(name, _)| divide(&vms, &services, name)[0].vm.clone())
+        .collect();
+    assert_eq!(homes.len(), 3);
+}
+
+/// One VM more takes over its part at most: the homes of the others stay.
+#[test]
+fn few_homes_move_when_a_vm_joins() {
+    let services = [("desk", spots(&[("cai-a", 60)]))];
+    let names = |vms: &[Candidate]| -> Set<Box<str>> {
+        divide(vms, &services, "desk")
+            .into_iter()
+            .map(|home| home.vm)
+            .collect()
+    };
+    let mut vms = fleet(&[("cai-a", 30)]);
+    let before = names(&vms);
+    vms.push(candidate("cai-a-new", "cai-a", State::Alive));
+    let after = names(&vms);
+    assert!(before.difference(&after).count() <= 1);
+}
+
+#[test]
+fn callers_are_divided_by_slots() {
+    let homes = divide(
+        &fleet(&[("cai-a", 4), ("cai-b", 4)]),
+        &[("desk", spots(&[("cai-a", 12), ("cai-b", 6)]))],
+        "desk",
+    );
+    let named = |draw: f64| home::name(&homes, draw, 1)[0].vm.clone();
+    let drawn: Set<Box<str>> = [0.0, 0.4, 0.99].into_iter().map(named).collect();
+    assert_eq!(drawn.len(), 3);
+    assert_eq!(home::name(&homes, 0.5, 2).len(), 2);
+    assert_eq!(home::name(&homes, 0.5, 9).len(), 3);
+    assert!(home::name(&[], 0.5, 2).is_empty());
+}
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -28,7 +28,7 @@
     pub(crate) fn answer(&mut self, question: Question) -> Answer {
         match question {
             Question::Addresses(service) => self.addresses(&service),
-            Question::Homes(query) => self.homes(&query),
+            Question::Homes(query) => self.home_addresses(&query),
             Question::Health => Answer::ok(json!({ "state": "alive" })),
             Question::Readiness => self.readiness(),
             Question::Metrics => Answer::text(self.metrics.text(&timer::gauges(self))),
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -72,6 +72,7 @@
             state.event(&node, Gossip::tick);
             state.step();
             state.expire_registrations();
+            state.settle_homes();
             state.trail();
         }
         tokio::time::sleep(TICK).await;
--- /dev/null
+++ b/crates/daemon/src/homes.rs
@@ -0,0 +1,117 @@
+//! Which entry VMs the callers of a platform are told to use.
+
+use std::net::SocketAddr;
+
+use oriolecleat_core::home;
+use oriolecleat_core::home::Home;
+use oriolecleat_core::home::Spot;
+use oriolecleat_core::map::Map;
+use oriolecleat_core::map::Set;
+use rand::RngExt;
+use serde_json::json;
+
+use crate::clock;
+use crate::node::Node;
+use crate::query::Answer;
+
+/// Homes of each service by the region of its callers.
+pub(crate) type Homes = Map<Box<str>, Map<Box<str>, Vec<Home>>>;
+
+impl Node {
+    /// Brings the homes in line with the members and the targets.
+    pub(crate) fn settle_homes(&mut self) {
+        let Some(hosted) = &self.hosted else {
+            return;
+        };
+        let now = self.clock.now();
+        let candidates = self.candidates(now);
+        let mut services: Vec<(Box<str>, Vec<Spot>)> = hosted
+            .services()
+            .into_iter()
+            .map(|name| {
+                let spots = self.spots(&name);
+                (name, spots)
+            })
+            .collect();
+        services.sort_by(|left, right| left.0.cmp(&right.0));
+        let known = hosted
+            .settings
+            .regions
+            .iter()
+            .map(|region| region.name.clone());
+        let regions: Set<Box<str>> = known.chain([self.settings.region.clone()]).collect();
+        let homes: Homes = regions
+            .into_iter()
+            .map(|region| {
+                let homes = home::divide(&region, &candidates, &services);
+                (region, homes)
+            })
+            .collect();
+        if homes == self.homes {
+            return;
+        }
+        let own = homes
+            .get(&self.settings.region)
+            .cloned()
+            .unwrap_or_default();
+        for (service, homes) in own {
+            let mine = homes.iter().find(|home| home.vm == self.settings.vm);
+            let targets = mine.map(|home| home.targets.iter().cloned().collect());
+            let key = self.names.get(&service).copied();
+            if let Some(found) = key.and_then(|key| self.services.get_mut(key)) {
+                let count = mine.map(|home| home.targets.len());
+                log::info!(service = &*service, homes = homes.len(), own_targets = count; "homes changed");
+                found.balancer.own(targets);
+            }
+        }
+        self.homes = homes;
+    }
+
+    /// The targets of `service` that take new work.
+    fn spots(&self, service: &str) -> Vec<Spot> {
+        let key = self.names.get(service);
+        let found = key.and_then(|key| self.services.get(*key));
+        let targets = found
+            .into_iter()
+            .flat_map(|found| found.balancer.targets().iter());
+        targets
+            .map(|(_, target)| Spot {
+                name: target.spec.name.clone(),
+                region: target.spec.region.clone(),
+                data_center: target.spec.data_center.clone(),
+                slots: target.spec.slots,
+            })
+            .collect()
+    }
+
+    /// The addresses for a caller of the platform.
+    pub(crate) fn home_addresses(&mut self, query: &str) -> Answer {
+        let Some(hosted) = &self.hosted else {
+            return Answer::unknown("no platform hosts the fleet");
+        };
+        let caller = hosted.host.caller(query);
+        let rules = hosted.rules.at(&caller.host).unwrap_or_default();
+        let part = rules.iter().flat_map(|rule| &rule.parts).next();
+        let region = self
+            .homes
+            .get(&caller.region)
+            .or_else(|| self.homes.get(&self.settings.region));
+        let homes = region.and_then(|region| match part {
+            Some(part) => region.get(&part.service),
+            // A host without a rule has no service: any home answers its callers.
+            None => region.values().next(),
+        });
+        let draw = self.rng.random();
+        let named = home::name(
+            homes.map_or(&[], Vec::as_slice),
+            draw,
+            hosted.settings.named,
+        );
+        let addresses: Vec<SocketAddr> = named.iter().map(|home| home.address).collect();
+        if addresses.is_empty() {
+            return Answer::unavailable(json!({ "error": "no VM is known to serve" }));
+        }
+        let ttl = clock::duration(self.settings.stop.address_ttl);
+        Answer::ok(hosted.host.addresses(&addresses, ttl))
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod gather;
 mod halt;
 mod head;
+mod homes;
 pub mod host;
 mod logs;
 pub mod metrics;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -27,6 +27,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::Links;
 use crate::halt::Phases;
+use crate::homes::Homes;
 use crate::host::Host;
 use crate::host::Hosted;
 use crate::metrics::Metrics;
@@ -87,6 +88,7 @@
     pub(crate) dialect: Rc<Dialect>,
     /// What is known from the platform that hosts the fleet, if one does.
     pub(crate) hosted: Option<Hosted>,
+    pub(crate) homes: Homes,
 }
 
 impl Node {
@@ -112,6 +114,7 @@
         Self {
             dialect: Rc::new(dialect),
             hosted,
+            homes: Homes::default(),
             issuer: ticket::Issuer::new(settings.fleet_key.as_bytes()),
             ledger: ticket::Ledger::new(&settings.vm, incarnation, LEDGER_CAPACITY),
             metrics: Metrics::new(settings.statsd, &settings.vm),
--- a/crates/daemon/src/overview.rs
+++ b/crates/daemon/src/overview.rs
@@ -1,10 +1,7 @@
 //! What the operator pages say of the view, the fleet and the audit trail.
 
-use std::net::SocketAddr;
-
 use oriolecleat_core::address;
 use oriolecleat_core::address::Candidate;
-use oriolecleat_core::address::Capacity;
 use oriolecleat_core::address::Place;
 use oriolecleat_core::audit;
 use oriolecleat_core::member::Member;
@@ -16,7 +13,6 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::clock;
 use crate::halt;
 use crate::node::Node;
 use crate::query::Answer;
@@ -182,62 +178,7 @@
         }))
     }
 
-    /// The addresses for a caller of the platform.
-    pub(crate) fn homes(&mut self, query: &str) -> Answer {
-        let now = self.clock.now();
-        let candidates = self.candidates(now);
-        let Some(hosted) = &self.hosted else {
-            return Answer::unknown("no platform hosts the fleet");
-        };
-        let caller = hosted.host.caller(query);
-        let services = hosted.services();
-        let mut services: Vec<&str> = services.iter().map(|name| &**name).collect();
-        services.sort_unstable();
-        let rules = hosted.rules.at(&caller.host).unwrap_or_default();
-        let part = rules.iter().flat_map(|rule| &rule.parts).next();
-        let service = part.map_or(&*caller.host, |part| &*part.service);
-        let place = Place {
-            region: &caller.region,
-            data_center: &caller.data_center,
-        };
-        let named = hosted.settings.named;
-        let capacities = self.capacities(service);
-        let homes = address::homes(place, &candidates, &capacities, &services, service, named);
-        let addresses: Vec<SocketAddr> = homes.iter().map(|home| home.address).collect();
-        if addresses.is_empty() {
-            return Answer::unavailable(json!({ "error": "no VM is known to serve" }));
-        }
-        let ttl = clock::duration(self.settings.stop.address_ttl);
-        Answer::ok(hosted.host.addresses(&addresses, ttl))
-    }
-
-    /// Slots of the targets of `service` by data centre, in order of their names.
-    fn capacities(&self, service: &str) -> Vec<Capacity> {
-        let key = self.names.get(service);
-        let found = key.and_then(|key| self.services.get(*key));
-        let mut capacities: Vec<Capacity> = Vec::new();
-        for (_, target) in found
-            .into_iter()
-            .flat_map(|found| found.balancer.targets().iter())
-        {
-            let spec = &target.spec;
-            let known = capacities
-                .iter_mut()
-                .find(|known| known.data_center == spec.data_center);
-            match known {
-                Some(known) => known.slots += spec.slots,
-                None => capacities.push(Capacity {
-                    data_center: spec.data_center.clone(),
-                    region: spec.region.clone(),
-                    slots: spec.slots,
-                }),
-            }
-        }
-        capacities.sort_by(|left, right| left.data_center.cmp(&right.data_center));
-        capacities
-    }
-
-    fn candidates(&self, now: Instant) -> Vec<Candidate> {
+    pub(crate) fn candidates(&self, now: Instant) -> Vec<Candidate> {
         let candidate = |member: &Member| {
             let record = member.record();
             Candidate {
--- a/crates/daemon/src/policy.rs
+++ b/crates/daemon/src/policy.rs
@@ -10,6 +10,7 @@
 use oriolecleat_core::balance::Fate;
 use oriolecleat_core::entry;
 use oriolecleat_core::estimate::Report;
+use oriolecleat_core::map::Set;
 use oriolecleat_core::place;
 use oriolecleat_core::place::Known;
 use oriolecleat_core::place::Placer;
@@ -51,6 +52,14 @@
         }
     }
 
+    /// Takes over the names of the targets that belong to this VM.
+    pub(crate) fn own(&mut self, targets: Option<Set<Box<str>>>) {
+        match self {
+            Self::Own(_) => {}
+            Self::Hosted(placer) => placer.own(targets),
+        }
+    }
+
     pub(crate) fn targets(&self) -> &Table {
         match self {
             Self::Own(balancer) => balancer.targets(),
