--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -83,8 +83,8 @@
     service: &str,
     spots: &[&Spot],
 ) -> Vec<&'a Candidate> {
-    let slots: u64 = spots.iter().map(|spot| spot.slots).sum();
-    let count = usize::try_from(slots.div_ceil(SLOTS_PER_HOME).max(1)).unwrap_or(usize::MAX);
+    let all: u64 = spots.iter().map(|spot| spot.slots).sum();
+    let count = usize::try_from(all.div_ceil(SLOTS_PER_HOME).max(1)).unwrap_or(usize::MAX);
     // Few callers move when a VM joins or leaves, as the order rests on a hash.
     let order = |candidate: &&Candidate| {
         let homes = taken.get(&*candidate.vm).copied().unwrap_or(0);
@@ -103,10 +103,10 @@
         let quotient = |candidate: &&Candidate| {
             let center = &candidate.data_center;
             let here = spots.iter().filter(|spot| spot.data_center == *center);
-            let slots: u64 = here.map(|spot| spot.slots).sum();
+            let held: u64 = here.map(|spot| spot.slots).sum();
             let homes = chosen.iter().filter(|known| known.data_center == *center);
             let homes = u64::try_from(homes.count()).unwrap_or(u64::MAX);
-            number(slots) / number(homes + 1)
+            number(held) / number(homes + 1)
         };
         let mut best: Option<(&Candidate, f64)> = None;
         for candidate in free {
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -78,6 +78,7 @@
         } else if !services.is_empty() {
             self.refresh(&services);
         }
+        self.settle_homes();
     }
 
     /// Forgets registrations that did not come back after the store did.
