Split the placement of calls by the load that each part answers

Change: calls that run, probes and copies leave the aggregate for modules of their own; behaviour is as it was.

--- /dev/null
+++ b/crates/core/src/place/copy.rs
@@ -0,0 +1,83 @@
+//! A machine that turns slow, or falls silent, under a call: when an idempotent call gets a copy.
+
+use rand::rngs::SmallRng;
+
+use crate::balance::Action;
+use crate::entry::Class;
+use crate::estimate::seconds;
+use crate::place::flight::Flight;
+use crate::place::hold::Held;
+use crate::place::placer::Placer;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// A copy is sent once a call took this many times the expected time, and at least this long.
+const HEDGE_AFTER: f64 = 1.6;
+const HEDGE_AFTER_LEAST: Span = Span::from_millis(15);
+/// A call that took this many times the expected time is taken for stuck.
+const STUCK: f64 = 4.0;
+
+impl Placer {
+    /// Sends copies of the calls whose target turned slow, where another one is faster.
+    pub(super) fn hedge(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
+        let slow = |flight: &&Flight| {
+            let [attempt] = flight.attempts.as_slice() else {
+                return false;
+            };
+            let elapsed = now.since(attempt.sent);
+            flight.ask.class != Class::Once
+                && !flight.hedged
+                && elapsed >= HEDGE_AFTER_LEAST
+                && seconds(elapsed) > HEDGE_AFTER * attempt.time
+        };
+        let mut slow: Vec<Flight> = self.flights.values().filter(slow).cloned().collect();
+        slow.sort_by_key(|flight| (flight.arrived, flight.ask.call));
+        for flight in slow {
+            self.copy(now, &flight, rng, out);
+        }
+    }
+
+    pub(super) fn copy(
+        &mut self,
+        now: Instant,
+        flight: &Flight,
+        rng: &mut SmallRng,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(first) = flight.attempts.first() else {
+            return;
+        };
+        let held = Held {
+            ask: flight.ask.clone(),
+            arrived: flight.arrived,
+            settles: None,
+            tried: flight.tried.clone(),
+        };
+        let work = self.work_of(&flight.ask);
+        let Some(choice) = self.pick(now, &held, work, &[first.target], rng) else {
+            return;
+        };
+        let elapsed = seconds(now.since(first.sent));
+        let time = choice.view.time(work);
+        let is_stuck = elapsed > STUCK * first.time;
+        let left = seconds(flight.ask.deadline.since(now));
+        // A call that took long so far is expected to take half as long again.
+        let faster = time < elapsed / 2.0;
+        let useful = time < held.left(now) || (is_stuck && time < left);
+        if !faster || !useful {
+            return;
+        }
+        let call = flight.ask.call;
+        let attempt = self.attempt(now, call, &choice, work);
+        if let Some(flight) = self.flights.get_mut(&call) {
+            flight.attempts.push(attempt);
+            flight.hedged = true;
+        }
+        out.push(Action::Hedge {
+            call,
+            target: choice.target,
+            queue: flight.ask.deadline.since(now),
+            report: true,
+        });
+    }
+}
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -4,10 +4,13 @@
 //! Each module holds one decision, and its first line names the load that it answers. Events go in
 //! as method calls of [`Placer`]; what to do comes out as [`Action`](crate::balance::Action)s.
 
+mod copy;
+mod flight;
 mod hold;
 mod loss;
 mod placer;
 mod sight;
+mod sound;
 mod work;
 
 pub use placer::Known;
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -18,9 +18,9 @@
 use crate::estimate::span;
 use crate::map::Map;
 use crate::map::Set;
+use crate::place::flight::Flight;
 use crate::place::hold::Held;
 use crate::place::hold::Queue;
-use crate::place::loss::CROWDED;
 use crate::place::loss::Need;
 use crate::place::loss::View;
 use crate::place::loss::Way;
@@ -56,57 +56,16 @@
     pub age: Option<Span>,
 }
 
-/// One copy of a call at a target.
-#[derive(Clone, Copy, Debug)]
-struct Attempt {
-    target: target::Key,
-    sent: Instant,
-    /// Seconds of work of a call of its entry on a usual target.
-    work: f64,
-    /// Seconds until the answer as expected when it was sent.
-    time: f64,
-    /// How many times longer the load of the target made the work.
-    crowded: f64,
-    /// Pace of the target's machine when it was sent.
-    pace: f64,
-}
-
-/// A call that runs.
-#[derive(Clone, Debug)]
-struct Flight {
-    ask: Ask,
-    arrived: Instant,
-    attempts: Vec<Attempt>,
-    tried: Vec<target::Key>,
-    hedged: bool,
-}
-
 /// A target with what a call is expected to lose there.
 #[derive(Clone, Copy, Debug)]
-struct Choice {
-    target: target::Key,
-    view: View,
-    loss: f64,
+pub(super) struct Choice {
+    pub(super) target: target::Key,
+    pub(super) view: View,
+    pub(super) loss: f64,
 }
 
-/// Age up to which a report needs no probe. A few calls of a busy service share a probe.
-const FRESH: Span = Span::from_millis(25);
-/// Shortest time between two probes of a target by this VM.
-const PROBE_EVERY: Span = Span::from_millis(50);
-/// Targets probed for one call.
-const PROBE_BREADTH: usize = 3;
-/// Longest wait of a call for answers to probes, as a multiple of the way to the target, and bound.
-const PROBE_WAIT_TRIPS: f64 = 3.0;
-const PROBE_WAIT_MAX_S: f64 = 0.006;
-/// How many times longer than usual work takes on a machine with a noisy neighbour.
-const NOISY: f64 = 4.0;
 /// Weight of a new figure in the usual pace.
 const PACE_WEIGHT: f64 = 1.0 / 64.0;
-/// A copy is sent once a call took this many times the expected time, and at least this long.
-const HEDGE_AFTER: f64 = 1.6;
-const HEDGE_AFTER_LEAST: Span = Span::from_millis(15);
-/// A call that took this many times the expected time is taken for stuck.
-const STUCK: f64 = 4.0;
 /// Random part of a loss, so that equal targets take turns.
 const JITTER: f64 = 0.01;
 /// Seconds of work that are assumed before any answer.
@@ -117,21 +76,21 @@
 /// Places the calls to one service.
 #[derive(Debug)]
 pub struct Placer {
-    place: Place,
-    limits: Limits,
-    targets: Table,
+    pub(super) place: Place,
+    pub(super) limits: Limits,
+    pub(super) targets: Table,
     /// Names of the targets that belong to this VM, if they are told apart.
-    own: Option<Set<Box<str>>>,
-    sights: SecondaryMap<target::Key, Sight>,
-    queue: Queue,
-    flights: Map<Call, Flight>,
-    work: Work,
+    pub(super) own: Option<Set<Box<str>>>,
+    pub(super) sights: SecondaryMap<target::Key, Sight>,
+    pub(super) queue: Queue,
+    pub(super) flights: Map<Call, Flight>,
+    pub(super) work: Work,
     /// Mean pace of the machines, 1 for as usual.
-    usual_pace: f64,
+    pub(super) usual_pace: f64,
     /// When the newest probe of a target was sent, while it is not answered.
-    probes: SecondaryMap<target::Key, Instant>,
+    pub(super) probes: SecondaryMap<target::Key, Instant>,
     /// When a target was last probed.
-    probed: SecondaryMap<target::Key, Instant>,
+    pub(super) probed: SecondaryMap<target::Key, Instant>,
 }
 
 impl Placer {
@@ -289,113 +248,6 @@
         fate
     }
 
-    fn settle(
-        &mut self,
-        now: Instant,
-        call: Call,
-        target: target::Key,
-        ending: Ending,
-        out: &mut Vec<Action>,
-    ) -> Fate {
-        let Some(flight) = self.flights.get_mut(&call) else {
-            return Fate::Over;
-        };
-        let ended = flight
-            .attempts
-            .iter()
-            .position(|attempt| attempt.target == target);
-        let Some(ended) = ended else {
-            return Fate::Pending;
-        };
-        let attempt = flight.attempts.swap_remove(ended);
-        let alone = flight.attempts.is_empty();
-        let entry = flight.ask.entry;
-        self.leave(call, target);
-        self.learn(now, entry, &attempt, ending);
-        match ending {
-            Ending::Answered { failed: false, .. } => {
-                self.drop_flight(call, out);
-                Fate::Over
-            }
-            _ if !alone => Fate::Pending,
-            Ending::Shed { .. } | Ending::Broken { written: false } => {
-                let Some(flight) = self.flights.remove(&call) else {
-                    return Fate::Over;
-                };
-                let mut tried = flight.tried;
-                tried.push(target);
-                self.queue.push(Held {
-                    ask: flight.ask,
-                    arrived: flight.arrived,
-                    settles: None,
-                    tried,
-                });
-                Fate::Pending
-            }
-            Ending::Answered { .. } | Ending::Broken { .. } | Ending::Cancelled => {
-                self.flights.remove(&call);
-                Fate::Over
-            }
-        }
-    }
-
-    /// Forgets a call and cancels its attempts.
-    fn drop_flight(&mut self, call: Call, out: &mut Vec<Action>) {
-        let Some(flight) = self.flights.remove(&call) else {
-            return;
-        };
-        for attempt in flight.attempts {
-            let target = attempt.target;
-            self.leave(call, target);
-            out.push(Action::Cancel { call, target });
-        }
-    }
-
-    /// An attempt is not at its target any more.
-    fn leave(&mut self, call: Call, target: target::Key) {
-        if let Some(sight) = self.sights.get_mut(target) {
-            sight.left(call);
-        }
-        if let Some(target) = self.targets.get_mut(target) {
-            target.in_flight = target.in_flight.saturating_sub(1);
-        }
-    }
-
-    fn learn(&mut self, now: Instant, entry: u32, attempt: &Attempt, ending: Ending) {
-        let slots = self
-            .targets
-            .get(attempt.target)
-            .map_or(1, |target| target.spec.slots);
-        let Some(sight) = self.sights.get_mut(attempt.target) else {
-            return;
-        };
-        match ending {
-            Ending::Answered {
-                latency,
-                failed: false,
-            } => {
-                let ended = sight.pace();
-                let pace = f64::midpoint(attempt.pace, ended);
-                let trip = self
-                    .targets
-                    .get(attempt.target)
-                    .map_or(0.0, |target| target.round_trip);
-                let taken = (seconds(latency) - trip).max(0.000_1);
-                let factor = pace * attempt.crowded;
-                sight.answered(now, taken / (attempt.work * factor).max(f64::MIN_POSITIVE));
-                let slowness = sight.speed(now);
-                self.work.add(entry, taken / (factor * slowness));
-            }
-            Ending::Answered { failed: true, .. } | Ending::Broken { .. } => sight.failed(now),
-            Ending::Shed { .. } => {
-                let own = sight.own();
-                sight.full(now, slots, own);
-                sight.failed(now);
-            }
-            Ending::Cancelled => {}
-        }
-    }
-
     /// A call is not wanted any more, whether it waits or runs.
     pub fn withdraw(&mut self, call: Call, out: &mut Vec<Action>) {
         self.queue.remove(call);
@@ -446,7 +298,7 @@
         open.map(rate).sum()
     }
 
-    fn work_of(&self, ask: &Ask) -> f64 {
+    pub(super) fn work_of(&self, ask: &Ask) -> f64 {
         self.work.expected(ask.entry, seconds(ask.objective))
     }
 
@@ -465,50 +317,14 @@
             || wait + work > seconds(held.ask.deadline.since(now))
     }
 
-    /// Probes the best targets for a call if their load is not known well enough; until when their
-    /// answers are waited for.
-    fn sound(
-        &mut self,
+    /// The targets that may get the call, the best one first.
+    pub(super) fn choices(
+        &self,
         now: Instant,
         held: &Held,
         work: f64,
-        out: &mut Vec<Action>,
-    ) -> Option<Instant> {
-        // A call that is in time even beside a noisy neighbour needs no probe.
-        if work * NOISY < held.left(now) || !held.is_timely(now, work) {
-            return None;
-        }
-        let mut choices = self.choices(now, held, work, &[]);
-        choices.truncate(PROBE_BREADTH);
-        let mut wait: Option<f64> = None;
-        for (rank, choice) in choices.iter().enumerate() {
-            let age = self
-                .sights
-                .get(choice.target)
-                .and_then(|sight| sight.age(now));
-            if age.is_some_and(|age| age < FRESH) {
-                continue;
-            }
-            let recent = self
-                .probed
-                .get(choice.target)
-                .is_some_and(|sent| now.since(*sent) < PROBE_EVERY);
-            if !recent {
-                self.probed.insert(choice.target, now);
-                self.probes.insert(choice.target, now);
-                let target = choice.target;
-                out.push(Action::Probe { target });
-            }
-            if rank == 0 && self.probes.contains_key(choice.target) {
-                let trips = choice.view.round_trip * PROBE_WAIT_TRIPS;
-                wait = Some(trips.min(PROBE_WAIT_MAX_S));
-            }
-        }
-        wait.map(|wait| now + span(wait))
-    }
-
-    /// The targets that may get the call, the best one first.
-    fn choices(&self, now: Instant, held: &Held, work: f64, skip: &[target::Key]) -> Vec<Choice> {
+        skip: &[target::Key],
+    ) -> Vec<Choice> {
         let need = Need {
             work,
             objective: seconds(held.ask.objective),
@@ -564,7 +380,7 @@
     }
 
     /// The best target with room for the call.
-    fn pick(
+    pub(super) fn pick(
         &self,
         now: Instant,
         held: &Held,
@@ -625,119 +441,4 @@
             }
         }
     }
-
-    /// Whether the best target for the call has answered its probe.
-    fn is_sounded(&self, now: Instant, held: &Held, work: f64) -> bool {
-        let choices = self.choices(now, held, work, &held.tried);
-        choices
-            .first()
-            .is_none_or(|best| !self.probes.contains_key(best.target))
-    }
-
-    fn attempt(&mut self, now: Instant, call: Call, choice: &Choice, work: f64) -> Attempt {
-        let time = choice.view.time(work);
-        let mut pace = 1.0;
-        if let Some(sight) = self.sights.get_mut(choice.target) {
-            sight.sent(now, call, time);
-            pace = sight.pace();
-        }
-        if let Some(target) = self.targets.get_mut(choice.target) {
-            target.in_flight += 1;
-        }
-        Attempt {
-            target: choice.target,
-            sent: now,
-            work,
-            time,
-            crowded: if choice.view.is_crowded() {
-                CROWDED
-            } else {
-                1.0
-            },
-            pace,
-        }
-    }
-
-    fn send(
-        &mut self,
-        now: Instant,
-        held: Held,
-        choice: &Choice,
-        work: f64,
-        out: &mut Vec<Action>,
-    ) {
-        let call = held.ask.call;
-        let attempt = self.attempt(now, call, choice, work);
-        out.push(Action::Assign {
-            call,
-            target: choice.target,
-            queue: held.ask.deadline.since(now),
-            report: true,
-        });
-        let flight = Flight {
-            ask: held.ask,
-            arrived: held.arrived,
-            attempts: vec![attempt],
-            tried: held.tried,
-            hedged: false,
-        };
-        self.flights.insert(call, flight);
-    }
-
-    /// Sends copies of the calls whose target turned slow, where another one is faster.
-    fn hedge(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
-        let slow = |flight: &&Flight| {
-            let [attempt] = flight.attempts.as_slice() else {
-                return false;
-            };
-            let elapsed = now.since(attempt.sent);
-            flight.ask.class != Class::Once
-                && !flight.hedged
-                && elapsed >= HEDGE_AFTER_LEAST
-                && seconds(elapsed) > HEDGE_AFTER * attempt.time
-        };
-        let mut slow: Vec<Flight> = self.flights.values().filter(slow).cloned().collect();
-        slow.sort_by_key(|flight| (flight.arrived, flight.ask.call));
-        for flight in slow {
-            self.copy(now, &flight, rng, out);
-        }
-    }
-
-    fn copy(&mut self, now: Instant, flight: &Flight, rng: &mut SmallRng, out: &mut Vec<Action>) {
-        let Some(first) = flight.attempts.first() else {
-            return;
-        };
-        let held = Held {
-            ask: flight.ask.clone(),
-            arrived: flight.arrived,
-            settles: None,
-            tried: flight.tried.clone(),
-        };
-        let work = self.work_of(&flight.ask);
-        let Some(choice) = self.pick(now, &held, work, &[first.target], rng) else {
-            return;
-        };
-        let elapsed = seconds(now.since(first.sent));
-        let time = choice.view.time(work);
-        let is_stuck = elapsed > STUCK * first.time;
-        let left = seconds(flight.ask.deadline.since(now));
-        // A call that took long so far is expected to take half as long again.
-        let faster = time < elapsed / 2.0;
-        let useful = time < held.left(now) || (is_stuck && time < left);
-        if !faster || !useful {
-            return;
-        }
-        let call = flight.ask.call;
-        let attempt = self.attempt(now, call, &choice, work);
-        if let Some(flight) = self.flights.get_mut(&call) {
-            flight.attempts.push(attempt);
-            flight.hedged = true;
-        }
-        out.push(Action::Hedge {
-            call,
-            target: choice.target,
-            queue: flight.ask.deadline.since(now),
-            report: true,
-        });
-    }
 }
