--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod node;
 mod operator;
 mod overview;
+mod page;
 mod peer;
 mod platform;
 mod policy;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,13 +1,10 @@
 //! Pages for operators; docs/operator-api.md describes them.
 
-use salvo::Depot;
-use salvo::FlowCtrl;
-use salvo::Handler;
 use salvo::Request;
-use salvo::Response;
 use salvo::Router;
-use salvo::async_trait;
 
+use crate::page;
+use crate::page::Read;
 use crate::query::Client;
 use crate::query::Filter;
 use crate::query::Question;
@@ -15,29 +12,6 @@
 const AUDIT_LIMIT: usize = 512;
 const AUDIT_LIMIT_MAX: usize = 4_096;
 
-/// Reads the question of a page from a request.
-type Read = fn(&Request) -> Question;
-
-/// One page.
-struct Page {
-    client: Client,
-    question: Read,
-}
-
-#[async_trait]
-impl Handler for Page {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        _depot: &mut Depot,
-        response: &mut Response,
-        _flow: &mut FlowCtrl,
-    ) {
-        let question = (self.question)(request);
-        self.client.ask(question).await.render(response);
-    }
-}
-
 pub(crate) fn router(client: &Client) -> Router {
     let pages: [(&str, Read); 9] = [
         ("healthz", |_| Question::Health),
@@ -56,32 +30,20 @@
         ("v1/fleet", |_| Question::Fleet),
         ("v1/audit", |request| Question::Audit(filter(request))),
     ];
-    let page = |(path, question)| {
-        let client = client.clone();
-        Router::with_path(path).get(Page { client, question })
-    };
     pages
         .into_iter()
-        .map(page)
+        .map(|(path, question)| page::router(client, path, question))
         .fold(Router::new(), Router::push)
 }
 
 /// The page that a collector of metrics reads.
 pub(crate) fn metrics(client: &Client) -> Router {
-    let page = Page {
-        client: client.clone(),
-        question: |_| Question::Metrics,
-    };
-    Router::with_path("metrics").get(page)
+    page::router(client, "metrics", |_| Question::Metrics)
 }
 
 /// The page that a platform asks whether callers may come.
 pub(crate) fn readiness(client: &Client, path: &str) -> Router {
-    let page = Page {
-        client: client.clone(),
-        question: |_| Question::Readiness,
-    };
-    Router::with_path(path).get(page)
+    page::router(client, path, |_| Question::Readiness)
 }
 
 fn param(request: &Request, name: &str) -> Box<str> {
