--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -18,6 +18,8 @@
 /// Loss for each objective's length of expected time, so that of two targets in time the faster one
 /// is taken.
 const TIME: f64 = 0.15;
+/// Objectives' lengths of expected time above which more time loses nothing more.
+const TIME_LIMIT: f64 = 4.0;
 /// Share of its slots up to which a target works at full speed.
 const KNEE: f64 = 0.8;
 /// How many times longer work takes above it.
@@ -105,7 +107,7 @@
             + way
             + foreign
             + crowding
-            + TIME * (time / objective).min(4.0)
+            + TIME * (time / objective).min(TIME_LIMIT)
     }
 }
 
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -70,6 +70,9 @@
 const JITTER: f64 = 0.01;
 /// Seconds of work that are assumed before any answer.
 const ASSUMED_WORK_S: f64 = 0.050;
+/// Time after which the answer to a probe is not waited for any more; a probe times out before.
+const PROBE_FORGOTTEN: Span = Span::from_millis(500);
+/// Times between two ticks while calls wait, and while calls run.
 const TICK_WAITING: Span = Span::from_millis(2);
 const TICK_RUNNING: Span = Span::from_millis(10);
 
@@ -257,7 +260,7 @@
     /// Time passed.
     pub fn tick(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
         self.probes
-            .retain(|_, sent| now.since(*sent) < Span::from_millis(500));
+            .retain(|_, sent| now.since(*sent) < PROBE_FORGOTTEN);
         self.dispatch(now, rng, out);
         self.hedge(now, rng, out);
     }
--- a/crates/core/src/place/sight.rs
+++ b/crates/core/src/place/sight.rs
@@ -23,6 +23,8 @@
 const WEIGHT: f64 = 0.2;
 /// Times slower or faster than predicted that one answer may count.
 const RATIO_LIMIT: f64 = 8.0;
+/// A call that takes this many times the expected time is overdue; the work of calls spreads by a third.
+const OVERDUE_AFTER: f64 = 1.5;
 /// How many times longer work takes on a target that has just started.
 const COLD_FACTOR: f64 = 1.8;
 
@@ -172,7 +174,7 @@
         // Calls that are overdue show a slow target before any answer does.
         let overdue = self.runs.iter().map(|run| {
             let elapsed = seconds(now.since(run.sent));
-            (elapsed / run.expected.max(f64::MIN_POSITIVE) / 1.5).max(1.0)
+            (elapsed / run.expected.max(f64::MIN_POSITIVE) / OVERDUE_AFTER).max(1.0)
         });
         let overdue = overdue.fold(1.0, f64::max).min(RATIO_LIMIT);
         pace * cold * self.slowness_now(now).exp().max(overdue)
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -66,6 +66,8 @@
 /// which one slot becomes free; callers do not wait longer than a third of their time.
 const RETRY_AFTER_LEAST_S: f64 = 0.04;
 const RETRY_AFTER_MOST_S: f64 = 0.5;
+/// Factor by which the time is spread around the expected wait.
+const RETRY_AFTER_SPREAD: std::ops::Range<f64> = 0.75..1.5;
 
 /// Accepts callers until the process ends.
 pub(crate) async fn serve(node: Shared, listener: TcpListener) {
@@ -459,7 +461,7 @@
     let wait = found.and_then(|found| found.balancer.wait(now));
     let wait = wait.map_or(RETRY_AFTER_LEAST_S, seconds);
     let wait = wait.clamp(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S);
-    let spread: f64 = node.rng.random_range(0.75..1.5);
+    let spread: f64 = node.rng.random_range(RETRY_AFTER_SPREAD);
     let text = format!("{:.3}", wait * spread);
     HeaderValue::try_from(text).expect("a decimal number forms a header value")
 }
