Hold only what the first news after an outage lack

A VM that the store had turned away kept the mark of the outage while it did not read itself, and took each removal that a peer told it later for one that had lapsed: it held the target for 2.5 s. Ruled out: the limits for targets that vanish alone or together, which add up to less. Change: the mark stands only while the first news after a failed call are taken.

--- a/crates/core/src/site/roster.rs
+++ b/crates/core/src/site/roster.rs
@@ -78,19 +78,14 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     known: Map<Box<str>, Known>,
-    /// Whether the store was away when it was last asked.
-    away: bool,
+    /// Whether removals are told by the first news after an outage of the store.
+    outage: bool,
 }
 
 impl Roster {
-    /// The store could not be read.
-    pub fn interrupted(&mut self) {
-        self.away = true;
-    }
-
-    /// The store was read again, and what it told was put into the roster.
-    pub fn resumed(&mut self) {
-        self.away = false;
+    /// Whether the removals to come are told by the first news after an outage of the store.
+    pub fn after_outage(&mut self, outage: bool) {
+        self.outage = outage;
     }
 
     /// The registration under `key` is now `registration`; none if it is no target to use.
@@ -126,7 +121,7 @@
         if known.registration.state == State::Ready {
             known.vanished.get_or_insert(Vanished {
                 at: now,
-                lapsed: self.away,
+                lapsed: self.outage,
             });
             return Vec::new();
         }
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -52,8 +52,8 @@
     Put(u16, State),
     Foreign(u16),
     Remove(u16),
-    Interrupted,
-    Resumed,
+    Outage,
+    Told,
 }
 
 struct Case {
@@ -87,8 +87,8 @@
     Case {
         name: "an earlier outage does not keep one that vanishes later",
         events: &[
-            (1_000, Event::Interrupted),
-            (1_100, Event::Resumed),
+            (1_000, Event::Outage),
+            (1_100, Event::Told),
             (2_500, Event::Remove(0)),
         ],
         usable: &[(2_500 + ALONE_LIMIT.as_millis(), 4)],
@@ -96,9 +96,9 @@
     Case {
         name: "one that the first news after an outage lack is kept until it should be back",
         events: &[
-            (1_000, Event::Interrupted),
+            (1_000, Event::Outage),
             (5_000, Event::Remove(0)),
-            (5_000, Event::Resumed),
+            (5_000, Event::Told),
         ],
         usable: &[
             (5_000 + RETURN_LIMIT.as_millis() - 1, 5),
@@ -108,9 +108,9 @@
     Case {
         name: "one that comes back stays",
         events: &[
-            (1_000, Event::Interrupted),
+            (1_000, Event::Outage),
             (5_000, Event::Remove(0)),
-            (5_000, Event::Resumed),
+            (5_000, Event::Told),
             (6_000, Event::Put(0, State::Ready)),
         ],
         usable: &[(9_000, 5)],
@@ -119,7 +119,7 @@
         name: "one that was draining is gone for good, outage or not",
         events: &[
             (500, Event::Put(0, State::Draining)),
-            (1_000, Event::Interrupted),
+            (1_000, Event::Outage),
             (5_000, Event::Remove(0)),
         ],
         usable: &[(5_000, 4)],
@@ -149,8 +149,8 @@
                     Event::Put(id, state) => put(&mut roster, *time, *id, *state),
                     Event::Foreign(id) => drop(roster.put(at(*time), &format!("t{id}"), None)),
                     Event::Remove(id) => drop(roster.remove(at(*time), &format!("t{id}"))),
-                    Event::Interrupted => roster.interrupted(),
-                    Event::Resumed => roster.resumed(),
+                    Event::Outage => roster.after_outage(true),
+                    Event::Told => roster.after_outage(false),
                 }
             }
             roster.expire(at(*millis));
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -119,17 +119,10 @@
         self.reader.confirm(now, Span::ZERO);
     }
 
-    /// The store of the platform could not be read.
-    pub(crate) fn interrupted(&mut self) {
+    /// Whether the news to come are the first ones after an outage of the store.
+    pub(crate) fn after_outage(&mut self, outage: bool) {
         if let Some(hosted) = &mut self.hosted {
-            hosted.roster.interrupted();
-        }
-    }
-
-    /// The store of the platform was read.
-    pub(crate) fn resumed(&mut self) {
-        if let Some(hosted) = &mut self.hosted {
-            hosted.roster.resumed();
+            hosted.roster.after_outage(outage);
         }
     }
 
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -75,7 +75,8 @@
     let mut line = None;
     let mut failures: u32 = 0;
     loop {
-        match step(node, host, address, &mut session, &mut line).await {
+        let outage = failures > 0;
+        match step(node, host, address, &mut session, &mut line, outage).await {
             Ok(changed) => {
                 if failures > 0 {
                     log::info!(failures; "the store answers again");
@@ -92,7 +93,6 @@
                 line = None;
                 let wait = {
                     let mut node = node.borrow_mut();
-                    node.interrupted();
                     let limit = RETRY_FIRST * 2_u32.saturating_pow(failures.min(8));
                     let share = node.rng.random_range(0.5..1.0);
                     limit.min(RETRY_LAST).mul_f64(share)
@@ -104,13 +104,14 @@
     }
 }
 
-/// Makes one call; whether something changed.
+/// Makes one call; whether something changed. `outage` tells that the call before failed.
 async fn step(
     node: &Shared,
     host: &dyn Host,
     address: SocketAddr,
     session: &mut Session,
     line: &mut Option<Line>,
+    outage: bool,
 ) -> Result<bool, Failure> {
     let call = session.call();
     let waits = matches!(call, feed::Call::Wait { .. });
@@ -154,9 +155,12 @@
     } else {
         node.borrow().clock.now().since(asked)
     };
+    // Only what the first news after an outage lack may have lapsed in it. What peers tell meanwhile
+    // comes from a VM that the store answers.
     let mut state = node.borrow_mut();
+    state.after_outage(outage);
     state.learn(node, news, age);
-    state.resumed();
+    state.after_outage(false);
     drop(state);
     Ok(changed && waits)
 }
