Count a copy against the bound on sends

A copy raised the count of sends without looking at the bound. Change: a copy is permitted only below the bound.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -382,9 +382,16 @@
 impl Written<Idempotent> {
     /// Permits a second copy of the request while the first runs. From then on the request is never
     /// reported as not run.
-    pub fn copy(&mut self) {
+    ///
+    /// Returns false, and permits none, if the request was written as often as it may be.
+    #[must_use]
+    pub const fn copy(&mut self) -> bool {
+        if self.0.sent >= self.0.terms.sends {
+            return false;
+        }
         self.0.sent += 1;
         self.0.outcome = Outcome::Unknown;
+        true
     }
 
     /// Whether the terms leave another attempt: only at the top of a call chain, so that attempts in
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -189,7 +189,7 @@
                     (2, sent) => sent.shed(shed(), true),
                     (3, sent) => sent.shed(shed(), false),
                     (4, Sent::Idempotent(mut written)) => {
-                        written.copy();
+                        assert!(written.copy());
                         may_have_run = true;
                         written.shed(shed(), true)
                     }
@@ -216,3 +216,24 @@
         }
     }
 }
+
+/// Guards against a copy on top of a retry that passes the bound on targets.
+#[test]
+fn a_copy_counts_against_the_bound_on_sends() {
+    let admitted = admit("interactive", 3, 0).limit_sends(2);
+    let Sent::Idempotent(written) = write(admitted) else {
+        panic!("the request is idempotent");
+    };
+    let again = written
+        .retry(Code::TargetFailed, true)
+        .expect("a second send");
+    let Sent::Idempotent(mut written) = write(again) else {
+        panic!("the request is idempotent");
+    };
+    assert!(!written.copy(), "a third send");
+    let Sent::Idempotent(mut first) = write(admit("interactive", 3, 0).limit_sends(2)) else {
+        panic!("the request is idempotent");
+    };
+    assert!(first.copy());
+    assert!(!first.copy());
+}
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -315,9 +315,6 @@
 fn permit(sent: &mut Sent) -> bool {
     match sent {
         Sent::Once(_) => false,
-        Sent::Idempotent(written) => {
-            written.copy();
-            true
-        }
+        Sent::Idempotent(written) => written.copy(),
     }
 }
