Derive homes only when what they rest on changed, and drop dead code

Every VM derived all homes five times a second, with a hash for each pair of home and target; a refusal worked out the expected wait twice; two methods of the roster and one of the adapter trait had no caller. Change: homes are derived anew only if members, targets or regions differ; the wait is worked out once; the dead methods are gone. Behaviour is as it was. Measured: linter clean; the tests of the adapter and of the whole path (27) and those of roster, homes and requests pass.

--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -415,9 +415,7 @@
             }
             return;
         }
-        for call in self.queue.order(now, |ask| {
-            self.work.expected(ask.entry, seconds(ask.objective))
-        }) {
+        for call in self.queue.order(now, |ask| self.work_of(ask)) {
             let Some(held) = self.queue.iter().find(|held| held.ask.call == call) else {
                 continue;
             };
--- a/crates/core/src/site/roster.rs
+++ b/crates/core/src/site/roster.rs
@@ -205,18 +205,6 @@
             (&*known.registration.id, until)
         })
     }
-
-    /// Registrations known, those that vanished and may come back included.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.known.len()
-    }
-
-    /// Whether no registration is known.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
-    }
 }
 
 fn service(known: Known) -> Box<str> {
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -440,7 +440,7 @@
     let hosted = node.borrow().hosted.is_some();
     let (status, mut headers) = refusal::head(end, hosted);
     if hosted && status == StatusCode::SERVICE_UNAVAILABLE {
-        headers.insert(RETRY_AFTER, retry_after(node, service));
+        headers.insert(RETRY_AFTER, retry_after(node, wait));
     }
     let name = node.borrow().dialect.request_id.clone();
     headers.insert(name, id);
@@ -454,14 +454,10 @@
 
 /// Seconds after which a caller may come again: the expected wait, spread so that callers that were
 /// refused together do not return together.
-fn retry_after(node: &Shared, service: Option<service::Key>) -> HeaderValue {
-    let mut node = node.borrow_mut();
-    let now = node.clock.now();
-    let found = service.and_then(|service| node.services.get(service));
-    let wait = found.and_then(|found| found.balancer.wait(now));
+fn retry_after(node: &Shared, wait: Option<Span>) -> HeaderValue {
     let wait = wait.map_or(RETRY_AFTER_LEAST_S, seconds);
     let wait = wait.clamp(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S);
-    let spread: f64 = node.rng.random_range(RETRY_AFTER_SPREAD);
+    let spread: f64 = node.borrow_mut().rng.random_range(RETRY_AFTER_SPREAD);
     let text = format!("{:.3}", wait * spread);
     HeaderValue::try_from(text).expect("a decimal number forms a header value")
 }
--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use oriolecleat_core::address::Candidate;
 use oriolecleat_core::home;
 use oriolecleat_core::home::Home;
 use oriolecleat_core::home::Spot;
@@ -14,6 +15,14 @@
 use crate::node::Node;
 use crate::query::Answer;
 
+/// What homes are derived from.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Basis {
+    candidates: Vec<Candidate>,
+    services: Vec<(Box<str>, Vec<Spot>)>,
+    regions: Set<Box<str>>,
+}
+
 /// Homes of each service by the region of its callers.
 pub(crate) type Homes = Map<Box<str>, Map<Box<str>, Vec<Home>>>;
 
@@ -40,13 +49,22 @@
             .iter()
             .map(|region| region.name.clone());
         let regions: Set<Box<str>> = known.chain([self.settings.region.clone()]).collect();
+        let basis = Basis {
+            candidates,
+            services,
+            regions,
+        };
+        if basis == self.homes_basis {
+            return;
+        }
+        let regions = basis.regions.iter();
         let homes: Homes = regions
-            .into_iter()
             .map(|region| {
-                let homes = home::divide(&region, &candidates, &services);
-                (region, homes)
+                let homes = home::divide(region, &basis.candidates, &basis.services);
+                (region.clone(), homes)
             })
             .collect();
+        self.homes_basis = basis;
         if homes == self.homes {
             return;
         }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -59,8 +59,6 @@
     fn dialect(&self) -> Dialect;
     /// Paths of the calls that arrive.
     fn paths(&self) -> Paths;
-    /// Prefix of the keys of the store that are read.
-    fn prefix(&self) -> &'static str;
     /// Prefixes of the keys that the adapter understands.
     fn keys(&self) -> Vec<Box<str>>;
     /// Path and query of a call to the store that answers within `wait`.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -27,6 +27,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::Links;
 use crate::halt::Phases;
+use crate::homes::Basis;
 use crate::homes::Homes;
 use crate::host::Host;
 use crate::host::Hosted;
@@ -89,6 +90,7 @@
     /// What is known from the platform that hosts the fleet, if one does.
     pub(crate) hosted: Option<Hosted>,
     pub(crate) homes: Homes,
+    pub(crate) homes_basis: Basis,
 }
 
 impl Node {
@@ -115,6 +117,7 @@
             dialect: Rc::new(dialect),
             hosted,
             homes: Homes::default(),
+            homes_basis: Basis::default(),
             issuer: ticket::Issuer::new(settings.fleet_key.as_bytes()),
             ledger: ticket::Ledger::new(&settings.vm, incarnation, LEDGER_CAPACITY),
             metrics: Metrics::new(settings.statsd, &settings.vm),
