--- a/crates/core/src/beat.rs
+++ b/crates/core/src/beat.rs
@@ -45,7 +45,9 @@
         if peer.differs(now, Part::Members, members, beat.members, lead) {
             messages.push(repair::roster(&self.fleet));
         }
-        if peer.differs(now, Part::Catalogue, catalogue, beat.catalogue, lead) {
+        // A VM that just started knows nothing that a push on its way could make equal.
+        let is_new = context.catalogue.is_empty() && beat.catalogue != catalogue.hash;
+        if peer.differs(now, Part::Catalogue, catalogue, beat.catalogue, lead) || is_new {
             messages.push(repair::digest(context.catalogue));
         }
         if peer.differs(now, Part::Leaving, leaving, beat.leaving, true) {
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -262,6 +262,12 @@
         self.records.get(key)
     }
 
+    /// Whether no key is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// All keys with what is known of them, in no order.
     pub fn records(&self) -> impl Iterator<Item = (&str, &Record)> {
         self.records.iter().map(|(key, record)| (&**key, record))
--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -16,8 +16,13 @@
 /// Longest limit of the wait after repeated failures.
 pub const BACKOFF_MAX: Span = Span::from_millis(10_000);
 /// Time for which a VM that took over keeps reading. Without it, the VM would stop as soon as its
-/// own reading has refreshed the view.
-pub const TAKEOVER_HOLD: Span = Span::from_millis(60_000);
+/// own reading has refreshed the view; each VM that reads adds to the calls.
+pub const TAKEOVER_HOLD: Span = Span::from_millis(10_000);
+
+// VMs of a data centre take over one after the other, at intervals of a part of the age at which
+// the first one does, so that an outage does not make readers of all of them. The last ones do so at
+// less than twice that age.
+const TAKEOVER_TURNS: u64 = 8;
 
 const MICROS_PER_CALL: u64 = 1_000_000;
 // The documented rate of the service, shared by as many VMs as the fleet can have, until the
@@ -28,6 +33,11 @@
 /// Whether this VM is one of the `readers` lowest-ranked live members of its data centre.
 #[must_use]
 pub fn designated(fleet: &Fleet, readers: u64) -> bool {
+    fleet.own().record().state == State::Alive && position(fleet) < readers
+}
+
+/// Live members of this VM's data centre that rank before it.
+fn position(fleet: &Fleet) -> u64 {
     let own = fleet.own();
     let lower = fleet
         .live()
@@ -37,7 +47,7 @@
                 && (member.rank(), &member.record().vm) < (own.rank(), &own.record().vm)
         })
         .count();
-    own.record().state == State::Alive && (lower as u64) < readers
+    lower as u64
 }
 
 /// This VM's share of the service's rate. It starts empty, refills at half of the share and holds
@@ -209,7 +219,7 @@
     /// Whether this VM should be reading now; called at every tick.
     pub fn step(&mut self, now: Instant, fleet: &Fleet, random: &mut dyn Rng) -> Option<Step> {
         let readers = self.limits.readers_per_data_center;
-        let wanted = designated(fleet, readers) || self.take_over(now, random);
+        let wanted = designated(fleet, readers) || self.take_over(now, fleet, random);
         match self.phase {
             Phase::Idle { next } if wanted && now >= next => {
                 self.phase = Phase::Reading;
@@ -248,8 +258,13 @@
         self.view.age(now).unwrap_or(uptime)
     }
 
-    fn take_over(&mut self, now: Instant, random: &mut dyn Rng) -> bool {
-        let limit = self.limits.takeover_after + self.jitter;
+    fn take_over(&mut self, now: Instant, fleet: &Fleet, random: &mut dyn Rng) -> bool {
+        let readers = self.limits.readers_per_data_center;
+        let turn = position(fleet).saturating_sub(readers);
+        let turn = turn.min(TAKEOVER_TURNS - 2);
+        let interval = interval(&self.limits).as_micros();
+        let wait = Span::from_micros(interval * turn) + self.jitter;
+        let limit = self.limits.takeover_after + wait;
         if now >= self.taken_until && self.age_or_uptime(now) > limit {
             self.taken_until = now + TAKEOVER_HOLD;
             self.jitter = jitter(&self.limits, random);
@@ -258,6 +273,11 @@
     }
 }
 
+/// Time between the takeovers of two VMs of a data centre.
+fn interval(limits: &settings::View) -> Span {
+    Span::from_micros(limits.takeover_after.as_micros() / TAKEOVER_TURNS)
+}
+
 fn jitter(limits: &settings::View, random: &mut dyn Rng) -> Span {
-    Span::from_micros(random.random_range(0..=limits.takeover_after.half().as_micros()))
+    Span::from_micros(random.random_range(0..=interval(limits).as_micros()))
 }
--- a/crates/core/src/site/feed.rs
+++ b/crates/core/src/site/feed.rs
@@ -11,6 +11,8 @@
         Page {
             /// Last key of the page before.
             after: Option<Box<str>>,
+            /// Whether the page may be some seconds old, which is cheaper.
+            stale: bool,
         },
         /// What changed after the revision `after`, as soon as something did.
         Wait {
@@ -48,6 +50,8 @@
     first: Option<u64>,
     /// Where the next wait begins, once the range was listed.
     next: Option<u64>,
+    /// Whether old pages are of no use, as the store dropped the history since them.
+    exact: bool,
 }
 
 impl Session {
@@ -58,6 +62,7 @@
             Some(after) => Call::Wait { after },
             None => Call::Page {
                 after: self.listed.last().map(|last| last.key.clone()),
+                stale: !self.exact,
             },
         }
     }
@@ -68,9 +73,13 @@
         self.next.is_some()
     }
 
-    /// Starts over with the first page, as after a connection on which answers may be missing.
-    pub fn restart(&mut self) {
-        *self = Self::default();
+    /// Starts over with the first page. A wait that begins at an old page would miss changes again,
+    /// so the pages have to be current.
+    fn restart(&mut self) {
+        *self = Self {
+            exact: true,
+            ..Self::default()
+        };
     }
 
     /// Takes a page; news come with the last one.
@@ -90,7 +99,7 @@
         Some(News {
             changes: std::mem::take(&mut self.listed),
             whole: Some(first),
-            confirmed: true,
+            confirmed: std::mem::take(&mut self.exact),
             ended: false,
         })
     }
--- a/crates/core/tests/feed.rs
+++ b/crates/core/tests/feed.rs
@@ -25,10 +25,11 @@
 #[test]
 fn waits_begin_at_the_revision_of_the_first_page() {
     let mut session = Session::default();
-    assert_eq!(session.call(), Call::Page { after: None });
+    let (after, stale) = (None, true);
+    assert_eq!(session.call(), Call::Page { after, stale });
     assert_eq!(session.page(page(&["a", "b"], true, 10)), None);
     let after = Some("b".into());
-    assert_eq!(session.call(), Call::Page { after });
+    assert_eq!(session.call(), Call::Page { after, stale });
     let news = session
         .page(page(&["c"], false, 12))
         .expect("the listing ended");
@@ -65,13 +66,19 @@
         name: "the history is gone",
         changes: || Changes::Gone,
         known: false,
-        next: Call::Page { after: None },
+        next: Call::Page {
+            after: None,
+            stale: false,
+        },
     },
     Case {
         name: "the store went back",
         changes: || Changes::Known(vec![change("a", 4)], 4),
         known: false,
-        next: Call::Page { after: None },
+        next: Call::Page {
+            after: None,
+            stale: false,
+        },
     },
 ];
 
@@ -93,3 +100,24 @@
     assert!(session.page(page(&[], true, 3)).is_some());
     assert_eq!(session.call(), Call::Wait { after: 3 });
 }
+
+/// Guards against a view that counts as current although the pages were old, and against pages that
+/// are older than the history each time.
+#[test]
+fn old_pages_confirm_nothing_and_are_not_asked_for_after_a_cut() {
+    let mut session = Session::default();
+    let news = session.page(page(&["a"], false, 10)).expect("one page");
+    assert!(!news.confirmed, "the page may be some seconds old");
+    let news = session.changes(Changes::Known(Vec::new(), 10));
+    assert!(news.expect("nothing changed").confirmed);
+    assert_eq!(session.changes(Changes::Gone), None);
+    let (after, stale) = (None, false);
+    assert_eq!(session.call(), Call::Page { after, stale });
+    assert_eq!(session.page(page(&["a"], true, 40)), None);
+    let after = Some("a".into());
+    assert_eq!(session.call(), Call::Page { after, stale });
+    let news = session
+        .page(page(&["b"], false, 41))
+        .expect("the last page");
+    assert!(news.confirmed, "the pages were current");
+}
--- a/crates/core/tests/reader.rs
+++ b/crates/core/tests/reader.rs
@@ -260,3 +260,34 @@
     assert_eq!(reader.age(at(41_000)), Some(Span::from_millis(6_000)));
     assert!(!reader.stale(at(41_000)));
 }
+
+// Guards against an outage that makes a reader of every VM of a data centre at once, each of which
+// pays for its calls.
+#[test]
+fn vms_take_over_one_after_the_other() {
+    let vms: Vec<(String, State)> = (0..10)
+        .map(|index| (format!("vm-{index}"), State::Alive))
+        .collect();
+    let mut random = random(6);
+    let mut opened: Vec<u64> = Vec::new();
+    for (vm, _) in &vms {
+        let fleet = fleet(vm, &vms);
+        if reader::designated(&fleet, LIMITS.readers_per_data_center) {
+            continue;
+        }
+        let mut reader = Reader::new(at(0), LIMITS, &mut random);
+        reader.confirm(at(1_000), Span::ZERO);
+        let mut moments = (1_000..40_000).step_by(100);
+        let taken = moments
+            .find(|millis| reader.step(at(*millis), &fleet, &mut random) == Some(Step::Open));
+        opened.push(taken.expect("every VM takes over in the end") - 1_000);
+    }
+    opened.sort_unstable();
+    assert_eq!(opened.len(), 8);
+    assert!(opened[0] <= 11_400, "the first one: {opened:?}");
+    assert!(opened[7] < 20_000, "the last one: {opened:?}");
+    // Eight turns of 1.25 s, and a random part of one.
+    for (turn, moment) in (0..6).zip(&opened) {
+        assert!(*moment >= 10_000 + 1_250 * turn, "{opened:?}");
+    }
+}
