Keep a start of many VMs from flooding links with catalogue and members

Change: news goes over links to present or former neighbours; an empty VM takes the catalogue from its own data centre for its first 3 s, pushes none of it, and any number of empty peers are answered at once; a hosted VM sends no audit copies.

--- a/crates/bench/src/network/traffic.rs
+++ b/crates/bench/src/network/traffic.rs
@@ -38,8 +38,12 @@
             .seal(message)
             .expect("messages fit")
             .expect("one release");
+        let between = self.vms[vm].site.data_center != self.vms[far].site.data_center;
         let cost = &mut self.vms[vm].cost;
         cost.bytes += web_socket_bytes(frame.len());
+        if between {
+            cost.far_bytes += web_socket_bytes(frame.len());
+        }
         cost.frames += 1;
         let packet = if self.codec {
             cost.busy += started.elapsed();
--- a/crates/bench/src/network/vm.rs
+++ b/crates/bench/src/network/vm.rs
@@ -26,6 +26,8 @@
 pub struct Cost {
     /// Bytes of WebSocket frames sent and received.
     pub bytes: u64,
+    /// Bytes sent to other data centres.
+    pub far_bytes: u64,
     /// Frames sent and received.
     pub frames: u64,
     /// Time spent on decisions and the codec.
--- a/crates/bench/tests/gossip.rs
+++ b/crates/bench/tests/gossip.rs
@@ -380,6 +380,47 @@
     }
 }
 
+/// VMs, keys and bytes of a text, about those of a platform's fleet of six data centres.
+const STARTING: usize = 124;
+const STARTING_KEYS: u8 = 224;
+const TEXT_BYTES: usize = 250;
+
+// Guards against a start at which each VM gets the whole catalogue from several peers, or from
+// another data centre. One copy for each VM of one data centre in two is the most that is accepted.
+#[test]
+fn a_start_of_all_vms_moves_the_catalogue_between_data_centers_few_times() {
+    let mut network = Network::new(&sites(3, 6, STARTING), 1, false);
+    network.run(Span::from_millis(2_000));
+    let text = |key| {
+        let mut text = String::from(&*entry(key, true, 1));
+        let padding = " ".repeat(TEXT_BYTES.saturating_sub(text.len()));
+        text.push_str(&padding);
+        text
+    };
+    let contents: Vec<Content> = (0..STARTING_KEYS)
+        .map(|key| Content {
+            key: format!("entries/entry-{key}").into(),
+            version: Version {
+                generation: 0,
+                revision: 1,
+            },
+            text: Some(text(key).into()),
+        })
+        .collect();
+    for vm in 0..6 {
+        let contents = contents.clone();
+        network.act(vm, |gossip, context| gossip.publish(context, contents));
+    }
+    network.run(Span::from_millis(3_000));
+    for vm in &network.vms {
+        let known = vm.catalogue.records().count();
+        assert_eq!(known, usize::from(STARTING_KEYS), "{}", vm.name());
+    }
+    let far: u64 = network.vms.iter().map(|vm| vm.cost.far_bytes).sum();
+    let whole = u64::from(STARTING_KEYS) * TEXT_BYTES as u64;
+    assert!(far < whole * STARTING as u64 / 2, "{far} B, {whole} B each");
+}
+
 fn fixed(seed: u64, cases: u32) -> Config {
     let asked = std::env::var("PROPTEST_CASES").ok();
     Config {
--- a/crates/core/src/beat.rs
+++ b/crates/core/src/beat.rs
@@ -34,6 +34,7 @@
     ) -> Vec<Action> {
         let now = context.now;
         self.refresh(context);
+        let awaits_near = self.is_awaiting_near(context, link);
         let [catalogue, members, leaving] = self.roots;
         let own = &self.fleet.own().record().vm;
         let Some(peer) = self.peers.get_mut(&link) else {
@@ -47,7 +48,8 @@
         }
         // A VM that just started knows nothing that a push on its way could make equal.
         let is_new = context.catalogue.is_empty() && beat.catalogue != catalogue.hash;
-        if peer.differs(now, Part::Catalogue, catalogue, beat.catalogue, lead) || is_new {
+        let differs = peer.differs(now, Part::Catalogue, catalogue, beat.catalogue, lead);
+        if (differs || is_new) && !awaits_near {
             messages.push(repair::digest(context.catalogue));
         }
         if peer.differs(now, Part::Leaving, leaving, beat.leaving, true) {
@@ -86,6 +88,10 @@
         }
         self.beat = context.now + BEAT;
         self.news.expire(context.now);
+        self.beat_over_all(context)
+    }
+
+    pub(crate) fn beat_over_all(&mut self, context: &mut Context) -> Vec<Action> {
         let links: Vec<Link> = self.peers.keys().copied().collect();
         links
             .into_iter()
@@ -110,6 +116,9 @@
     /// Sends own audit records to the peers that keep copies: two of the same data centre, or any
     /// if there is none.
     pub(crate) fn copy_audit(&mut self, context: &mut Context) -> Vec<Action> {
+        if !self.copies_audit {
+            return Vec::new();
+        }
         let own = self.fleet.own().record().data_center.clone();
         let mut keepers: Vec<(bool, u64, Link)> = self
             .peers
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -119,6 +119,7 @@
     pub(crate) members_at: Option<u64>,
     pub(crate) beat: Instant,
     pub(crate) fetch: Option<(Link, Instant)>,
+    pub(crate) copies_audit: bool,
 }
 
 impl Gossip {
@@ -142,9 +143,17 @@
             members_at: None,
             beat: now,
             fetch: None,
+            copies_audit: true,
         }
     }
 
+    /// Keeps the audit records of this VM from its peers, where something else collects them.
+    #[must_use]
+    pub fn without_audit_copies(mut self) -> Self {
+        self.copies_audit = false;
+        self
+    }
+
     /// The members.
     #[must_use]
     pub fn fleet(&self) -> &Fleet {
@@ -183,12 +192,14 @@
         match message {
             Message::Members(members) => self.merge(context, Some(link), members.records),
             Message::Roster(roster) => reply(link, repair::reconcile(now, &self.fleet, &roster)),
+            // The answer would make the peer send everything.
+            Message::Digest(_) if self.is_awaiting_near(context, link) => Vec::new(),
             Message::Digest(digest) => {
                 let versions = repair::versions(context.catalogue, &digest);
-                reply(
-                    link,
-                    versions.filter(|found| self.may_fetch(now, link, found)),
-                )
+                // A peer without a catalogue only takes, and many may at once.
+                let is_empty = digest.hashes.iter().all(|hash| *hash == 0);
+                let answer = |found: &Message| is_empty || self.may_fetch(now, link, found);
+                reply(link, versions.filter(answer))
             }
             Message::Versions(versions) => {
                 let mut messages = repair::exchange(context.catalogue, &versions);
@@ -341,9 +352,15 @@
         actions
     }
 
+    /// Pushes over the links to present and former neighbours. A seed has links to many starting VMs
+    /// besides, over which beats compare: each news of each of them over each link would grow with the
+    /// square of the fleet. A VM without a neighbour uses what it has.
     pub(crate) fn push(&self, except: Option<Link>, message: Message) -> Option<Action> {
-        let links = self.peers.keys().copied();
-        let links: Vec<Link> = links.filter(|link| Some(*link) != except).collect();
+        let is_alone = !self.peers.values().any(|peer| peer.settled);
+        let carries =
+            |(link, peer): &(&Link, &Peer)| Some(**link) != except && (peer.settled || is_alone);
+        let links = self.peers.iter().filter(carries);
+        let links: Vec<Link> = links.map(|(link, _)| *link).collect();
         (!links.is_empty()).then_some(Action::Send(links, message))
     }
 
--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -60,7 +60,9 @@
             data_center,
             dialled,
         } = joined;
-        let peer = Peer::new(now, vm, incarnation, data_center, dialled);
+        let settled = self.neighbours.contains(&vm);
+        let mut peer = Peer::new(now, vm, incarnation, data_center, dialled);
+        peer.settled = settled;
         self.peers.insert(link, peer);
         let records = vec![self.fleet.own().current(now)];
         actions.extend(reply(link, [Message::Members(Members { records })]));
@@ -228,6 +230,7 @@
         for (link, peer) in &mut self.peers {
             if neighbours.contains(&peer.vm) {
                 peer.wanted = now;
+                peer.settled = true;
             } else if now.since(peer.wanted) >= LINGER {
                 unwanted.push(*link);
             }
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -38,6 +38,8 @@
     pub(crate) dialled: Option<SocketAddr>,
     /// When the link was last wanted.
     pub(crate) wanted: Instant,
+    /// Whether the peer is or was a neighbour.
+    pub(crate) settled: bool,
     pub(crate) heard: Instant,
     strikes: [u8; 3],
     /// Own audit records that the peer holds, once it has told.
@@ -68,6 +70,7 @@
             data_center,
             dialled,
             wanted: now,
+            settled: false,
             heard: now,
             strikes: [0; 3],
             acknowledged: None,
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -10,12 +10,16 @@
 use crate::message::Content;
 use crate::message::Entries;
 use crate::message::Message;
+use crate::peer::Peer;
 use crate::time::Instant;
 use crate::time::Span;
 
 // Buckets or keys up to which a repair is not held back.
 const SMALL_FETCH: usize = 8;
 const FETCH_TURN: Span = Span::from_millis(2_000);
+/// Time from its start for which a VM without a catalogue leaves it to the VMs of its data centre to
+/// tell it, as bytes from elsewhere are dear. The first readers need about as long.
+const NEAR_FIRST: Span = Span::from_millis(3_000);
 
 impl Gossip {
     /// Takes content of the configuration service.
@@ -66,6 +70,7 @@
         contents: Vec<Content>,
     ) -> Vec<Action> {
         let source = self.source(from, "configuration service");
+        let was_empty = context.catalogue.is_empty();
         let mut behind = None;
         let delivered = match from {
             Some(_) => catalogue::Source::Peer(source.clone()),
@@ -106,13 +111,32 @@
             let change = Change::new("behind", &content.key, &source, cause).at(content.version);
             context.audit.record(context.wall_ms, change);
         }
-        if !fresh.is_empty() {
+        if fresh.len() > SMALL_FETCH && was_empty {
+            // All VMs that start together would send each other the whole catalogue.
+            actions.extend(self.beat_over_all(context));
+        } else if !fresh.is_empty() {
             let message = Message::Entries(Entries { contents: fresh });
             actions.extend(self.push(from, message));
         }
         actions
     }
 
+    /// Whether this VM, which has no catalogue yet, is to get it from another peer than that of `link`.
+    pub(crate) fn is_awaiting_near(&self, context: &Context, link: Link) -> bool {
+        let own = self.fleet.own();
+        let is_near = |data_center: &str| *data_center == *own.record().data_center;
+        let starting = own.uptime(context.now) < NEAR_FIRST;
+        let far = |peer: &Peer| !is_near(&peer.data_center);
+        let mut others = self.fleet.live();
+        starting
+            && context.catalogue.is_empty()
+            && self.peers.get(&link).is_some_and(far)
+            && others.any(|member| {
+                let record = member.record();
+                record.vm != own.record().vm && is_near(&record.data_center)
+            })
+    }
+
     // Whether a message that makes the peer send contents may go out now: a large part of the
     // catalogue is fetched over one link at a time, so that a starting VM gets it once.
     pub(crate) fn may_fetch(&mut self, now: Instant, link: Link, message: &Message) -> bool {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -105,6 +105,13 @@
         let now = clock.now();
         let hold = settings.evidence.leaving_hold;
         let own = record(&settings, incarnation);
+        let gossip = Gossip::new(now, own, settings.seeds.clone(), hold);
+        // A platform collects the logs, which hold every audit record.
+        let gossip = if host.is_some() {
+            gossip.without_audit_copies()
+        } else {
+            gossip
+        };
         let reader = Reader::new(now, settings.view.clone(), &mut rng);
         let dialect = host
             .as_ref()
@@ -141,7 +148,7 @@
             rng,
             probes,
             timer: Rc::new(Notify::new()),
-            gossip: Gossip::new(now, own, settings.seeds.clone(), hold),
+            gossip,
             links: Links::default(),
             audit: audit::Ring::new(&settings.vm, incarnation),
             trail: Trail::default(),
