Choose homes by the size of a VM, and without work for each pair

Cause: homes were chosen for 24 slots each whatever the VM, so a region of the grown site had up to 14 homes on VMs of a tenth of a processor and 10 Mbit/s, which know a small part of the load each, beside four VMs of five times the size. Each change of a member also compared each VM with each chosen one and each target. Change: a VM states in its record how many slots it carries, from its settings for processor and link; a service gets homes until they carry its slots, first those that have much left; targets are divided by capacity. Homes are chosen by data centre. With the order by size taken out, the new home tests fail.

--- a/crates/bench/examples/control_cost.rs
+++ b/crates/bench/examples/control_cost.rs
@@ -243,6 +243,7 @@
         data_center: "dc-01".into(),
         uptime_ms: 0,
         build: "0.1.0".into(),
+        capacity: 24,
     };
     let members = grown(50 * 1_000, || {
         let fleet = |_| {
--- a/crates/bench/src/network/vm.rs
+++ b/crates/bench/src/network/vm.rs
@@ -78,6 +78,7 @@
             data_center: site.data_center.clone(),
             uptime_ms: 0,
             build: "0.1.0".into(),
+            capacity: 24,
         };
         let view = View {
             stale_after: Span::from_millis(30_000),
--- a/crates/core/src/address.rs
+++ b/crates/core/src/address.rs
@@ -22,6 +22,8 @@
         pub data_center: Box<str>,
         /// Its state.
         pub state: State,
+        /// Slots of targets that it can send to.
+        pub capacity: u64,
     }
 }
 
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -4,13 +4,16 @@
 //! a service has as few homes in a region as can carry it. Each target belongs to one home, which
 //! sends there first. Homes stand where the targets are.
 
+use std::cmp::Ordering;
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use crate::address::Candidate;
 use crate::estimate::number;
 use crate::map::Map;
 use crate::member::State;
+use crate::member::USUAL_CAPACITY;
 use crate::member::hash;
 
 data! {
@@ -41,9 +44,8 @@
     }
 }
 
-/// Slots of the targets that one home sends to. Six targets of four slots leave a choice of calm ones,
-/// and their calls are a small part of the work that the smallest VM can do.
-const SLOTS_PER_HOME: u64 = 24;
+/// Resolution of a load in slots for each slot of capacity.
+const LOAD_UNIT: u64 = 1_000;
 
 /// The homes of each service for the callers of `region`. `services` are all services in order of
 /// their names with their targets; a VM becomes home to a second one only if there are too few.
@@ -60,7 +62,7 @@
     if pool.is_empty() {
         pool = all;
     }
-    let mut taken: Map<&str, usize> = Map::default();
+    let mut taken: Map<&str, u64> = Map::default();
     let mut homes = Map::default();
     for (service, spots) in services {
         let spots: Vec<&Spot> = spots
@@ -68,10 +70,11 @@
             .filter(|spot| *spot.region == *region)
             .collect();
         let chosen = choose(&pool, &taken, service, &spots);
-        for candidate in &chosen {
-            *taken.entry(&candidate.vm).or_default() += 1;
+        let assigned = assign(&chosen, &spots);
+        for (candidate, home) in chosen.iter().zip(&assigned) {
+            *taken.entry(&candidate.vm).or_default() += home.slots;
         }
-        homes.insert(service.clone(), assign(&chosen, &spots));
+        homes.insert(service.clone(), assigned);
     }
     homes
 }
@@ -79,56 +82,71 @@
 /// The candidates that become homes of `service`, in the data centres of its targets.
 fn choose<'a>(
     pool: &[&'a Candidate],
-    taken: &Map<&str, usize>,
+    taken: &Map<&str, u64>,
     service: &str,
     spots: &[&Spot],
 ) -> Vec<&'a Candidate> {
-    let all: u64 = spots.iter().map(|spot| spot.slots).sum();
-    let count = usize::try_from(all.div_ceil(SLOTS_PER_HOME).max(1)).unwrap_or(usize::MAX);
-    // Few callers move when a VM joins or leaves, as the order rests on a hash.
+    let needed: u64 = spots.iter().map(|spot| spot.slots).sum();
+    // A VM that is home to another service, too, carries less of this one. Few callers move when a VM
+    // joins or leaves, as the order of equal ones rests on a hash.
     let order = |candidate: &&Candidate| {
-        let homes = taken.get(&*candidate.vm).copied().unwrap_or(0);
+        let carried = taken.get(&*candidate.vm).copied().unwrap_or(0);
+        let load = (carried + USUAL_CAPACITY) * LOAD_UNIT / candidate.capacity.max(1);
         let weight = hash(&[candidate.vm.as_bytes(), service.as_bytes()]);
-        (homes, Reverse(weight))
+        (load, Reverse(weight))
     };
     let mut ranked = pool.to_vec();
     ranked.sort_by_cached_key(order);
+    let mut centers: BTreeMap<&str, Center> = BTreeMap::new();
+    for candidate in ranked.into_iter().rev() {
+        let center = centers.entry(&candidate.data_center).or_default();
+        center.free.push(candidate);
+    }
+    for spot in spots {
+        if let Some(center) = centers.get_mut(&*spot.data_center) {
+            center.slots += spot.slots;
+        }
+    }
     let mut chosen: Vec<&Candidate> = Vec::new();
-    while chosen.len() < count.min(pool.len()) {
-        let free = ranked
-            .iter()
-            .copied()
-            .filter(|candidate| !chosen.iter().any(|known| known.vm == candidate.vm));
+    let mut capacity = 0;
+    while chosen.is_empty() || capacity < needed {
         // The data centre with the most slots for each of its homes comes next.
-        let quotient = |candidate: &&Candidate| {
-            let center = &candidate.data_center;
-            let here = spots.iter().filter(|spot| spot.data_center == *center);
-            let held: u64 = here.map(|spot| spot.slots).sum();
-            let homes = chosen.iter().filter(|known| known.data_center == *center);
-            let homes = u64::try_from(homes.count()).unwrap_or(u64::MAX);
-            number(held) / number(homes + 1)
-        };
-        let mut best: Option<(&Candidate, f64)> = None;
-        for candidate in free {
-            let value = quotient(&candidate);
-            let is_better = best.is_none_or(|(known, known_value)| {
-                value > known_value
-                    || (value >= known_value && candidate.data_center < known.data_center)
-            });
-            if is_better {
-                best = Some((candidate, value));
-            }
-        }
-        let Some((candidate, _)) = best else {
+        let open = centers
+            .values_mut()
+            .filter(|center| !center.free.is_empty());
+        let Some(next) = open.rev().max_by(|left, right| left.order(right)) else {
             break;
         };
-        chosen.push(candidate);
+        next.homes += 1;
+        if let Some(candidate) = next.free.pop() {
+            capacity += candidate.capacity;
+            chosen.push(candidate);
+        }
     }
     chosen
 }
 
+/// A data centre in which homes are chosen.
+#[derive(Default)]
+struct Center<'a> {
+    /// Candidates that are not chosen, the best one last.
+    free: Vec<&'a Candidate>,
+    /// Slots of the targets there.
+    slots: u64,
+    /// Candidates that were chosen.
+    homes: u64,
+}
+
+impl Center<'_> {
+    /// Compares the slots for each home, with one more.
+    fn order(&self, other: &Self) -> Ordering {
+        let quotient = |center: &Self| number(center.slots) / number(center.homes + 1);
+        quotient(self).total_cmp(&quotient(other))
+    }
+}
+
 /// Gives each target to one of the chosen: one of its data centre if there is one, and none gets many
-/// more than its part.
+/// more than its part by capacity.
 fn assign(chosen: &[&Candidate], spots: &[&Spot]) -> Vec<Home> {
     let mut homes: Vec<Home> = chosen
         .iter()
@@ -140,17 +158,21 @@
             slots: 0,
         })
         .collect();
-    let part = spots.len().div_ceil(homes.len().max(1));
+    let capacity: u64 = chosen.iter().map(|candidate| candidate.capacity).sum();
+    let count = u64::try_from(spots.len()).unwrap_or(u64::MAX);
+    let part = |candidate: &&Candidate| (count * candidate.capacity).div_ceil(capacity.max(1));
+    let parts: Vec<u64> = chosen.iter().map(part).collect();
     let mut spots = spots.to_vec();
     spots.sort_by(|left, right| left.name.cmp(&right.name));
     for spot in spots {
-        let order = |home: &&mut Home| {
-            let is_full = home.targets.len() >= part;
+        let order = |(home, part): &(&mut Home, &u64)| {
+            let held = u64::try_from(home.targets.len()).unwrap_or(u64::MAX);
+            let is_full = held >= **part;
             let is_away = home.data_center != spot.data_center;
             let weight = hash(&[home.vm.as_bytes(), spot.name.as_bytes()]);
             (is_full, is_away, Reverse(weight))
         };
-        if let Some(home) = homes.iter_mut().min_by_key(order) {
+        if let Some((home, _)) = homes.iter_mut().zip(&parts).min_by_key(order) {
             home.targets.push(spot.name.clone());
             home.slots += spot.slots;
         }
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -14,6 +14,7 @@
 pub use record::Record;
 pub use record::Stamp;
 pub use record::State;
+pub use record::USUAL_CAPACITY;
 
 /// Members that a VM remembers, dead ones included.
 pub const MAX_MEMBERS: usize = 1_024;
--- a/crates/core/src/member/record.rs
+++ b/crates/core/src/member/record.rs
@@ -62,6 +62,9 @@
         /// Build version.
         #[serde(rename = "b", default)]
         pub build: Box<str>,
+        /// Slots of targets that the VM can send to; absent in records of older releases.
+        #[serde(rename = "w", default = "usual_capacity")]
+        pub capacity: u64,
     }
 
     /// The part of a record that decides which of two is newer.
@@ -82,6 +85,14 @@
     }
 }
 
+/// Slots of targets that a VM of unknown size is taken to carry: those of six targets, which leave a
+/// choice of calm ones.
+pub const USUAL_CAPACITY: u64 = 24;
+
+fn usual_capacity() -> u64 {
+    USUAL_CAPACITY
+}
+
 impl Record {
     /// The part that decides which of two records is newer.
     #[must_use]
@@ -102,6 +113,7 @@
     // Breaks ties between records of the same position, so that every order of merging ends alike.
     pub(crate) fn details(&self) -> impl Ord + '_ {
         let addresses = (self.caller, self.directory, self.peer);
-        (addresses, &self.region, &self.data_center, &self.build)
+        let place = (&self.region, &self.data_center);
+        (addresses, place, &self.build, self.capacity)
     }
 }
--- a/crates/core/src/settings/hosting.rs
+++ b/crates/core/src/settings/hosting.rs
@@ -22,6 +22,10 @@
         pub grace: Span,
         /// Entry VMs that an answer of the directory names, at most.
         pub named: usize,
+        /// Thousandths of a processor that this VM may use.
+        pub cores_thousandths: u64,
+        /// Rate of this VM's link in kbit/s.
+        pub link_kbps: u64,
         /// Region of each data centre that targets may name.
         pub regions: Vec<Region>,
     }
@@ -49,6 +53,11 @@
     }
 }
 
+/// Slots whose calls one processor carries: those of six targets on a fifth of one.
+const SLOTS_PER_CORE: u64 = 120;
+/// Slots whose calls one megabit a second carries: a quarter of the link's rate is left for control.
+const SLOTS_PER_MBPS: u64 = 2;
+
 /// Reads the section.
 pub(super) fn read(reader: &mut Reader) -> Option<Hosting> {
     let ready = reader.listen_address("ready");
@@ -56,6 +65,8 @@
     let repeats = reader.nested("repeats", repeats);
     let grace = reader.thousandths("grace_s", 1..=600_000, 6_000);
     let named = reader.integer("named", 1..=64, Some(2));
+    let cores = reader.thousandths("cores", 1..=1_024_000, 200);
+    let link = reader.thousandths("link_mbps", 1..=4_000_000_000, 1_000_000);
     let regions = reader.named_texts("regions");
     let region = |(data_center, name)| Region { data_center, name };
     Some(Hosting {
@@ -64,6 +75,8 @@
         repeats: repeats?,
         grace: Span::from_millis(grace?),
         named: usize::try_from(named?).unwrap_or(usize::MAX),
+        cores_thousandths: cores?,
+        link_kbps: link?,
         regions: regions.into_iter().map(region).collect(),
     })
 }
@@ -82,6 +95,14 @@
 }
 
 impl Hosting {
+    /// Slots of targets that this VM can send to.
+    #[must_use]
+    pub fn capacity(&self) -> u64 {
+        let by_cores = self.cores_thousandths * SLOTS_PER_CORE / 1_000;
+        let by_link = self.link_kbps * SLOTS_PER_MBPS / 1_000;
+        by_cores.min(by_link).max(1)
+    }
+
     /// The region of `data_center`, which stands for itself if it is not named.
     #[must_use]
     pub fn region(&self, data_center: &str) -> Box<str> {
@@ -104,6 +125,8 @@
             },
             "grace_s": decimal(self.grace.as_millis()),
             "named": self.named,
+            "cores": decimal(self.cores_thousandths),
+            "link_mbps": decimal(self.link_kbps),
             "regions": regions,
         })
     }
--- a/crates/core/tests/address.rs
+++ b/crates/core/tests/address.rs
@@ -29,6 +29,7 @@
         region: parts[1].split('-').next().expect("a region").into(),
         data_center: parts[1].into(),
         state,
+        capacity: 24,
     }
 }
 
--- a/crates/core/tests/home.rs
+++ b/crates/core/tests/home.rs
@@ -18,6 +18,7 @@
         region: center.split('-').next().expect("a region").into(),
         data_center: center.into(),
         state,
+        capacity: 24,
     }
 }
 
@@ -195,3 +196,35 @@
     assert_eq!(home::name(&homes, 0.5, 9).len(), 3);
     assert!(home::name(&[], 0.5, 2).is_empty());
 }
+
+/// Guards against homes that are chosen without regard to their size: a small VM that carries as much
+/// as a large one makes its callers wait, and many homes know less of their targets than few.
+#[test]
+fn large_vms_carry_what_would_take_several_small_ones() {
+    let mut fleet = fleet(&[("cai-a", 6), ("cai-b", 6)]);
+    for candidate in &mut fleet {
+        let is_large = candidate.vm.ends_with("-3");
+        candidate.capacity = if is_large { 60 } else { 12 };
+    }
+    let targets = spots(&[("cai-a", 14), ("cai-b", 14)]);
+    let homes = divide(&fleet, &[("first", targets.clone())], "first");
+    let names: Vec<&str> = homes.iter().map(|home| &*home.vm).collect();
+    assert_eq!(names, ["cai-a-3", "cai-b-3"]);
+    // A second service goes to the same VMs before it goes to more of the small ones.
+    let services = [("first", targets.clone()), ("second", targets)];
+    let homes = divide(&fleet, &services, "second");
+    let names: Vec<&str> = homes.iter().map(|home| &*home.vm).collect();
+    assert_eq!(names, ["cai-a-3", "cai-b-3"]);
+}
+
+/// Guards against parts that pass the capacity of a small home beside a large one.
+#[test]
+fn targets_are_divided_by_capacity() {
+    let mut fleet = fleet(&[("cai-a", 2)]);
+    fleet[0].capacity = 60;
+    fleet[1].capacity = 12;
+    let homes = divide(&fleet, &[("status", spots(&[("cai-a", 18)]))], "status");
+    let mut slots: Vec<u64> = homes.iter().map(|home| home.slots).collect();
+    slots.sort_unstable();
+    assert_eq!(slots, [12, 60]);
+}
--- a/crates/core/tests/member.rs
+++ b/crates/core/tests/member.rs
@@ -35,6 +35,7 @@
         data_center: "cai-1".into(),
         uptime_ms: 0,
         build: "".into(),
+        capacity: 24,
     }
 }
 
--- a/crates/core/tests/reader.rs
+++ b/crates/core/tests/reader.rs
@@ -46,6 +46,7 @@
         data_center: data_center.into(),
         uptime_ms: 0,
         build: "".into(),
+        capacity: 24,
     }
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -182,5 +182,9 @@
         data_center: settings.data_center.clone(),
         uptime_ms: 0,
         build: env!("CARGO_PKG_VERSION").into(),
+        capacity: settings.hosting.as_ref().map_or(
+            member::USUAL_CAPACITY,
+            oriolecleat_core::settings::Hosting::capacity,
+        ),
     }
 }
--- a/crates/daemon/src/overview.rs
+++ b/crates/daemon/src/overview.rs
@@ -192,6 +192,7 @@
                 } else {
                     member.standing(now)
                 },
+                capacity: record.capacity,
             }
         };
         self.gossip.fleet().iter().map(candidate).collect()
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -75,6 +75,7 @@
             region,
             uptime_ms: number,
             build: vm.clone(),
+            capacity: 24,
             vm,
         },
     )
