Bound the rest of connections that carry requests which must not run twice

Cause: targets may forget an idle connection sooner than usual; what is sent next is reset, and a request that must not run twice is lost to 502. Idempotent requests go on using rested connections and so show whether it goes on.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,7 @@
 mod repair;
 pub mod repeat;
 pub mod request;
+pub mod rest;
 pub mod route;
 pub mod settings;
 pub mod site;
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -12,6 +12,7 @@
 use oriolecleat_core::balance::Ending;
 use oriolecleat_core::balance::Fate;
 use oriolecleat_core::balance::Refusal;
+use oriolecleat_core::entry::Class;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
@@ -51,6 +52,11 @@
         self.id.to_str().unwrap_or_default()
     }
 
+    /// Class of the request.
+    pub(crate) fn class(&self) -> Class {
+        self.ask.class
+    }
+
     /// When the request arrived at this VM.
     pub(crate) fn arrived(&self) -> Instant {
         self.ask.arrived
@@ -134,6 +140,11 @@
         self.target
     }
 
+    /// Time since the choice of the target.
+    pub(crate) fn elapsed(&self) -> Span {
+        self.node.borrow().clock.now().since(self.started)
+    }
+
     /// The head of the answer arrived.
     pub(crate) fn observe(&self, headers: &HeaderMap) {
         let mut node = self.node.borrow_mut();
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -8,6 +8,7 @@
 
 use oriolecleat_core::balance::Ending;
 use oriolecleat_core::balance::Fate;
+use oriolecleat_core::entry::Class;
 use oriolecleat_core::request::Admitted;
 use oriolecleat_core::request::Assigned;
 use oriolecleat_core::request::Code;
@@ -63,8 +64,13 @@
 }
 
 impl Node {
-    /// Bounds on the connections of this VM to `target`.
-    pub(crate) fn bounds(&self, service: service::Key, target: target::Key) -> Bounds {
+    /// Bounds on the connections of this VM to `target` for calls of `class`.
+    pub(crate) fn bounds(
+        &self,
+        service: service::Key,
+        target: target::Key,
+        class: Class,
+    ) -> Bounds {
         let found = self.services.get(service);
         let target = found.and_then(|found| found.balancer.targets().get(target));
         let slots = target.map_or(1, |target| target.spec.slots);
@@ -74,6 +80,8 @@
         Bounds {
             head: usize::try_from(http.head_bytes).unwrap_or(usize::MAX),
             connections: usize::try_from(connections).unwrap_or(usize::MAX),
+            // An idempotent request is retried, and shows whether targets forget connections.
+            rest: (class == Class::Once).then(|| self.rest.get(self.clock.now())),
         }
     }
 }
@@ -279,7 +287,7 @@
     ) -> impl Future<Output = Result<Connection, Unconnected>> + use<> {
         let (taken, limit, left) = {
             let mut node = self.node.borrow_mut();
-            let bounds = node.bounds(self.service, grant.target);
+            let bounds = node.bounds(self.service, grant.target, self.line.class());
             let limit = node.settings.http.connect_timeout;
             let taken = node.pool.take(grant.address, bounds);
             (taken, limit, self.end.since(node.clock.now()))
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,6 +10,7 @@
 use oriolecleat_core::map::Map;
 use oriolecleat_core::member;
 use oriolecleat_core::reader::Reader;
+use oriolecleat_core::rest;
 use oriolecleat_core::route;
 use oriolecleat_core::settings::Settings;
 use oriolecleat_core::stop::Phase;
@@ -56,6 +57,8 @@
     pub(crate) issuer: ticket::Issuer,
     pub(crate) ledger: ticket::Ledger,
     pub(crate) pool: Pool,
+    /// Longest rest of a connection that carries a request which must not run twice.
+    pub(crate) rest: rest::Bound,
     pub(crate) revision: u64,
     pub(crate) metrics: Metrics,
     pub(crate) catalogue: Catalogue,
@@ -132,6 +135,7 @@
             incarnation,
             routes: route::Table::default(),
             pool: Pool::default(),
+            rest: rest::Bound::default(),
             revision: 0,
             catalogue: Catalogue::hosting(foreign),
             vm_list: vmlist::List::default(),
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use hyper::Request;
 use hyper::Response;
@@ -16,7 +17,9 @@
 use hyper_util::rt::TokioIo;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
+use oriolecleat_core::time::Span;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use crate::socket;
 use crate::socket::Socket;
@@ -32,6 +35,8 @@
     pub(crate) head: usize,
     /// Most connections to one target.
     pub(crate) connections: usize,
+    /// Longest rest of a connection that is used again, if there is a bound.
+    pub(crate) rest: Option<Span>,
 }
 
 type Driver = http1::Connection<TokioIo<Socket>, Upload>;
@@ -45,6 +50,10 @@
     driver: Option<Box<Driver>>,
     socket: Socket,
     seat: Seat,
+    /// When it was put back last.
+    kept: Option<Instant>,
+    /// How long it had rested when it was taken; none for a new one.
+    rested: Option<Span>,
 }
 
 /// A place among the connections to one target.
@@ -80,11 +89,23 @@
             driver: Some(Box::new(driver)),
             socket,
             seat,
+            kept: None,
+            rested: None,
         })
     }
 }
 
 impl Connection {
+    /// How long it had rested before this use; none for a new one.
+    pub(crate) fn rested(&self) -> Option<Span> {
+        self.rested
+    }
+
+    fn rests(&self) -> Span {
+        let rests = self.kept.map_or(Duration::ZERO, |kept| kept.elapsed());
+        Span::from_micros(u64::try_from(rests.as_micros()).unwrap_or(u64::MAX))
+    }
+
     /// Sends one request; bytes may have reached the target as soon as this is polled.
     pub(crate) async fn send(
         &mut self,
@@ -150,12 +171,17 @@
 impl Pool {
     pub(crate) fn take(&mut self, address: SocketAddr, bounds: Bounds) -> Taken {
         let lane = self.lanes.entry(address).or_default();
-        while let Some(connection) = lane.idle.pop_back() {
+        // The last one was used last; if it rested for too long, all did.
+        while let Some(mut connection) = lane
+            .idle
+            .pop_back_if(|connection| bounds.rest.is_none_or(|rest| connection.rests() <= rest))
+        {
             if connection.socket.is_quiet() {
+                connection.rested = Some(connection.rests());
                 return Taken::Idle(connection);
             }
         }
-        if lane.open.get() >= bounds.connections {
+        if lane.open.get() >= bounds.connections && lane.idle.pop_front().is_none() {
             return Taken::Full;
         }
         lane.open.set(lane.open.get() + 1);
@@ -186,6 +212,7 @@
             lane.idle.pop_front();
         }
         if clean {
+            connection.kept = Some(Instant::now());
             lane.idle.push_back(connection);
         }
     }
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -15,6 +15,7 @@
 use hyper::body::Body;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use oriolecleat_core::entry::Class;
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::leaving::Probe;
 use oriolecleat_core::target;
@@ -82,7 +83,7 @@
 ) -> Result<Option<Report>, Box<dyn std::error::Error + Send + Sync>> {
     let (taken, path, dialect) = {
         let mut node = node.borrow_mut();
-        let bounds = node.bounds(order.service, order.target);
+        let bounds = node.bounds(order.service, order.target, Class::Batch);
         let path = node.health_path(order.service);
         let dialect = Rc::clone(&node.dialect);
         (node.pool.take(order.address, bounds), path, dialect)
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -18,6 +18,7 @@
 use oriolecleat_core::balance::Fate;
 use oriolecleat_core::request::Code;
 use oriolecleat_core::request::Shed;
+use oriolecleat_core::time::Span;
 
 use crate::attempt::Attempt;
 use crate::dialect::Dialect;
@@ -31,6 +32,10 @@
 use crate::upload::Fault;
 use crate::upload::Upload;
 
+/// A target that has forgotten a connection resets it within the way there and back, which is 40 ms
+/// between regions. What breaks later was at work.
+const FORGOTTEN_WITHIN: Span = Span::from_millis(60);
+
 /// An answer whose head was read.
 pub(crate) struct Reply {
     pub(crate) response: Response<Incoming>,
@@ -61,7 +66,8 @@
 
 enum Flow {
     Head(Box<(Response<Incoming>, Connection)>),
-    Broken(hyper::Error),
+    /// The connection broke; how long it had rested before, unless it was new.
+    Broken(hyper::Error, Option<Span>),
     Unconnected(Unconnected),
 }
 
@@ -73,17 +79,8 @@
 
 impl Copy {
     /// Writes `request` to `connection`.
-    pub(crate) fn new(
-        attempt: Attempt,
-        mut connection: Connection,
-        request: Request<Upload>,
-    ) -> Self {
-        let flow = async move {
-            match connection.send(request).await {
-                Ok(response) => Flow::Head(Box::new((response, connection))),
-                Err(error) => Flow::Broken(error),
-            }
-        };
+    pub(crate) fn new(attempt: Attempt, connection: Connection, request: Request<Upload>) -> Self {
+        let flow = async move { exchange(connection, request).await };
         Self {
             attempt,
             flow: Box::pin(flow),
@@ -91,6 +88,13 @@
     }
 }
 
+async fn exchange(mut connection: Connection, request: Request<Upload>) -> Flow {
+    match connection.send(request).await {
+        Ok(response) => Flow::Head(Box::new((response, connection))),
+        Err(error) => Flow::Broken(error, connection.rested()),
+    }
+}
+
 impl Exchange {
     /// Waits for the first answer; `permit` allows a second copy.
     pub(crate) async fn race(&mut self, first: Copy, mut permit: impl FnMut() -> bool) -> Raced {
@@ -143,13 +147,9 @@
         let request = self.outgoing.request(grant, 1, left, &self.body);
         let connected = self.connect(grant);
         let flow = async move {
-            let mut connection = match connected.await {
-                Ok(connection) => connection,
-                Err(unconnected) => return Flow::Unconnected(unconnected),
-            };
-            match connection.send(request).await {
-                Ok(response) => Flow::Head(Box::new((response, connection))),
-                Err(error) => Flow::Broken(error),
+            match connected.await {
+                Ok(connection) => exchange(connection, request).await,
+                Err(unconnected) => Flow::Unconnected(unconnected),
             }
         };
         Copy {
@@ -195,7 +195,7 @@
                 let (response, connection) = *head;
                 self.answered(context, attempt, response, connection, alone)
             }
-            Flow::Broken(error) => self.broken(attempt, &error),
+            Flow::Broken(error, rested) => self.broken(attempt, &error, rested),
             Flow::Unconnected(unconnected) => {
                 log::debug!(cause:% = unconnected, id = self.line.id(); "copy was not sent");
                 attempt.end(Ending::Broken { written: false });
@@ -204,9 +204,17 @@
         }
     }
 
-    fn broken(&self, attempt: Attempt, error: &hyper::Error) -> Raced {
-        log::info!(cause:% = logs::chain(error), id = self.line.id(); "attempt failed");
+    fn broken(&self, attempt: Attempt, error: &hyper::Error, rested: Option<Span>) -> Raced {
+        let rested_ms = rested.map(Span::as_millis);
+        log::info!(cause:% = logs::chain(error), id = self.line.id(), rested_ms; "attempt failed");
         let fault = self.body.fault();
+        if let (None, Some(rested)) = (fault, rested)
+            && attempt.elapsed() <= FORGOTTEN_WITHIN
+        {
+            let mut node = self.node.borrow_mut();
+            let now = node.clock.now();
+            node.rest.broke(now, rested);
+        }
         attempt.end(match fault {
             Some(_) => Ending::Cancelled,
             None => Ending::Broken { written: true },
