--- a/crates/core/src/stop.rs
+++ b/crates/core/src/stop.rs
@@ -57,6 +57,21 @@
 /// listener's backlog when the process exits would be cut.
 const QUIET: Span = Span::from_millis(500);
 
+/// Time that a stop takes besides its phases: the timer between them, the last messages to peers and
+/// the last lines of the log.
+const EXIT: Span = Span::from_millis(700);
+
+/// `bounds` as far as a process can keep them that is ended by force after `grace`: it drains for less
+/// time, if need be.
+#[must_use]
+pub fn within(grace: Span, bounds: &settings::Stop) -> settings::Stop {
+    let left = grace.less(bounds.address_ttl + NOTICE + EXIT);
+    settings::Stop {
+        drain_limit: bounds.drain_limit.min(left),
+        ..bounds.clone()
+    }
+}
+
 impl Serving {
     /// Starts the stop.
     #[must_use]
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -3,6 +3,7 @@
 mod seeded;
 
 use oriolecleat_core::settings::Stop;
+use oriolecleat_core::stop;
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::stop::Work;
 use oriolecleat_core::time::Instant;
@@ -224,3 +225,52 @@
         assert_eq!(now, case.stops_at, "{}", case.name);
     }
 }
+
+struct Grace {
+    name: &'static str,
+    address_ttl: u64,
+    drain_limit: u64,
+    drains_for: u64,
+}
+
+const GRACES: &[Grace] = &[
+    Grace {
+        name: "enough time",
+        address_ttl: 1_000,
+        drain_limit: 1_500,
+        drains_for: 1_500,
+    },
+    Grace {
+        name: "too long a limit",
+        address_ttl: 1_500,
+        drain_limit: 2_200,
+        drains_for: 1_800,
+    },
+    Grace {
+        name: "no time at all",
+        address_ttl: 10_000,
+        drain_limit: 60_000,
+        drains_for: 0,
+    },
+];
+
+/// Guards against a stop that is still under way when the platform ends the process by force, because
+/// callers go on sending.
+#[test]
+fn a_stop_ends_before_the_process_is_ended_by_force() {
+    let grace = Span::from_millis(6_000);
+    for case in GRACES {
+        let bounds = Stop {
+            address_ttl: Span::from_millis(case.address_ttl),
+            drain_limit: Span::from_millis(case.drain_limit),
+        };
+        let kept = stop::within(grace, &bounds);
+        assert_eq!(kept.address_ttl, bounds.address_ttl, "{}", case.name);
+        assert_eq!(
+            kept.drain_limit,
+            Span::from_millis(case.drains_for),
+            "{}",
+            case.name
+        );
+    }
+}
--- a/crates/daemon/src/halt.rs
+++ b/crates/daemon/src/halt.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use oriolecleat_core::settings::Stop;
+use oriolecleat_core::stop;
 use oriolecleat_core::stop::Phase;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -35,7 +37,7 @@
 impl Node {
     /// Starts the planned stop.
     pub(crate) fn leave(&mut self) {
-        let phase = self.phase().leave(self.clock.now(), &self.settings.stop);
+        let phase = self.phase().leave(self.clock.now(), &self.stop_bounds());
         self.enter(phase);
     }
 
@@ -44,10 +46,18 @@
         let work = self.visits.work(true);
         let phase = self
             .phase()
-            .advance(self.clock.now(), &self.settings.stop, work);
+            .advance(self.clock.now(), &self.stop_bounds(), work);
         self.enter(phase);
     }
 
+    fn stop_bounds(&self) -> Stop {
+        let bounds = &self.settings.stop;
+        match &self.settings.hosting {
+            Some(hosting) => stop::within(hosting.grace, bounds),
+            None => bounds.clone(),
+        }
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         *self.phases.borrow()
     }
