Compute what is known of the targets once for all calls that wait

Change: a round of placement derives the views of the targets once and adds what it sends; the best one is found without sorting.

--- a/crates/core/src/place/copy.rs
+++ b/crates/core/src/place/copy.rs
@@ -8,6 +8,7 @@
 use crate::place::flight::Flight;
 use crate::place::hold::Held;
 use crate::place::placer::Placer;
+use crate::place::placer::pick;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -54,7 +55,8 @@
             tried: flight.tried.clone(),
         };
         let work = self.work_of(&flight.ask);
-        let Some(choice) = self.pick(now, &held, work, &[first.target], rng) else {
+        let views = self.views(now);
+        let Some(choice) = pick(&views, now, &held, work, &[first.target], rng) else {
             return;
         };
         let elapsed = seconds(now.since(first.sent));
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -320,22 +320,10 @@
             || wait + work > seconds(held.ask.deadline.since(now))
     }
 
-    /// The targets that may get the call, the best one first.
-    pub(super) fn choices(
-        &self,
-        now: Instant,
-        held: &Held,
-        work: f64,
-        skip: &[target::Key],
-    ) -> Vec<Choice> {
-        let need = Need {
-            work,
-            objective: seconds(held.ask.objective),
-            left: held.left(now),
-            repeatable: held.ask.class != Class::Once,
-        };
+    /// The targets that take new work, each as one more call would find it.
+    pub(super) fn views(&self, now: Instant) -> Vec<(target::Key, View)> {
         let memory = self.work.typical().unwrap_or(ASSUMED_WORK_S);
-        let choice = |(key, target): (target::Key, &target::Target)| {
+        let view = |(key, target): (target::Key, &target::Target)| {
             let sight = self.sights.get(key)?;
             let view = View {
                 load: sight.load(now, memory) + 1.0,
@@ -347,23 +335,13 @@
                 way: self.way(&target.spec),
                 foreign: self.is_foreign(&target.spec),
             };
-            Some(Choice {
-                target: key,
-                view,
-                loss: view.loss(&need),
-            })
-        };
-        let open = |(key, target): &(target::Key, &target::Target)| {
-            target.standing == Standing::Open && !skip.contains(key)
+            Some((key, view))
         };
-        let mut choices: Vec<Choice> = self
-            .targets
+        self.targets
             .iter()
-            .filter(open)
-            .filter_map(choice)
-            .collect();
-        choices.sort_by(|left, right| left.loss.total_cmp(&right.loss));
-        choices
+            .filter(|(_, target)| target.standing == Standing::Open)
+            .filter_map(view)
+            .collect()
     }
 
     /// Whether another VM of the region sends to the target first.
@@ -382,25 +360,6 @@
         }
     }
 
-    /// The best target with room for the call.
-    pub(super) fn pick(
-        &self,
-        now: Instant,
-        held: &Held,
-        work: f64,
-        skip: &[target::Key],
-        rng: &mut SmallRng,
-    ) -> Option<Choice> {
-        let mut choices = self.choices(now, held, work, skip);
-        choices.retain(|choice| choice.view.has_room());
-        for choice in &mut choices {
-            choice.loss += JITTER * rng.random::<f64>();
-        }
-        choices
-            .into_iter()
-            .min_by(|left, right| left.loss.total_cmp(&right.loss))
-    }
-
     /// Gives targets to as many waiting calls as have room, and refuses those that waited too long.
     fn dispatch(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
         if self.queue.is_empty() {
@@ -415,23 +374,28 @@
             }
             return;
         }
+        // Under overload many calls wait, for each of which the targets look alike.
+        let mut views = self.views(now);
         for call in self.queue.order(now, |ask| self.work_of(ask)) {
             let Some(held) = self.queue.iter().find(|held| held.ask.call == call) else {
                 continue;
             };
             let sounding = held.settles.is_some_and(|settles| now < settles);
             let work = self.work_of(&held.ask);
-            if sounding && !self.is_sounded(now, held, work) {
+            if sounding && !self.is_sounded(now, held, work, &views) {
                 continue;
             }
-            let choice = self
-                .pick(now, held, work, &held.tried, rng)
-                .or_else(|| self.pick(now, held, work, &[], rng));
+            let choice = pick(&views, now, held, work, &held.tried, rng)
+                .or_else(|| pick(&views, now, held, work, &[], rng));
             match choice {
                 Some(choice) => {
                     if let Some(held) = self.queue.remove(call) {
                         self.send(now, held, &choice, work, out);
                     }
+                    let mut sent = views.iter_mut();
+                    if let Some((_, view)) = sent.find(|(key, _)| *key == choice.target) {
+                        view.load += 1.0;
+                    }
                 }
                 None if held.is_overdue(now, work) => {
                     self.queue.remove(call);
@@ -443,3 +407,60 @@
         }
     }
 }
+
+/// The targets that may get the call, the best one first.
+pub(super) fn choices(
+    views: &[(target::Key, View)],
+    now: Instant,
+    held: &Held,
+    work: f64,
+    skip: &[target::Key],
+) -> Vec<Choice> {
+    let mut choices: Vec<Choice> = rated(views, now, held, work, skip).collect();
+    choices.sort_by(|left, right| left.loss.total_cmp(&right.loss));
+    choices
+}
+
+/// The best target with room for the call.
+pub(super) fn pick(
+    views: &[(target::Key, View)],
+    now: Instant,
+    held: &Held,
+    work: f64,
+    skip: &[target::Key],
+    rng: &mut SmallRng,
+) -> Option<Choice> {
+    let mut best: Option<Choice> = None;
+    for mut choice in rated(views, now, held, work, skip) {
+        if !choice.view.has_room() {
+            continue;
+        }
+        choice.loss += JITTER * rng.random::<f64>();
+        if best.is_none_or(|best| choice.loss < best.loss) {
+            best = Some(choice);
+        }
+    }
+    best
+}
+
+/// The targets apart from `skip` with what the call is expected to lose there.
+pub(super) fn rated<'a>(
+    views: &'a [(target::Key, View)],
+    now: Instant,
+    held: &Held,
+    work: f64,
+    skip: &'a [target::Key],
+) -> impl Iterator<Item = Choice> + 'a {
+    let need = Need {
+        work,
+        objective: seconds(held.ask.objective),
+        left: held.left(now),
+        repeatable: held.ask.class != Class::Once,
+    };
+    let open = views.iter().filter(|(key, _)| !skip.contains(key));
+    open.map(move |(target, view)| Choice {
+        target: *target,
+        view: *view,
+        loss: view.loss(&need),
+    })
+}
--- a/crates/core/src/place/sound.rs
+++ b/crates/core/src/place/sound.rs
@@ -3,7 +3,11 @@
 use crate::balance::Action;
 use crate::estimate::span;
 use crate::place::hold::Held;
+use crate::place::loss::View;
 use crate::place::placer::Placer;
+use crate::place::placer::choices;
+use crate::place::placer::rated;
+use crate::target;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -33,7 +37,7 @@
         if work * NOISY < held.left(now) || !held.is_timely(now, work) {
             return None;
         }
-        let mut choices = self.choices(now, held, work, &[]);
+        let mut choices = choices(&self.views(now), now, held, work, &[]);
         choices.truncate(PROBE_BREADTH);
         let mut wait: Option<f64> = None;
         for (rank, choice) in choices.iter().enumerate() {
@@ -63,10 +67,16 @@
     }
 
     /// Whether the best target for the call has answered its probe.
-    pub(super) fn is_sounded(&self, now: Instant, held: &Held, work: f64) -> bool {
-        let choices = self.choices(now, held, work, &held.tried);
+    pub(super) fn is_sounded(
+        &self,
+        now: Instant,
+        held: &Held,
+        work: f64,
+        views: &[(target::Key, View)],
+    ) -> bool {
+        let choices = rated(views, now, held, work, &held.tried);
         choices
-            .first()
+            .min_by(|left, right| left.loss.total_cmp(&right.loss))
             .is_none_or(|best| !self.probes.contains_key(best.target))
     }
 }
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -116,6 +116,15 @@
         least: 0.7,
         ..CALM
     },
+    Load {
+        name: "overload beside noisy neighbours",
+        calls: 0.7,
+        burst: 0.7,
+        noise: 0.25,
+        gain: 0.2,
+        least: 0.6,
+        ..CALM
+    },
 ];
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
