--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -206,10 +206,17 @@
 
     fn broken(&self, attempt: Attempt, error: &hyper::Error, rested: Option<Span>) -> Raced {
         let rested_ms = rested.map(Span::as_millis);
-        log::info!(cause:% = logs::chain(error), id = self.line.id(), rested_ms; "attempt failed");
+        let after = attempt.elapsed();
+        log::info!(
+            cause:% = logs::chain(error),
+            id = self.line.id(),
+            rested_ms,
+            after_ms = after.as_millis();
+            "attempt failed"
+        );
         let fault = self.body.fault();
         if let (None, Some(rested)) = (fault, rested)
-            && attempt.elapsed() <= FORGOTTEN_WITHIN
+            && after <= FORGOTTEN_WITHIN
         {
             let mut node = self.node.borrow_mut();
             let now = node.clock.now();
