Let urgent calls leave their region for less

Change: 0.25 and 0.35 for urgency 0 and 1, 0.7 for the others.

Test: placer urgent_calls_leave_a_slow_region (failed before).

--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -13,6 +13,8 @@
 /// What the bytes of a longer way cost, to another data centre and to another region.
 const DATA_CENTER: f64 = 0.12;
 const REGION: f64 = 0.7;
+/// The same for calls of urgency 0 and 1, which are worth more than the bytes of their way.
+const REGION_URGENT: [f64; 2] = [0.25, 0.35];
 /// What a call loses at a target that belongs to another VM, which knows its load better.
 const FOREIGN: f64 = 0.1;
 /// Loss for each objective's length of expected time, so that of two targets in time the faster one
@@ -66,6 +68,8 @@
     /// Seconds of them that are left.
     pub(crate) left: f64,
     pub(crate) repeatable: bool,
+    /// Rank against other calls, 0 for the most urgent ones.
+    pub(crate) urgency: u8,
 }
 
 impl View {
@@ -97,7 +101,10 @@
         let way = match self.way {
             Way::Within => 0.0,
             Way::DataCenter => DATA_CENTER,
-            Way::Region => REGION,
+            Way::Region => REGION_URGENT
+                .get(usize::from(need.urgency))
+                .copied()
+                .unwrap_or(REGION),
         };
         let foreign = if self.foreign { FOREIGN } else { 0.0 };
         let crowding = if self.is_crowded() { CROWDING } else { 0.0 };
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -465,6 +465,7 @@
         objective: seconds(held.ask.objective),
         left: held.left(now),
         repeatable: held.ask.class != Class::Once,
+        urgency: held.ask.urgency,
     };
     let open = views.iter().filter(|(key, _)| !skip.contains(key));
     open.map(move |(target, view)| Choice {
--- /dev/null
+++ b/crates/core/tests/placer.rs
@@ -0,0 +1,141 @@
+//! Guards against single decisions of placement that a load would not show.
+
+use oriolecleat_core::balance::Action;
+use oriolecleat_core::balance::Ask;
+use oriolecleat_core::balance::Call;
+use oriolecleat_core::entry;
+use oriolecleat_core::entry::Class;
+use oriolecleat_core::estimate::Report;
+use oriolecleat_core::place::Limits;
+use oriolecleat_core::place::Placer;
+use oriolecleat_core::target;
+use oriolecleat_core::target::Place;
+use oriolecleat_core::target::Standing;
+use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const OBJECTIVE: Span = Span::from_millis(200);
+const DEADLINE: Span = Span::from_millis(800);
+
+/// A service with one target in each of `regions`; the VM is in region `r`.
+struct Bench {
+    placer: Placer,
+    targets: Vec<target::Key>,
+    rng: SmallRng,
+}
+
+impl Bench {
+    fn new(regions: &[&str]) -> Self {
+        let place = Place {
+            region: "r".into(),
+            data_center: "c".into(),
+        };
+        let mut placer = Placer::new(place, Limits { queue: 256 });
+        let specs: Vec<entry::Target> = (1_000..).zip(regions).map(spec).collect();
+        placer.update(Instant::default(), &specs, |_| None);
+        let find = |spec: &entry::Target| placer.targets().find(&spec.name).expect("the target");
+        let targets: Vec<target::Key> = specs.iter().map(find).collect();
+        for target in &targets {
+            placer.stand(*target, Standing::Open);
+        }
+        let rng = SmallRng::seed_from_u64(1);
+        Self {
+            placer,
+            targets,
+            rng,
+        }
+    }
+
+    fn report(&mut self, now: Instant, target: usize, running: u64, pace: u64) {
+        let report = Report {
+            running,
+            queued: 0,
+            pace: Some(pace),
+        };
+        self.placer.report(now, self.targets[target], report);
+    }
+
+    /// The target that a call is sent to at once.
+    fn send(&mut self, now: Instant, class: Class, urgency: u8) -> Option<usize> {
+        let ask = Ask {
+            call: Call(1),
+            class,
+            arrived: now,
+            deadline: now + DEADLINE,
+            objective: OBJECTIVE,
+            urgency,
+            avoid: None,
+            entry: 1,
+            hedge_percent: 0,
+            bytes: None,
+        };
+        let mut out = Vec::new();
+        self.placer.arrive(now, ask, &mut self.rng, &mut out);
+        let sent = out.iter().find_map(|action| match action {
+            Action::Assign { target, .. } => Some(*target),
+            _ => None,
+        });
+        sent.and_then(|sent| self.targets.iter().position(|target| *target == sent))
+    }
+}
+
+fn spec((port, region): (u16, &&str)) -> entry::Target {
+    entry::Target {
+        name: format!("t{port}").into(),
+        address: ([10, 0, 0, 1], port).into(),
+        vm: format!("v{port}").into(),
+        region: (*region).into(),
+        data_center: format!("c-{region}").into(),
+        slots: 4,
+        incarnation: 0,
+    }
+}
+
+struct Case {
+    name: &'static str,
+    urgency: u8,
+    /// How many hundredths of its usual time work takes at the near target.
+    pace: u64,
+    goes_far: bool,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "the most urgent call leaves a slow region",
+        urgency: 0,
+        pace: 300,
+        goes_far: true,
+    },
+    Case {
+        name: "so does the next one",
+        urgency: 1,
+        pace: 300,
+        goes_far: true,
+    },
+    Case {
+        name: "a call that is worth less than the bytes of the way stays",
+        urgency: 2,
+        pace: 300,
+        goes_far: false,
+    },
+    Case {
+        name: "no call leaves a region that works as usual",
+        urgency: 0,
+        pace: 100,
+        goes_far: false,
+    },
+];
+
+#[test]
+fn urgent_calls_leave_a_slow_region() {
+    for case in CASES {
+        let mut bench = Bench::new(&["r", "far"]);
+        let now = Instant::from_micros(1_000_000);
+        bench.report(now, 0, 0, case.pace);
+        bench.report(now, 1, 0, 100);
+        let sent = bench.send(now, Class::Once, case.urgency);
+        assert_eq!(sent, Some(usize::from(case.goes_far)), "{}", case.name);
+    }
+}
