Tick a service when something may be due

Cause: a VM with calls in flight woke every 10 ms, and every 2 ms while one waited, and looked at all targets each time.

Change: the next tick is the end of a wait for probes, the moment from which a copy may be of use, or 10 ms after the last look for one that waits; calls that get no copy ask for none. Ends of calls and answers to probes still act at once.

Test: placer a_vm_wakes_for_a_call_when_a_copy_may_be_due (failed before); the loads of place give the same shares as before.

--- a/crates/core/src/place/copy.rs
+++ b/crates/core/src/place/copy.rs
@@ -5,6 +5,7 @@
 use crate::balance::Action;
 use crate::entry::Class;
 use crate::estimate::seconds;
+use crate::estimate::span;
 use crate::place::flight::Flight;
 use crate::place::hold::Held;
 use crate::place::placer::Placer;
@@ -18,19 +19,21 @@
 /// A call that took this many times the expected time is taken for stuck.
 const STUCK: f64 = 4.0;
 
+impl Flight {
+    /// When the call has taken so long that a copy may be of use; none if it gets none.
+    pub(super) fn copy_from(&self) -> Option<Instant> {
+        let [attempt] = self.attempts.as_slice() else {
+            return None;
+        };
+        let after = span(HEDGE_AFTER * attempt.time).max(HEDGE_AFTER_LEAST);
+        (self.ask.class != Class::Once && !self.hedged).then(|| attempt.sent + after)
+    }
+}
+
 impl Placer {
     /// Sends copies of the calls whose target turned slow, where another one is faster.
     pub(super) fn hedge(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
-        let slow = |flight: &&Flight| {
-            let [attempt] = flight.attempts.as_slice() else {
-                return false;
-            };
-            let elapsed = now.since(attempt.sent);
-            flight.ask.class != Class::Once
-                && !flight.hedged
-                && elapsed >= HEDGE_AFTER_LEAST
-                && seconds(elapsed) > HEDGE_AFTER * attempt.time
-        };
+        let slow = |flight: &&Flight| flight.copy_from().is_some_and(|due| due <= now);
         let mut slow: Vec<Flight> = self.flights.values().filter(slow).cloned().collect();
         slow.sort_by_key(|flight| (flight.arrived, flight.ask.call));
         for flight in slow {
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -74,9 +74,9 @@
 const ASSUMED_WORK_S: f64 = 0.050;
 /// Time after which the answer to a probe is not waited for any more; a probe times out before.
 const PROBE_FORGOTTEN: Span = Span::from_millis(500);
-/// Times between two ticks while calls wait, and while calls run.
-const TICK_WAITING: Span = Span::from_millis(2);
-const TICK_RUNNING: Span = Span::from_millis(10);
+/// Time between two ticks while calls wait for room, or for a target that is worth a copy. The ends of
+/// calls and the answers to probes bring news at once; in between, figures only age.
+const TICK: Span = Span::from_millis(10);
 
 /// Places the calls to one service.
 #[derive(Debug)]
@@ -276,13 +276,14 @@
     /// The latest moment for the next `tick`, as seen from `now`.
     #[must_use]
     pub fn next_tick(&self, now: Instant) -> Option<Instant> {
-        if !self.queue.is_empty() {
-            Some(now + TICK_WAITING)
-        } else if !self.flights.is_empty() {
-            Some(now + TICK_RUNNING)
-        } else {
-            None
-        }
+        let wait = |held: &Held| match held.settles {
+            Some(settles) if now < settles => settles,
+            Some(_) | None => now + TICK,
+        };
+        let waiting = self.queue.iter().map(wait);
+        let running = self.flights.values().filter_map(Flight::copy_from);
+        let running = running.map(|due| if now < due { due } else { now + TICK });
+        waiting.chain(running).min()
     }
 
     /// Expected wait of a new call, after which a refused caller may come again.
--- a/crates/core/tests/placer.rs
+++ b/crates/core/tests/placer.rs
@@ -139,3 +139,28 @@
         assert_eq!(sent, Some(usize::from(case.goes_far)), "{}", case.name);
     }
 }
+
+/// Guards against a VM that wakes many times a second while its calls run.
+#[test]
+fn a_vm_wakes_for_a_call_when_a_copy_may_be_due() {
+    let cases = [
+        (Class::Once, None),
+        (Class::Interactive, Some(Span::from_millis(100))),
+    ];
+    for (class, least) in cases {
+        let mut bench = Bench::new(&["r", "r"]);
+        let now = Instant::from_micros(1_000_000);
+        bench.report(now, 0, 0, 100);
+        bench.report(now, 1, 0, 100);
+        assert_eq!(bench.placer.next_tick(now), None, "nothing runs");
+        assert!(bench.send(now, class, 0).is_some());
+        // The work of a new entry is taken for a third of the objective.
+        let next = bench.placer.next_tick(now).map(|next| next.since(now));
+        assert_eq!(next.is_some(), least.is_some(), "{class:?}");
+        assert!(next >= least, "{class:?}: {next:?}");
+        let due = now + Span::from_millis(150);
+        let next = bench.placer.next_tick(due).map(|next| next.since(due));
+        assert_eq!(next.is_some(), least.is_some(), "{class:?}");
+        assert!(next <= Some(Span::from_millis(10)), "a copy is looked for");
+    }
+}
