Probe targets for a call when all of them count as full

After a burst every target counted as full, no call was sent, no report came, and each call was refused for good.

Change: a call that finds all targets full has the best ones probed.

Test: placer a_burst_that_is_long_over_refuses_no_call (failed before: no probe was sent a minute after the burst).

--- a/crates/core/src/place/sound.rs
+++ b/crates/core/src/place/sound.rs
@@ -33,11 +33,15 @@
         work: f64,
         out: &mut Vec<Action>,
     ) -> Option<Instant> {
-        // A call that is in time even beside a noisy neighbour needs no probe.
-        if work * NOISY < held.left(now) || !held.is_timely(now, work) {
+        let views = self.views(now);
+        // Without a probe, nothing would tell that targets that count as full are not.
+        let full = views.iter().all(|(_, view)| !view.has_room());
+        // A call that is in time even beside a noisy neighbour needs no probe, nor does a late one.
+        let needless = work * NOISY < held.left(now) || !held.is_timely(now, work);
+        if needless && !full {
             return None;
         }
-        let mut choices = choices(&self.views(now), now, held, work, &[]);
+        let mut choices = choices(&views, now, held, work, &[]);
         choices.truncate(PROBE_BREADTH);
         let mut wait: Option<f64> = None;
         for (rank, choice) in choices.iter().enumerate() {
--- a/crates/core/tests/placer.rs
+++ b/crates/core/tests/placer.rs
@@ -3,6 +3,7 @@
 use oriolecleat_core::balance::Action;
 use oriolecleat_core::balance::Ask;
 use oriolecleat_core::balance::Call;
+use oriolecleat_core::balance::Ending;
 use oriolecleat_core::entry;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::estimate::Report;
@@ -24,6 +25,8 @@
     placer: Placer,
     targets: Vec<target::Key>,
     rng: SmallRng,
+    /// Targets that were probed for the last call.
+    probes: Vec<usize>,
 }
 
 impl Bench {
@@ -45,6 +48,7 @@
             placer,
             targets,
             rng,
+            probes: Vec::new(),
         }
     }
 
@@ -73,14 +77,57 @@
         };
         let mut out = Vec::new();
         self.placer.arrive(now, ask, &mut self.rng, &mut out);
-        let sent = out.iter().find_map(|action| match action {
+        self.probes = targets(&self.targets, &out, |action| match action {
+            Action::Probe { target } => Some(*target),
+            _ => None,
+        });
+        self.assigned(&out)
+    }
+
+    /// The call was answered after `latency`.
+    fn answer(&mut self, now: Instant, target: usize, latency: Span) {
+        let ending = Ending::Answered {
+            latency,
+            failed: false,
+        };
+        let (placer, rng, target) = (&mut self.placer, &mut self.rng, self.targets[target]);
+        placer.finish(now, Call(1), target, ending, rng, &mut Vec::new());
+    }
+
+    /// A probe that was sent found the target idle; the target that a call is sent to then.
+    fn probed(&mut self, now: Instant, target: usize) -> Option<usize> {
+        assert!(self.probes.contains(&target), "no probe was sent");
+        let report = Report {
+            running: 0,
+            queued: 0,
+            pace: Some(100),
+        };
+        let mut out = Vec::new();
+        let (placer, rng) = (&mut self.placer, &mut self.rng);
+        placer.probed(now, self.targets[target], Some(report), rng, &mut out);
+        self.assigned(&out)
+    }
+
+    fn assigned(&self, out: &[Action]) -> Option<usize> {
+        let sent = targets(&self.targets, out, |action| match action {
             Action::Assign { target, .. } => Some(*target),
             _ => None,
         });
-        sent.and_then(|sent| self.targets.iter().position(|target| *target == sent))
+        sent.first().copied()
     }
 }
 
+/// Positions of the targets that `found` sees in actions.
+fn targets(
+    known: &[target::Key],
+    out: &[Action],
+    found: impl Fn(&Action) -> Option<target::Key>,
+) -> Vec<usize> {
+    let keys = out.iter().filter_map(found);
+    keys.filter_map(|key| known.iter().position(|target| *target == key))
+        .collect()
+}
+
 fn spec((port, region): (u16, &&str)) -> entry::Target {
     entry::Target {
         name: format!("t{port}").into(),
@@ -164,3 +211,23 @@
         assert!(next <= Some(Span::from_millis(10)), "a copy is looked for");
     }
 }
+
+/// Guards against a service that is refused for good after a burst: no call is sent while every target
+/// counts as full, so no report would tell that they are not.
+#[test]
+fn a_burst_that_is_long_over_refuses_no_call() {
+    let mut bench = Bench::new(&["r", "r"]);
+    let now = Instant::from_micros(1_000_000);
+    bench.report(now, 0, 0, 100);
+    bench.report(now, 1, 0, 100);
+    let sent = bench.send(now, Class::Once, 0).expect("an idle target");
+    bench.answer(now + Span::from_millis(10), sent, Span::from_millis(10));
+    for _ in 0..50 {
+        bench.report(now, 0, 12, 100);
+        bench.report(now, 1, 12, 100);
+    }
+    let later = now + Span::from_millis(60_000);
+    assert_eq!(bench.send(later, Class::Once, 0), None, "both may be full");
+    let sent = bench.probed(later + Span::from_millis(1), 0);
+    assert_eq!(sent, Some(0), "the probe found it idle");
+}
