Open the signal handlers before the ports

Both have a SIGHUP 139 and 37 ms after the restart: the handler was installed at the end of the start, so the signal ended the process. Ruled out: a port that was taken meanwhile, which leaves a line in the log (tried for four ports).

Change: signals::Signals opens the handlers for SIGHUP, SIGTERM and SIGINT first; what comes during the start is acted on after it.

--- a/crates/daemon/src/halt.rs
+++ b/crates/daemon/src/halt.rs
@@ -5,8 +5,7 @@
 use oriolecleat_core::settings::Stop;
 use oriolecleat_core::stop;
 use oriolecleat_core::stop::Phase;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
+use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
 use crate::node::Node;
@@ -16,14 +15,7 @@
 pub(crate) type Phases = Rc<watch::Sender<Phase>>;
 
 /// Starts the planned stop on SIGTERM or SIGINT.
-pub(crate) async fn listen(node: Shared) {
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        log::error!("signals can't be received: the process can only be killed");
-        return;
-    };
+pub(crate) async fn listen(node: Shared, mut terminate: Signal, mut interrupt: Signal) {
     loop {
         let name = tokio::select! {
             _ = terminate.recv() => "SIGTERM",
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -38,6 +38,7 @@
 mod reload;
 mod report;
 mod service;
+mod signals;
 mod socket;
 mod start;
 mod stream;
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -5,8 +5,7 @@
 use std::time::SystemTime;
 
 use oriolecleat_core::settings::Settings;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
+use tokio::signal::unix::Signal;
 
 use crate::node::Node;
 use crate::node::Shared;
@@ -16,11 +15,7 @@
 const LOOK: Duration = Duration::from_secs(2);
 
 /// Reloads the settings file on SIGHUP, and when it was written.
-pub(crate) async fn listen(node: Shared, path: PathBuf) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        log::error!("SIGHUP cannot be received: it would end the process");
-        return;
-    };
+pub(crate) async fn listen(node: Shared, path: PathBuf, mut hangup: Signal) {
     let written = |path: &PathBuf| -> Option<SystemTime> {
         std::fs::metadata(path)
             .and_then(|file| file.modified())
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -36,6 +36,7 @@
 use crate::query::Client;
 use crate::query::Query;
 use crate::reload;
+use crate::signals::Signals;
 use crate::timer;
 
 const QUERY_QUEUE: usize = 256;
@@ -91,6 +92,8 @@
     path: &Path,
     host: Option<Rc<dyn Host>>,
 ) -> Result<(), Report<Failure>> {
+    // A signal that comes during the start must not end the process.
+    let signals = Signals::open().change_context(Failure("signals cannot be received"))?;
     let listen = settings.listen.clone();
     let callers = TcpListener::bind(listen.caller)
         .await
@@ -149,8 +152,13 @@
     tokio::task::spawn_local(timer::run(node.clone()));
     log::info!(vm:% = vm, caller:% = listen.caller, directory:% = listen.directory; "serving");
     let mut phases = node.borrow().phases.subscribe();
-    tokio::task::spawn_local(halt::listen(node.clone()));
-    tokio::task::spawn_local(reload::listen(node.clone(), path.to_owned()));
+    let Signals {
+        hangup,
+        terminate,
+        interrupt,
+    } = signals;
+    tokio::task::spawn_local(halt::listen(node.clone(), terminate, interrupt));
+    tokio::task::spawn_local(reload::listen(node.clone(), path.to_owned(), hangup));
     let stopping = node.clone();
     tokio::task::spawn_local(caller::serve(node, callers));
     // The node holds the sender, so the channel is open until the process ends.
