Derive the views of targets once for an arriving call

Found on reading the change: since targets are probed for a call when all count as full, sound derived the views of all targets for each arriving call, and dispatch derived the same ones again at the same moment; dispatch also looked through all targets for an open one, which the views tell.

Change: arrive derives them and hands them to both; no views means no open target.

--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -193,7 +193,8 @@
             settles: None,
             ask,
         };
-        held.settles = self.sound(now, &held, work, out);
+        let views = self.views(now);
+        held.settles = self.sound(now, &held, work, &views, out);
         if self.queue.len() >= self.limits.queue || self.is_hopeless(now, &held, work) {
             let call = held.ask.call;
             let reason = Refusal::Overloaded;
@@ -201,7 +202,7 @@
             return;
         }
         self.queue.push(held);
-        self.dispatch(now, rng, out);
+        self.assign(now, views, rng, out);
     }
 
     /// `target` reported its load on an answer; goes before the `finish` of its attempt.
@@ -370,13 +371,23 @@
         }
     }
 
-    /// Gives targets to as many waiting calls as have room, and refuses those that waited too long.
+    /// Acts on news for the calls that wait, if any does.
     fn dispatch(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
-        if self.queue.is_empty() {
-            return;
+        if !self.queue.is_empty() {
+            let views = self.views(now);
+            self.assign(now, views, rng, out);
         }
-        let none = |(_, target): (_, &target::Target)| target.standing != Standing::Open;
-        if self.targets.iter().all(none) {
+    }
+
+    /// Gives targets to as many waiting calls as have room, and refuses those that waited too long.
+    fn assign(
+        &mut self,
+        now: Instant,
+        mut views: Vec<(target::Key, View)>,
+        rng: &mut SmallRng,
+        out: &mut Vec<Action>,
+    ) {
+        if views.is_empty() {
             for held in self.queue.extract(|_| true) {
                 let call = held.ask.call;
                 let reason = Refusal::NoTarget;
@@ -385,7 +396,6 @@
             return;
         }
         // Under overload many calls wait, for each of which the targets look alike.
-        let mut views = self.views(now);
         for call in self.queue.order(now, |ask| self.work_of(ask)) {
             let Some(held) = self.queue.iter().find(|held| held.ask.call == call) else {
                 continue;
--- a/crates/core/src/place/sound.rs
+++ b/crates/core/src/place/sound.rs
@@ -31,9 +31,9 @@
         now: Instant,
         held: &Held,
         work: f64,
+        views: &[(target::Key, View)],
         out: &mut Vec<Action>,
     ) -> Option<Instant> {
-        let views = self.views(now);
         // Without a probe, nothing would tell that targets that count as full are not.
         let full = views.iter().all(|(_, view)| !view.has_room());
         // A call that is in time even beside a noisy neighbour needs no probe, nor does a late one.
@@ -41,7 +41,7 @@
         if needless && !full {
             return None;
         }
-        let mut choices = choices(&views, now, held, work, &[]);
+        let mut choices = choices(views, now, held, work, &[]);
         choices.truncate(PROBE_BREADTH);
         let mut wait: Option<f64> = None;
         for (rank, choice) in choices.iter().enumerate() {
