Hold the port of an address that refuses connections in a test

The answer carried the body of that daemon (unknown_service) without the header, which the first daemon takes off.

Change: the socket stays bound without listening, so that connections are refused and nobody else gets the port. The assertions are unchanged.

--- a/crates/daemon/tests/request/repeats.rs
+++ b/crates/daemon/tests/request/repeats.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use serde_json::json;
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
 use crate::support::Daemon;
 use crate::support::Reply;
@@ -39,10 +39,13 @@
     (code.to_owned(), outcome.to_owned())
 }
 
-/// An address that refuses connections.
-async fn refusing() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-    listener.local_addr().unwrap()
+/// An address that refuses connections while the socket is held: a port that was given back may be
+/// taken by the daemon of another test, which answers.
+fn refusing() -> (TcpSocket, SocketAddr) {
+    let held = TcpSocket::new_v4().unwrap();
+    held.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    let address = held.local_addr().unwrap();
+    (held, address)
 }
 
 /// Guards against non-idempotent work that runs twice after a connection broke, also when the
@@ -262,7 +265,8 @@
 #[test]
 fn refused_connection_is_not_run() {
     run(async {
-        let daemon = daemon("once", &[refusing().await]).await;
+        let (_held, address) = refusing();
+        let daemon = daemon("once", &[address]).await;
         let ticket = daemon.ticket().await;
         for _ in 0..2 {
             let reply = book(&daemon, &ticket).await;
