--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -75,6 +75,8 @@
         }
         if replanned {
             self.apply();
+            let took_ms = self.clock.now().since(now).as_millis();
+            log::info!(took_ms; "plan decoded and applied");
         } else if !services.is_empty() {
             self.update_targets(&services);
         }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use oriolecleat_core::audit::Change;
 use oriolecleat_core::catalogue::Verdict;
@@ -200,7 +201,10 @@
             let Some(queue) = self.links.queues.get(link) else {
                 continue;
             };
-            if queue.try_send(Rc::clone(&message)).is_err() {
+            if queue
+                .try_send((Instant::now(), Rc::clone(&message)))
+                .is_err()
+            {
                 log::warn!(link = link.0; "the send queue of a link is full or closed: closing the link");
                 self.links.queues.remove(link);
                 let (node, link) = (node.clone(), *link);
@@ -238,6 +242,7 @@
 
     /// Handles a message that arrived over a link.
     pub(crate) fn receive(&mut self, node: &Shared, link: Link, message: Message) {
+        self.metrics.add(Count::PeerTextBytes, text_bytes(&message));
         self.event(node, |gossip, context| {
             gossip.receive(context, link, message)
         });
@@ -253,8 +258,10 @@
     fn record_verdict(&mut self, key: &str, verdict: &Verdict) -> bool {
         match verdict {
             Verdict::Accepted | Verdict::Conflict { kept: true } => {
-                log::info!(key; "catalogue change accepted");
+                let bytes = self.catalogue.text(key).map_or(0, str::len) as u64;
+                log::info!(key, bytes; "catalogue change accepted");
                 self.metrics.add(Count::CatalogueAccepted, 1);
+                self.metrics.add(Count::CatalogueBytes, bytes);
                 return true;
             }
             Verdict::Rejected(faults) => {
@@ -329,15 +336,27 @@
 
     fn step_reader(&mut self) {
         let now = self.clock.now();
-        let step = self.reader.step(now, self.gossip.fleet(), &mut self.rng);
+        let Some(step) = self.reader.step(now, self.gossip.fleet(), &mut self.rng) else {
+            return;
+        };
+        let view_age_ms = self.reader.age(now).map(Span::as_millis);
         match step {
-            Some(Step::Open) => drop(self.links.reading.send_replace(true)),
-            Some(Step::Close) => drop(self.links.reading.send_replace(false)),
-            None => {}
+            Step::Open => log::info!(view_age_ms; "reading of the store starts"),
+            Step::Close => log::info!(view_age_ms; "reading of the store ends"),
         }
+        self.links.reading.send_replace(step == Step::Open);
     }
 }
 
+/// Bytes of the catalogue texts in `message`.
+fn text_bytes(message: &Message) -> u64 {
+    let Message::Entries(entries) = message else {
+        return 0;
+    };
+    let texts = entries.contents.iter().flat_map(|content| &content.text);
+    texts.map(|text| text.len() as u64).sum()
+}
+
 fn name(source: Source) -> &'static str {
     match source {
         Source::Drain => "drain",
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -61,6 +61,12 @@
         PeerBytesReceived,
         /// Invalid frames from peers.
         PeerFaults,
+        /// Bytes of catalogue texts received from peers, those already known included.
+        PeerTextBytes,
+        /// Messages that waited long until they were written to a peer.
+        PeerSlowWrites,
+        /// Bytes of catalogue texts that were new and accepted.
+        CatalogueBytes,
     }
 
     /// What is gauged; each name in docs/metrics.md.
@@ -87,7 +93,7 @@
 }
 
 /// All counts in the order of their declaration.
-pub const COUNTS: [Count; 17] = [
+pub const COUNTS: [Count; 20] = [
     Count::Calls,
     Count::Ran,
     Count::NotRun,
@@ -105,6 +111,9 @@
     Count::PeerBytesSent,
     Count::PeerBytesReceived,
     Count::PeerFaults,
+    Count::PeerTextBytes,
+    Count::PeerSlowWrites,
+    Count::CatalogueBytes,
 ];
 
 /// All gauges in the order of their declaration.
@@ -142,6 +151,9 @@
             Self::PeerBytesSent => "peer.bytes_sent",
             Self::PeerBytesReceived => "peer.bytes_received",
             Self::PeerFaults => "peer.faults",
+            Self::PeerTextBytes => "peer.text_bytes",
+            Self::PeerSlowWrites => "peer.slow_writes",
+            Self::CatalogueBytes => "catalogue.bytes",
         }
     }
 }
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -43,14 +44,19 @@
 const HANDSHAKE_TIMEOUT_MS: u64 = 2_000;
 const WRITE_TIMEOUT_MS: u64 = 5_000;
 const ACCEPT_RETRY_MS: u64 = 100;
+/// Time until a message is written after which the link counts as slow.
+const SLOW_WRITE_MS: u64 = 500;
 
 type Socket = WebSocketStream<TcpStream>;
 
 /// Why a link was not established or ended.
 type Failure = Box<dyn std::error::Error>;
 
+/// A message with the time at which it was queued.
+type Queued = (Instant, Rc<Message>);
+
 /// Send queue of the task of a link.
-pub(crate) type Queue = mpsc::Sender<Rc<Message>>;
+pub(crate) type Queue = mpsc::Sender<Queued>;
 
 /// Accepts links until the process ends.
 pub(crate) async fn serve(node: Shared, listener: TcpListener) {
@@ -169,7 +175,7 @@
     let link = node.borrow_mut().add_link(&node, queue, remote);
     let (sink, stream) = socket.split();
     let ended = tokio::select! {
-        ended = send(&node, sink, sealer, messages) => ended,
+        ended = send(&node, &vm, sink, sealer, messages) => ended,
         ended = receive(&node, link, stream, opener) => ended,
     };
     match ended {
@@ -182,12 +188,14 @@
 /// Sends messages until the node closes the queue.
 async fn send(
     node: &Shared,
+    vm: &str,
     mut sink: impl futures_util::Sink<tungstenite::Message, Error = tungstenite::Error> + Unpin,
     mut sealer: Sealer,
-    mut messages: mpsc::Receiver<Rc<Message>>,
+    mut messages: mpsc::Receiver<Queued>,
 ) -> Result<(), Failure> {
     let limit = Duration::from_millis(WRITE_TIMEOUT_MS);
-    while let Some(message) = messages.recv().await {
+    let mut was_slow = false;
+    while let Some((queued, message)) = messages.recv().await {
         let frame = match sealer.seal(&message) {
             Ok(Some(frame)) => frame,
             // The peer's release does not know this kind of message.
@@ -202,6 +210,16 @@
         let metrics = &mut node.borrow_mut().metrics;
         metrics.add(Count::PeerFramesSent, 1);
         metrics.add(Count::PeerBytesSent, bytes);
+        let waited = queued.elapsed();
+        let is_slow = waited >= Duration::from_millis(SLOW_WRITE_MS);
+        if is_slow {
+            metrics.add(Count::PeerSlowWrites, 1);
+        }
+        if is_slow != was_slow {
+            let waited_ms = waited.as_millis();
+            log::info!(vm, waited_ms, bytes, waiting = messages.len(), is_slow; "speed of a link changed");
+            was_slow = is_slow;
+        }
     }
     Ok(())
 }
