Show that large plans spread too slowly over slow links

Callers of a VM on a link of 10 Mbit/s are served by an older plan more than 3 s after a newer one was confirmed, and reach targets more than 3 s after these said that they leave.

The simulated network gains links and processors of limited speed.

--- a/crates/bench/src/network/event.rs
+++ b/crates/bench/src/network/event.rs
@@ -14,7 +14,8 @@
 
 #[derive(Clone)]
 pub(crate) enum Packet {
-    Plain(Message),
+    /// A message with the bytes of its frame.
+    Plain(Message, u64),
     /// A frame of the real codec.
     Sealed(Vec<u8>),
 }
--- a/crates/bench/src/network/mod.rs
+++ b/crates/bench/src/network/mod.rs
@@ -2,6 +2,7 @@
 
 mod event;
 mod link;
+mod machine;
 mod site;
 mod traffic;
 mod vm;
@@ -9,6 +10,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use oriolecleat_core::catalogue::Catalogue;
+use oriolecleat_core::catalogue::Verdict;
 use oriolecleat_core::gossip::Action;
 use oriolecleat_core::gossip::Context;
 use oriolecleat_core::gossip::Gossip;
@@ -28,6 +31,7 @@
 use crate::network::link::establish;
 use crate::network::site::index;
 
+pub use crate::network::machine::Machine;
 pub use crate::network::site::Site;
 pub use crate::network::site::sites;
 pub use crate::network::vm::Cost;
@@ -64,6 +68,8 @@
     pub vms: Vec<Vm>,
     /// Faults of messages.
     pub faults: Faults,
+    /// Link and processor of each VM; without them, sending and applying take no time.
+    pub machine: Option<Machine>,
     /// Partition of the network that each VM is in; messages between partitions are lost.
     pub partitions: Vec<u8>,
     /// Catalogue keys with the VMs that received a change of them, and when.
@@ -95,6 +101,7 @@
         let mut network = Self {
             vms: Vec::new(),
             faults: Faults::default(),
+            machine: None,
             partitions: vec![0; sites.len()],
             accepted: BTreeMap::new(),
             now,
@@ -119,6 +126,17 @@
         network
     }
 
+    /// A fleet without codec whose catalogues also store keys with one of `prefixes`, as on a
+    /// hosting platform.
+    #[must_use]
+    pub fn hosted(sites: &[Site], seed: u64, prefixes: &[Box<str>]) -> Self {
+        let mut network = Self::new(sites, seed, false);
+        for vm in &mut network.vms {
+            vm.catalogue = Catalogue::with_opaque(prefixes.to_vec());
+        }
+        network
+    }
+
     /// Virtual time.
     #[must_use]
     pub fn now(&self) -> Instant {
@@ -192,9 +210,9 @@
         if !self.is_running(vm, incarnation) {
             return;
         }
-        let frozen_until = self.vms[vm].frozen_until;
+        let frozen_until = self.vms[vm].frozen_until.max(self.vms[vm].busy_until);
         if frozen_until > self.now {
-            // Events of a frozen VM keep their order.
+            // Events of a frozen or busy VM keep their order.
             self.schedule(frozen_until.since(self.now), event);
             return;
         }
@@ -220,6 +238,7 @@
     }
 
     fn perform(&mut self, vm: usize, actions: Vec<Action>) {
+        self.occupy(vm, &actions);
         for action in actions {
             match action {
                 Action::Send(links, message) => {
@@ -245,7 +264,8 @@
                 }
                 Action::Close(link) => self.close(vm, link),
                 Action::Verdict(key, _) => {
-                    let now = self.now;
+                    // A change is in force once it is applied.
+                    let now = self.now.max(self.vms[vm].busy_until);
                     self.accepted.entry(key).or_default().push((vm, now));
                 }
                 Action::Departure(_)
@@ -258,6 +278,21 @@
         }
     }
 
+    /// Occupies the processor of `vm` for as long as it takes to apply the texts that `actions`
+    /// accepted. The process does nothing else in that time, so messages leave it afterwards.
+    fn occupy(&mut self, vm: usize, actions: &[Action]) {
+        let Some(machine) = self.machine else {
+            return;
+        };
+        let state = &mut self.vms[vm];
+        let accepted = actions.iter().filter_map(|action| match action {
+            Action::Verdict(key, Verdict::Accepted) => state.catalogue.text(key),
+            _ => None,
+        });
+        let bytes: u64 = accepted.map(|text| text.len() as u64).sum();
+        state.busy_until = self.now.max(state.busy_until) + machine.apply_time(bytes);
+    }
+
     /// Indexes of the VMs that run.
     #[must_use]
     pub fn running(&self) -> BTreeSet<usize> {
--- a/crates/bench/src/network/traffic.rs
+++ b/crates/bench/src/network/traffic.rs
@@ -10,6 +10,7 @@
 use crate::network::Network;
 use crate::network::event::Event;
 use crate::network::event::Packet;
+use crate::network::machine::arrival;
 
 // A WebSocket frame has a header of 2 bytes, of 4 from 126 bytes and of 10 from 65,536; half of the
 // frames, those of the dialer, have a mask of 4 bytes, which makes 2 bytes on average.
@@ -43,26 +44,27 @@
             .expect("messages fit")
             .expect("one release");
         let is_cross_center = self.vms[vm].site.data_center != self.vms[receiver].site.data_center;
+        let bytes = web_socket_bytes(frame.len());
         let cost = &mut self.vms[vm].cost;
-        cost.bytes += web_socket_bytes(frame.len());
+        cost.bytes += bytes;
         if is_cross_center {
-            cost.cross_center_bytes += web_socket_bytes(frame.len());
+            cost.cross_center_bytes += bytes;
         }
         cost.frames += 1;
         let packet = if self.codec {
             cost.busy += started.elapsed();
             Packet::Sealed(frame)
         } else {
-            Packet::Plain(message.clone())
+            Packet::Plain(message.clone(), bytes)
         };
-        self.transmit((vm, receiver, incarnation), link, &packet, is_push);
+        self.transmit((vm, receiver, incarnation), link, (&packet, bytes), is_push);
     }
 
     fn transmit(
         &mut self,
         (sender, receiver, incarnation): (usize, usize, u64),
         link: Link,
-        packet: &Packet,
+        (packet, bytes): (&Packet, u64),
         is_push: bool,
     ) {
         let chance = |random: &mut SmallRng, percent| random.random_range(0..100) < percent;
@@ -80,6 +82,11 @@
                 let extra = self.random.random_range(0..2_000_000);
                 delay = delay + Span::from_micros(extra);
             }
+            if let Some(machine) = self.machine
+                && let Ok(ends) = self.vms.get_disjoint_mut([sender, receiver])
+            {
+                delay = arrival(machine, self.now, ends, bytes, delay).since(self.now);
+            }
             self.schedule(
                 delay,
                 Event::Deliver(receiver, incarnation, link, packet.clone()),
@@ -94,9 +101,7 @@
         let own_end = usize::from(connection.vms[0] != vm);
         let started = std::time::Instant::now();
         let message = match (packet, &mut connection.codecs) {
-            (Packet::Plain(message), _) => {
-                let frame = self.scratch.sealer.seal(&message).expect("messages fit");
-                let bytes = web_socket_bytes(frame.expect("one release").len());
+            (Packet::Plain(message, bytes), _) => {
                 self.vms[vm].cost.bytes += bytes;
                 message
             }
--- a/crates/bench/src/network/vm.rs
+++ b/crates/bench/src/network/vm.rs
@@ -53,6 +53,12 @@
     pub(crate) incarnation: u64,
     pub(crate) started: Instant,
     pub(crate) frozen_until: Instant,
+    /// Until when the processor applies a change.
+    pub(crate) busy_until: Instant,
+    /// When the link has carried all that was sent.
+    pub(crate) uplink_free: Instant,
+    /// When the link has carried all that is on its way to this VM.
+    pub(crate) downlink_free: Instant,
     pub(crate) random: SmallRng,
 }
 
@@ -99,6 +105,9 @@
             incarnation,
             started: now,
             frozen_until: Instant::default(),
+            busy_until: Instant::default(),
+            uplink_free: Instant::default(),
+            downlink_free: Instant::default(),
             random,
         }
     }
