Offer large texts and send them in parts to those that lack them

Cause: a VM pushed the whole text of a plan over each of its 4 to 10 links, and received it from most of its neighbours. With plans of 98 to 313 KB the links of the readers were full for seconds (1,050 to 1,200 KB/s), messages waited up to 2.6 s until they were written, and what came behind them, registrations of leaving targets included, waited as long at each VM on the way.

A text of 16 KB or more is now offered by its key and digest. A VM that lacks it fetches it from one of the VMs that offered it, compressed, in parts of 16 KB, and offers it on with the first part. It crosses each link at most once and its parts let other messages pass. Peers that speak protocol 1 get whole texts as before.

--- a/crates/bench/src/network/link.rs
+++ b/crates/bench/src/network/link.rs
@@ -1,5 +1,6 @@
 //! Dialling, establishing and closing of links.
 
+use oriolecleat_core::gossip::Delivery;
 use oriolecleat_core::gossip::Link;
 use oriolecleat_core::gossip::Remote;
 use oriolecleat_wire::handshake::Acceptor;
@@ -80,6 +81,7 @@
                 incarnation: hellos[peer].incarnation,
                 data_center: hellos[peer].data_center.clone(),
                 dialled,
+                delivery: Delivery::Offered,
             };
             self.act(vm, |gossip, context| gossip.add_link(context, link, remote));
         }
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -16,6 +16,7 @@
 pub use record::Source;
 pub use record::Valid;
 pub use record::Value;
+pub use record::mark;
 
 use crate::constants::Constants;
 use crate::entry::Entry;
@@ -268,6 +269,27 @@
         self.get(key)?.valid.as_ref()?.text.as_deref()
     }
 
+    /// The text of `key` with exactly `mark`, in effect or rejected.
+    #[must_use]
+    pub fn text_of(&self, key: &str, mark: Mark) -> Option<&str> {
+        let record = self.get(key)?;
+        let valid = record.valid.as_ref().filter(|valid| valid.mark == mark);
+        let rejected = record.rejected.as_ref();
+        let rejected = rejected.filter(|rejected| rejected.mark == mark);
+        valid
+            .and_then(|valid| valid.text.as_deref())
+            .or_else(|| rejected.map(|rejected| &*rejected.text))
+    }
+
+    /// Whether a content with `mark` would be new: it is above the one in effect and is not the one
+    /// that was rejected.
+    #[must_use]
+    pub fn lacks(&self, key: &str, mark: Mark) -> bool {
+        let own = self.get(key);
+        let rejected = own.and_then(Record::rejected_mark);
+        Some(mark) > own.and_then(Record::valid_mark) && Some(mark) != rejected
+    }
+
     /// The record of `key`; none if the key is not stored.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<&Record> {
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -34,6 +34,7 @@
 use crate::repair;
 use crate::time::Instant;
 use crate::time::Span;
+use crate::transfer;
 
 /// Most load reports in one message.
 const LOAD_BATCH: usize = 1_024;
@@ -44,6 +45,15 @@
 }
 
 data! {
+    /// How large texts reach a peer.
+    #[derive(Copy)]
+    pub enum Delivery {
+        /// Like other contents; the release of the peer knows no offers.
+        Whole,
+        /// As offers; the peer fetches what it lacks.
+        Offered,
+    }
+
     /// The peer at the other end of a new link.
     pub struct Remote {
         /// Name of the VM.
@@ -54,6 +64,8 @@
         pub data_center: Box<str>,
         /// The address that this VM dialled; none if the peer dialled.
         pub dialled: Option<SocketAddr>,
+        /// How large texts reach it.
+        pub delivery: Delivery,
     }
 
     /// What the I/O layer and the owner of the state have to do.
@@ -132,6 +144,8 @@
     pub(crate) fetch: Option<(Link, Instant)>,
     /// Whether peers get copies of the own audit records.
     pub(crate) copies_audit: bool,
+    /// Large texts that are being fetched, and those that peers fetch.
+    pub(crate) transfers: transfer::Table,
 }
 
 impl Gossip {
@@ -156,6 +170,7 @@
             next_heartbeat: now,
             fetch: None,
             copies_audit: true,
+            transfers: transfer::Table::default(),
         }
     }
 
@@ -202,6 +217,7 @@
         };
         peer.last_received = now;
         let (vm, incarnation) = (peer.vm.clone(), peer.incarnation);
+        let delivery = peer.delivery;
         match message {
             Message::Members(members) => self.merge_members(context, Some(link), members.records),
             Message::Roster(roster) => reply(link, repair::reconcile(now, &self.fleet, &roster)),
@@ -215,7 +231,7 @@
                 reply(link, versions.filter(may_send))
             }
             Message::Versions(versions) => {
-                let mut messages = repair::exchange(context.catalogue, &versions);
+                let mut messages = repair::exchange(context.catalogue, &versions, delivery);
                 messages.retain(|message| self.reserve_fetch(now, link, message));
                 reply(link, messages)
             }
@@ -223,7 +239,7 @@
                 let mut keys: Vec<&str> = want.keys.iter().map(|key| &**key).collect();
                 keys.sort_unstable();
                 keys.dedup();
-                let mut messages = repair::entries(context.catalogue, keys);
+                let mut messages = repair::entries(context.catalogue, keys, delivery);
                 messages.extend(repair::records(now, &self.fleet, &want));
                 reply(link, messages)
             }
@@ -240,6 +256,9 @@
                 Vec::new()
             }
             Message::Heartbeat(heartbeat) => self.handle_heartbeat(context, link, &heartbeat),
+            Message::Offers(offers) => self.handle_offers(context, link, &offers),
+            Message::Fetch(fetch) => self.handle_fetch(context, link, &fetch),
+            Message::Part(part) => self.handle_part(context, link, &part),
         }
     }
 
@@ -389,15 +408,22 @@
     /// proportion to the square of the fleet size. A VM without a link to a neighbour pushes over
     /// all its links.
     pub(crate) fn push(&self, except: Option<Link>, message: Message) -> Option<Action> {
-        let no_neighbour = !self.peers.values().any(|peer| peer.was_neighbour);
-        let takes_push = |(link, peer): &(&Link, &Peer)| {
-            Some(**link) != except && (peer.was_neighbour || no_neighbour)
-        };
-        let links = self.peers.iter().filter(takes_push);
-        let links: Vec<Link> = links.map(|(link, _)| *link).collect();
+        let links: Vec<Link> = self
+            .push_peers()
+            .map(|(link, _)| link)
+            .filter(|link| Some(*link) != except)
+            .collect();
         (!links.is_empty()).then_some(Action::Send(links, message))
     }
 
+    /// The peers that updates are pushed to.
+    pub(crate) fn push_peers(&self) -> impl Iterator<Item = (Link, &Peer)> {
+        let no_neighbour = !self.peers.values().any(|peer| peer.was_neighbour);
+        let takes_push = move |(_, peer): &(&Link, &Peer)| peer.was_neighbour || no_neighbour;
+        let peers = self.peers.iter().filter(takes_push);
+        peers.map(|(link, peer)| (*link, peer))
+    }
+
     /// Name of the peer VM at the other end of `from`, or `own` for an event of this VM.
     pub(crate) fn source(&self, from: Option<Link>, own: &str) -> Box<str> {
         from.and_then(|link| self.peers.get(&link))
--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::download::send_fetches;
 use crate::gossip::Action;
 use crate::gossip::Context;
 use crate::gossip::Gossip;
@@ -60,14 +61,8 @@
         }
         actions.extend(self.make_room());
         context.record_change("link", &remote.vm, "own", "up");
-        let Remote {
-            vm,
-            incarnation,
-            data_center,
-            dialled,
-        } = remote;
-        let is_neighbour = self.neighbours.contains(&vm);
-        let mut peer = Peer::new(now, vm, incarnation, data_center, dialled);
+        let is_neighbour = self.neighbours.contains(&remote.vm);
+        let mut peer = Peer::new(now, remote);
         peer.was_neighbour = is_neighbour;
         self.peers.insert(link, peer);
         let records = vec![self.fleet.own().record_at(now)];
@@ -85,7 +80,7 @@
                     .record_failure(context.now, address, context.random);
             }
         }
-        Vec::new()
+        send_fetches(self.transfers.remove_link(context.now, link))
     }
 
     /// Records that a dial did not lead to a link.
@@ -115,6 +110,7 @@
         actions.extend(self.dial_lost(context));
         actions.extend(self.send_audit_copies(context));
         actions.extend(self.send_heartbeats(context));
+        actions.extend(send_fetches(self.transfers.tick(now)));
         actions
     }
 
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -43,6 +43,12 @@
         Audit(Audit),
         /// Sign that the sender runs, with hashes of its state.
         Heartbeat(Heartbeat),
+        /// Large texts that the sender has.
+        Offers(Offers),
+        /// Request for a part of a large text.
+        Fetch(Fetch),
+        /// Part of a large text.
+        Part(Part),
     }
 
     /// Member records.
@@ -168,6 +174,59 @@
         pub records: Vec<audit::Record>,
     }
 
+    /// Large texts that the sender has.
+    #[derive(Default, Serialize, Deserialize)]
+    pub struct Offers {
+        /// Keys with the marks of their texts.
+        #[serde(rename = "o", deserialize_with = "bounded")]
+        pub offers: Vec<Offer>,
+    }
+
+    /// A large text that the sender has.
+    #[derive(Serialize, Deserialize)]
+    pub struct Offer {
+        /// Key.
+        #[serde(rename = "k")]
+        pub key: Box<str>,
+        /// Version and digest of the text.
+        #[serde(rename = "m")]
+        pub mark: catalogue::Mark,
+    }
+
+    /// Request for a part of a large text.
+    #[derive(Serialize, Deserialize)]
+    pub struct Fetch {
+        /// Key.
+        #[serde(rename = "k")]
+        pub key: Box<str>,
+        /// Version and digest of the text.
+        #[serde(rename = "m")]
+        pub mark: catalogue::Mark,
+        /// Offset of the part in the compressed text, in bytes.
+        #[serde(rename = "o")]
+        pub offset: u64,
+    }
+
+    /// Part of a large text.
+    #[derive(Serialize, Deserialize)]
+    pub struct Part {
+        /// Key.
+        #[serde(rename = "k")]
+        pub key: Box<str>,
+        /// Version and digest of the text.
+        #[serde(rename = "m")]
+        pub mark: catalogue::Mark,
+        /// Offset of the part in the compressed text, in bytes.
+        #[serde(rename = "o")]
+        pub offset: u64,
+        /// Length of the compressed text in bytes.
+        #[serde(rename = "n")]
+        pub total: u64,
+        /// The part of the compressed text.
+        #[serde(rename = "b", with = "block")]
+        pub bytes: Box<[u8]>,
+    }
+
     /// Sign that the sender runs, with hashes of its state; a hash of zero means "not stated".
     #[derive(Default, Serialize, Deserialize)]
     pub struct Heartbeat {
@@ -223,6 +282,41 @@
     }
 }
 
+mod block {
+    use std::fmt;
+
+    use super::Deserializer;
+    use super::Error;
+    use super::Serializer;
+    use super::Visitor;
+
+    pub fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(bytes)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Box<[u8]>, D::Error> {
+        deserializer.deserialize_byte_buf(Bytes)
+    }
+
+    struct Bytes;
+
+    impl Visitor<'_> for Bytes {
+        type Value = Box<[u8]>;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+            formatter.write_str("a byte string")
+        }
+
+        fn visit_bytes<E: Error>(self, bytes: &[u8]) -> Result<Self::Value, E> {
+            Ok(bytes.into())
+        }
+
+        fn visit_byte_buf<E: Error>(self, bytes: Vec<u8>) -> Result<Self::Value, E> {
+            Ok(bytes.into())
+        }
+    }
+}
+
 mod pair {
     use super::Deserialize;
     use super::Deserializer;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::gossip::Delivery;
+use crate::gossip::Remote;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -37,6 +39,7 @@
     pub(crate) vm: Box<str>,
     pub(crate) incarnation: u64,
     pub(crate) data_center: Box<str>,
+    pub(crate) delivery: Delivery,
     /// The address that this VM dialled; none if the peer dialled.
     pub(crate) dialled: Option<SocketAddr>,
     /// When the peer was last a neighbour, or the link established.
@@ -62,18 +65,13 @@
 }
 
 impl Peer {
-    pub(crate) fn new(
-        now: Instant,
-        vm: Box<str>,
-        incarnation: u64,
-        data_center: Box<str>,
-        dialled: Option<SocketAddr>,
-    ) -> Self {
+    pub(crate) fn new(now: Instant, remote: Remote) -> Self {
         Self {
-            vm,
-            incarnation,
-            data_center,
-            dialled,
+            vm: remote.vm,
+            incarnation: remote.incarnation,
+            data_center: remote.data_center,
+            delivery: remote.delivery,
+            dialled: remote.dialled,
             last_needed: now,
             was_neighbour: false,
             last_received: now,
--- a/crates/core/src/propagation.rs
+++ b/crates/core/src/propagation.rs
@@ -83,6 +83,7 @@
         };
         let mut actions = Vec::new();
         let mut updates = Vec::new();
+        let mut waiting = Vec::new();
         for content in contents {
             let text = content.text.as_deref();
             let (key, version) = (&content.key, content.version);
@@ -106,6 +107,10 @@
                 Change::new(kind, &content.key, &source, cause).with_version(content.version);
             context.audit.record(context.wall_ms, change);
             let must_push = verdict.is_change();
+            if must_push {
+                let mark = catalogue::mark(version, text);
+                waiting.extend(self.transfers.finish(key, mark));
+            }
             actions.push(Action::Verdict(content.key.clone(), verdict));
             if must_push {
                 updates.push(content);
@@ -122,10 +127,10 @@
             // With a push, all VMs that start together would send each other the whole catalogue.
             // Heartbeats let each peer fetch what it lacks.
             actions.extend(self.heartbeat_all(context));
-        } else if !updates.is_empty() {
-            let message = Message::Entries(Entries { contents: updates });
-            actions.extend(self.push(from, message));
+        } else {
+            actions.extend(self.push_contents(from, updates));
         }
+        actions.extend(self.send_parts(context, waiting));
         actions
     }
 
--- a/crates/core/src/repair.rs
+++ b/crates/core/src/repair.rs
@@ -5,6 +5,7 @@
 use crate::catalogue::BUCKETS;
 use crate::catalogue::Catalogue;
 use crate::catalogue::Stamp;
+use crate::gossip::Delivery;
 use crate::map::Set;
 use crate::member;
 use crate::member::Fleet;
@@ -14,10 +15,13 @@
 use crate::message::Entries;
 use crate::message::Members;
 use crate::message::Message;
+use crate::message::Offer;
+use crate::message::Offers;
 use crate::message::Roster;
 use crate::message::Versions;
 use crate::message::Want;
 use crate::time::Instant;
+use crate::transfer::LARGE_TEXT_BYTES;
 
 /// Most bytes of text in one message of entries, unless a single text is larger.
 const ENTRIES_BYTES: usize = 262_144;
@@ -52,7 +56,11 @@
 
 /// The contents that the peer lacks of the buckets that it listed, and a request for what this VM
 /// lacks of them.
-pub(crate) fn exchange(catalogue: &Catalogue, theirs: &Versions) -> Vec<Message> {
+pub(crate) fn exchange(
+    catalogue: &Catalogue,
+    theirs: &Versions,
+    delivery: Delivery,
+) -> Vec<Message> {
     let listed: Set<usize> = theirs
         .buckets
         .iter()
@@ -64,7 +72,7 @@
         .flat_map(|bucket| catalogue.missing_contents(*bucket, &theirs.keys))
         .collect();
     contents.sort_by_key(|content| (content.key, content.version));
-    let mut messages = batches(contents);
+    let mut messages = batches(contents, delivery);
     let wanted = theirs.keys.iter().filter(|stamp| lacks(catalogue, stamp));
     let keys: Vec<Box<str>> = wanted.map(|stamp| stamp.key.clone()).collect();
     if !keys.is_empty() {
@@ -87,13 +95,30 @@
 pub(crate) fn entries<'a>(
     catalogue: &'a Catalogue,
     keys: impl IntoIterator<Item = &'a str>,
+    delivery: Delivery,
 ) -> Vec<Message> {
     let keys = keys.into_iter();
-    batches(keys.flat_map(|key| catalogue.contents(key)).collect())
+    let contents = keys.flat_map(|key| catalogue.contents(key)).collect();
+    batches(contents, delivery)
 }
 
-fn batches(contents: Vec<catalogue::Content>) -> Vec<Message> {
+/// Messages with `contents` for a peer: an offer of the large ones, if it knows offers, and the
+/// texts of the others.
+fn batches(contents: Vec<catalogue::Content>, delivery: Delivery) -> Vec<Message> {
+    let is_large = |content: &catalogue::Content| {
+        let bytes = content.text.map_or(0, str::len);
+        delivery == Delivery::Offered && bytes >= LARGE_TEXT_BYTES
+    };
+    let (large, contents): (Vec<_>, Vec<_>) = contents.into_iter().partition(is_large);
+    let offer = |content: &catalogue::Content| Offer {
+        key: content.key.into(),
+        mark: catalogue::mark(content.version, content.text),
+    };
+    let offers: Vec<Offer> = large.iter().map(offer).collect();
     let mut messages = Vec::new();
+    if !offers.is_empty() {
+        messages.push(Message::Offers(Offers { offers }));
+    }
     let mut batch = Entries::default();
     let mut bytes = 0;
     for content in contents {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -348,13 +348,16 @@
     }
 }
 
-/// Bytes of the catalogue texts in `message`.
+/// Bytes of the catalogue texts in `message`, as they are carried.
 fn text_bytes(message: &Message) -> u64 {
-    let Message::Entries(entries) = message else {
-        return 0;
-    };
-    let texts = entries.contents.iter().flat_map(|content| &content.text);
-    texts.map(|text| text.len() as u64).sum()
+    match message {
+        Message::Entries(entries) => {
+            let texts = entries.contents.iter().flat_map(|content| &content.text);
+            texts.map(|text| text.len() as u64).sum()
+        }
+        Message::Part(part) => part.bytes.len() as u64,
+        _ => 0,
+    }
 }
 
 fn name(source: Source) -> &'static str {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -61,7 +61,7 @@
         PeerBytesReceived,
         /// Invalid frames from peers.
         PeerFaults,
-        /// Bytes of catalogue texts received from peers, those already known included.
+        /// Bytes of catalogue texts received from peers, as they are carried.
         PeerTextBytes,
         /// Messages that waited long until they were written to a peer.
         PeerSlowWrites,
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -12,9 +12,11 @@
 
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use oriolecleat_core::gossip::Delivery;
 use oriolecleat_core::gossip::Link;
 use oriolecleat_core::gossip::Remote;
 use oriolecleat_core::message::Message;
+use oriolecleat_wire::OFFERS_PROTOCOL;
 use oriolecleat_wire::frame;
 use oriolecleat_wire::frame::Frame;
 use oriolecleat_wire::frame::Opener;
@@ -171,6 +173,7 @@
         incarnation: peer.incarnation,
         data_center: peer.data_center,
         dialled,
+        delivery: delivery(protocol),
     };
     let link = node.borrow_mut().add_link(&node, queue, remote);
     let (sink, stream) = socket.split();
@@ -185,6 +188,15 @@
     node.borrow_mut().remove_link(&node, link);
 }
 
+/// How large texts reach a peer over a link with `protocol`.
+fn delivery(protocol: u64) -> Delivery {
+    if protocol >= OFFERS_PROTOCOL {
+        Delivery::Offered
+    } else {
+        Delivery::Whole
+    }
+}
+
 /// Sends messages until the node closes the queue.
 async fn send(
     node: &Shared,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use sha2::Sha256;
 
+use crate::OFFERS_PROTOCOL;
 use crate::bytes::LENGTH;
 
 /// Largest frame in bytes. A catalogue value of 1 MB fits with its key and version.
@@ -98,6 +99,9 @@
             Message::Load(body) => self.seal_body(kind, body),
             Message::Audit(body) => self.seal_body(kind, body),
             Message::Heartbeat(body) => self.seal_body(kind, body),
+            Message::Offers(body) => self.seal_body(kind, body),
+            Message::Fetch(body) => self.seal_body(kind, body),
+            Message::Part(body) => self.seal_body(kind, body),
         };
         frame.map(Some)
     }
@@ -165,6 +169,9 @@
         Message::Heartbeat(_) => (9, 1),
         Message::Roster(_) => (10, 1),
         Message::Want(_) => (11, 1),
+        Message::Offers(_) => (12, OFFERS_PROTOCOL),
+        Message::Fetch(_) => (13, OFFERS_PROTOCOL),
+        Message::Part(_) => (14, OFFERS_PROTOCOL),
     }
 }
 
@@ -186,6 +193,9 @@
         9 => Message::Heartbeat(read(body)?),
         10 => Message::Roster(read(body)?),
         11 => Message::Want(read(body)?),
+        12 => Message::Offers(read(body)?),
+        13 => Message::Fetch(read(body)?),
+        14 => Message::Part(read(body)?),
         unknown => return Ok(Frame::Unknown(unknown)),
     };
     if body.is_empty() {
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -18,12 +18,16 @@
 use oriolecleat_core::message::Departure;
 use oriolecleat_core::message::Digest;
 use oriolecleat_core::message::Entries;
+use oriolecleat_core::message::Fetch;
 use oriolecleat_core::message::Heartbeat;
 use oriolecleat_core::message::Leaving;
 use oriolecleat_core::message::Load;
 use oriolecleat_core::message::MAX_LIST;
 use oriolecleat_core::message::Members;
 use oriolecleat_core::message::Message;
+use oriolecleat_core::message::Offer;
+use oriolecleat_core::message::Offers;
+use oriolecleat_core::message::Part;
 use oriolecleat_core::message::Report;
 use oriolecleat_core::message::Roster;
 use oriolecleat_core::message::Versions;
@@ -116,6 +120,28 @@
         (vec(text(), 0..4), vec(text(), 0..4))
             .prop_map(|(keys, members)| Message::Want(Want { keys, members })),
         vec(content, 0..8).prop_map(|contents| Message::Entries(Entries { contents })),
+        transfer(),
+    ]
+}
+
+fn transfer() -> impl Strategy<Value = Message> {
+    let mark = || {
+        let mark = (version(), any::<[u8; 32]>());
+        mark.prop_map(|(version, digest)| Mark { version, digest })
+    };
+    let offer = (text(), mark()).prop_map(|(key, mark)| Offer { key, mark });
+    let fetch = (text(), mark(), any::<u64>());
+    let part = (text(), mark(), any::<[u64; 2]>(), vec(any::<u8>(), 0..64));
+    prop_oneof![
+        vec(offer, 0..8).prop_map(|offers| Message::Offers(Offers { offers })),
+        fetch.prop_map(|(key, mark, offset)| Message::Fetch(Fetch { key, mark, offset })),
+        part.prop_map(|(key, mark, [offset, total], bytes)| Message::Part(Part {
+            key,
+            mark,
+            offset,
+            total,
+            bytes: bytes.into(),
+        })),
     ]
 }
 
--- a/crates/wire/tests/handshake.rs
+++ b/crates/wire/tests/handshake.rs
@@ -45,7 +45,7 @@
         Case {
             key: FLEET_KEY,
             acceptor: hello("b", 2),
-            result: Ok(1),
+            result: Ok(2),
         },
         Case {
             key: other_key,
@@ -65,15 +65,21 @@
             },
             result: Err(Fault::OtherFleet),
         },
-        // The next release still speaks this one's protocol; the one after does not.
+        // The release before, and the next one, have a protocol in common with this one; the one
+        // after does not.
         Case {
             key: FLEET_KEY,
-            acceptor: protocols(2, 1),
+            acceptor: protocols(1, 1),
             result: Ok(1),
         },
         Case {
             key: FLEET_KEY,
             acceptor: protocols(3, 2),
+            result: Ok(2),
+        },
+        Case {
+            key: FLEET_KEY,
+            acceptor: protocols(4, 3),
             result: Err(Fault::Protocol),
         },
     ];
--- a/crates/wire/tests/skew.rs
+++ b/crates/wire/tests/skew.rs
@@ -11,6 +11,7 @@
 use oriolecleat_core::message::Entries;
 use oriolecleat_core::message::Heartbeat;
 use oriolecleat_core::message::Message;
+use oriolecleat_core::message::Offers;
 use oriolecleat_core::message::Want;
 use oriolecleat_core::version::Version;
 use oriolecleat_wire::frame;
@@ -173,6 +174,13 @@
     };
     let (mut near, _) = link(before(hello("a", 1)), &before(hello("b", 2)));
     assert_eq!(near.sealer.seal(&Message::Heartbeat(heartbeat())), Ok(None));
+    let first = |hello| Hello {
+        protocol: 1,
+        ..hello
+    };
+    let (mut near, _) = link(first(hello("a", 1)), &hello("b", 2));
+    let offers = Message::Offers(Offers::default());
+    assert_eq!(near.sealer.seal(&offers), Ok(None));
 }
 
 fn decode<T: for<'de> Deserialize<'de>>(message: &Message) -> (u64, T) {
