Test that a whole text of another digest is dropped

Without the check of the digest no test failed. Run on a scratch copy, each fault alone: no offer after the first part (2 tests of core/tests/transfer.rs fail), no switch after a stall, none after a link ended, no check of the digest, texts of one part not offered on, no parts for waiting peers, parts of another total taken, offers of known texts fetched (1 test each). Offers sent over links with protocol 1 make no test fail: the daemon's choice by protocol is two lines that only a link between two releases would exercise.

--- a/crates/core/tests/transfer.rs
+++ b/crates/core/tests/transfer.rs
@@ -15,6 +15,7 @@
 use oriolecleat_core::member;
 use oriolecleat_core::member::State;
 use oriolecleat_core::message::Content;
+use oriolecleat_core::message::Fetch;
 use oriolecleat_core::message::Message;
 use oriolecleat_core::message::Offer;
 use oriolecleat_core::message::Offers;
@@ -318,9 +319,30 @@
     };
     let huge = Part {
         total: u64::MAX,
-        ..part
+        ..part.clone()
+    };
+    let mut other = Vm::new("c");
+    other.link(1, "b", Delivery::Offered);
+    let offers_of_other = other.publish(1, &self::text(20_000, true));
+    let Message::Offers(of_other) = &offers_of_other[0].1 else {
+        panic!("offers");
+    };
+    let fetch = Fetch {
+        key: KEY.into(),
+        mark: of_other.offers[0].mark,
+        offset: 0,
+    };
+    let sent = other.receive(1, Message::Fetch(fetch));
+    let Message::Part(of_other) = sent[0].1.clone() else {
+        panic!("a part");
+    };
+    // A whole text, but not the one that was offered.
+    let exchanged = Part {
+        mark: part.mark,
+        ..of_other
     };
     for wrong in [
+        [exchanged.clone(), exchanged],
         [flipped.clone(), longer],
         [whole.clone(), flipped],
         [huge, whole],
