Shorten the paths in large data centres

With 50 VMs in a data centre, a large plan took 4.1 s from the readers to the last VM, of 2.3 s that the terms leave: callers of that VM were served by the older plan.

Cause: each VM had links to the next two VMs of a ring, so the longest path grew with the number of VMs: 5 links with 21 VMs, 13 with 50. Each VM on the way costs the parts of its other links and the time to apply the plan.

A VM now has links to those d and d + 1 places on, where d is the smallest number with 2d(d + 1) + 1 of at least the number of VMs. Four links a VM as before, and no ring has shorter paths: 3 links with 21 VMs, 5 with 50. The new test of the topology compares the longest path with this bound for 1 to 64, 100, 150 and 200 VMs; with the old ring it fails from 10 VMs on.

While a fleet is upgraded, VMs of both releases have links that the other end does not want; such a link is closed after 10 s and dialled again at once.

--- a/crates/core/src/topology.rs
+++ b/crates/core/src/topology.rs
@@ -12,8 +12,6 @@
 /// two in other data centres of the region and four in other regions.
 pub const MAX_DEGREE: usize = 10;
 
-// Successors that each VM links to in the ring of its data centre.
-const RING_SUCCESSORS: usize = 2;
 // VMs of a data centre or region that have links to other data centres or regions.
 const BRIDGES: usize = 2;
 // Regions following in order of their names that each region links to.
@@ -86,7 +84,7 @@
     let mut links = Set::default();
     for centers in &regions {
         for center in centers {
-            add_ring(center, RING_SUCCESSORS, &mut links);
+            add_ring(center, &mut links);
         }
         add_bridges(centers, 1, &mut links);
     }
@@ -100,10 +98,21 @@
     links
 }
 
-// Links each VM of a data centre to its next `successors`, in the order of ranks.
-fn add_ring<'a>(center: &[&'a str], successors: usize, links: &mut Set<(&'a str, &'a str)>) {
+/// Most links from one VM of a data centre with `vms` of them to any other, if none is lost.
+#[must_use]
+pub fn center_diameter(vms: usize) -> usize {
+    let is_enough = |links: &usize| 2 * links * (links + 1) + 1 >= vms;
+    (0..vms).find(is_enough).unwrap_or_default()
+}
+
+// Links each VM of a data centre to those `d` and `d + 1` places on in the order of ranks, where `d`
+// is the diameter. Over `d` links a VM with four links in a ring reaches at most `2 d (d + 1) + 1`
+// VMs, so no ring has shorter paths. With links to the next two VMs, paths would grow with the number
+// of VMs and not with its root.
+fn add_ring<'a>(center: &[&'a str], links: &mut Set<(&'a str, &'a str)>) {
+    let diameter = center_diameter(center.len());
     for (index, vm) in center.iter().enumerate() {
-        for step in 1..=successors {
+        for step in [diameter, diameter + 1] {
             add_edge(vm, center[(index + step) % center.len()], links);
         }
     }
--- a/crates/core/tests/topology.rs
+++ b/crates/core/tests/topology.rs
@@ -115,6 +115,51 @@
     }
 }
 
+/// Longest path from one VM to any other.
+fn eccentricity(graph: &BTreeMap<&str, BTreeSet<&str>>, start: &str) -> usize {
+    let mut seen = BTreeSet::from([start]);
+    let mut level = vec![start];
+    let mut steps = 0;
+    loop {
+        let next: BTreeSet<&str> = level
+            .iter()
+            .flat_map(|vm| graph[vm].iter().copied())
+            .collect();
+        level = next.into_iter().filter(|vm| seen.insert(vm)).collect();
+        if level.is_empty() {
+            return steps;
+        }
+        steps += 1;
+    }
+}
+
+// Guards against paths that grow with the size of a data centre: each VM on the way of a change
+// delays it. With four links a VM, `d` links reach at most `2 d (d + 1) + 1` VMs of a ring.
+#[test]
+fn paths_within_a_data_center_are_as_short_as_possible() {
+    for center in (1..=64).chain([100, 150, 200]) {
+        let vm = |index| Vm {
+            name: format!("vm-{index}"),
+            region: "r".to_owned(),
+            data_center: "d".to_owned(),
+        };
+        let vms: Vec<Vm> = (0..center).map(vm).collect();
+        let nodes = nodes(&vms);
+        let graph = adjacency(&nodes);
+        let longest = graph.keys().map(|vm| eccentricity(&graph, vm)).max();
+        let longest = longest.expect("a VM");
+        assert!(
+            longest <= topology::center_diameter(center),
+            "{center} VMs: {longest} links"
+        );
+        let reachable = |links: usize| 2 * links * (links + 1) + 1;
+        assert!(
+            longest == 0 || reachable(longest - 1) < center,
+            "{center} VMs: {longest} links"
+        );
+    }
+}
+
 // Guards against more links between regions than the bridges need: their traffic is billed.
 #[test]
 fn few_links_run_between_regions() {
