Notice a lost answer of the store within three seconds

A reader waits for changes in calls of up to 20 s. If the answer to one is lost and its connection stays open, the reader misses all changes until the wait ends, and confirms the view each second meanwhile, so nobody takes over in its data centre.

Waits last 2 s now, so a lost answer is noticed after 2.7 s. The price is half a call a second for each reader when nothing changes.

--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -24,9 +24,11 @@
 use crate::node::Shared;
 use crate::socket;
 
-/// Longest wait for changes in one call. Each call is paid for; a connection that goes silent is
-/// closed by its keep-alive long before.
-const WAIT: Duration = Duration::from_secs(20);
+/// Longest wait for changes in one call. An answer can be lost on a connection that stays open, which
+/// only the end of the wait shows; until then this VM misses changes and confirms the view. Together
+/// with [`CALL_TIMEOUT`] it is shorter than the 3 s for which changes may be late after a disruption
+/// of the store. Each call is paid for.
+const WAIT: Duration = Duration::from_secs(2);
 /// While a wait is pending, the view counts as confirmed this often.
 const CONFIRM_EVERY: Duration = Duration::from_secs(1);
 /// Time on top of the wait in which the answer to a call has to arrive; the store answers within
