Keep the limits that targets state in their answers

Cause: nothing read the header.

The adapter decodes the header once into a statement; a value that is not a plain decimal number is counted and changes nothing. The placement keeps what each incarnation of a target states. Up to four of the VMs that callers of the service are sent to divide 1.4 times the limit, drawn by a hash that all VMs agree on; the others send nothing there. A call that no target may get in time is refused at once, with the wait until the next one may be sent. A limit ends with an answer to a later request.

Why no messages between VMs: the shares add up whatever a VM knows of the others, as long as they agree on the members. First tried: one owner by the assignment of homes. It left the limited targets unused, as callers are sent to the homes of the first service of a host, and these also get the calls of its other services; and one owner among these VMs left half of the targets to VMs without calls.

--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -181,6 +181,21 @@
     homes
 }
 
+/// Most VMs that use a target which takes only so many requests from all VMs together. Each of them may
+/// exceed its share by a request, and a target tolerates five.
+pub const USERS_MAX: usize = 4;
+
+/// The VMs, of those that callers of a service are sent to, that use one of its targets while it takes
+/// only so many requests from all VMs together. The targets are spread over the senders.
+#[must_use]
+pub fn users<'a>(target: &str, senders: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut users: Vec<&str> = senders.collect();
+    users.sort_unstable_by_key(|vm| (hash(&[vm.as_bytes(), target.as_bytes()]), *vm));
+    users.dedup();
+    users.truncate(USERS_MAX);
+    users
+}
+
 /// Selects at most `count` homes for one caller, the preferred one first. A random `draw` in 0..1
 /// divides the callers among the homes by slots.
 #[must_use]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod route;
 pub mod settings;
 pub mod site;
+pub mod stated;
 pub mod stop;
 pub mod target;
 pub mod ticket;
--- a/crates/core/src/place/flight.rs
+++ b/crates/core/src/place/flight.rs
@@ -58,6 +58,11 @@
         if let Some(target) = self.targets.get_mut(choice.target) {
             target.in_flight += 1;
         }
+        let users = self.targets.get(choice.target);
+        let users = users.map_or(0, |target| self.users_of(&target.spec));
+        if let Some(stated) = self.stated.get_mut(choice.target) {
+            stated.count_request(now, users);
+        }
         Attempt {
             target: choice.target,
             sent: now,
--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -63,6 +63,8 @@
     pub(crate) distance: Distance,
     /// Whether the target belongs to another VM of the region.
     pub(crate) foreign: bool,
+    /// Requests that the target may get at once under the limit that it states.
+    pub(crate) allowance: f64,
 }
 
 /// Properties of a call on which its loss depends.
@@ -86,11 +88,21 @@
         self.load > KNEE_SHARE * self.slots && self.slots > 1.0
     }
 
-    /// Whether there is room for the call that the load includes.
-    pub(crate) fn has_room(&self) -> bool {
+    /// Whether the load leaves room for the call that it includes.
+    pub(crate) fn is_below_max_load(&self) -> bool {
         self.load <= self.max_load + LOAD_TOLERANCE
     }
 
+    /// Whether the limit that the target states allows the call.
+    pub(crate) fn is_allowed(&self) -> bool {
+        self.allowance >= 1.0
+    }
+
+    /// Whether the target may get the call.
+    pub(crate) fn has_room(&self) -> bool {
+        self.is_below_max_load() && self.is_allowed()
+    }
+
     /// Expected seconds until the answer.
     pub(crate) fn expected_time(&self, work: f64) -> f64 {
         let congestion = if self.is_congested() {
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -28,6 +28,9 @@
 use crate::place::queue::Queue;
 use crate::place::stats::Stats;
 use crate::place::work::Work;
+use crate::stated::Change;
+use crate::stated::Stated;
+use crate::stated::Statement;
 use crate::target;
 use crate::target::Place;
 use crate::target::Standing;
@@ -55,6 +58,8 @@
     pub failure_share: f64,
     /// Age of the newest report; none without any.
     pub report_age: Option<Span>,
+    /// Requests a second that the target states that it takes from all VMs, if it states a limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// A target with the expected loss of a call there.
@@ -73,6 +78,10 @@
 const JITTER: f64 = 0.01;
 /// Seconds of work that are assumed before any answer.
 const ASSUMED_WORK_S: f64 = 0.050;
+/// Calls a second that are assumed where no target may get any.
+const MIN_THROUGHPUT: f64 = 0.001;
+/// Longest wait that a refused caller is told. What binds now may end long before.
+const EXPECTED_WAIT_MAX: Span = Span::from_millis(10_000);
 /// Time after which an unanswered probe is forgotten. The probe itself times out earlier.
 const PROBE_FORGOTTEN_AFTER: Span = Span::from_millis(500);
 /// Time between two ticks while calls wait for room, or for a target that is worth a copy. The ends
@@ -87,6 +96,11 @@
     pub(super) targets: Table,
     /// Names of the targets that belong to this VM; none if no target counts as foreign.
     pub(super) own_targets: Option<Set<Box<str>>>,
+    /// Names of the targets that this VM may use while they state a limit, each with the number of VMs
+    /// that may; none before homes are known, when this VM may use all by itself.
+    users: Option<Map<Box<str>, usize>>,
+    /// What targets state of themselves.
+    pub(super) stated: SecondaryMap<target::Key, Stated>,
     pub(super) stats: SecondaryMap<target::Key, Stats>,
     pub(super) queue: Queue,
     pub(super) flights: Map<Call, Flight>,
@@ -110,6 +124,8 @@
             limits,
             targets: Table::default(),
             own_targets: None,
+            users: None,
+            stated: SecondaryMap::new(),
             stats: SecondaryMap::new(),
             queue: Queue::default(),
             flights: Map::default(),
@@ -132,6 +148,7 @@
         self.targets.update(now, &self.place, specs);
         let targets = &self.targets;
         self.stats.retain(|key, _| targets.get(key).is_some());
+        self.stated.retain(|key, _| targets.get(key).is_some());
         for (key, target) in self.targets.iter() {
             if !self.stats.contains_key(key) {
                 self.stats.insert(key, Stats::default());
@@ -149,6 +166,25 @@
         self.own_targets = targets;
     }
 
+    /// Sets the names of the targets that this VM may use while they state a limit, each with the number
+    /// of VMs that may.
+    pub fn set_users(&mut self, users: Map<Box<str>, usize>) {
+        self.users = Some(users);
+    }
+
+    /// Takes over what an answer to a request sent at `sent` states of its target.
+    pub fn record_statement(
+        &mut self,
+        now: Instant,
+        target: target::Key,
+        sent: Instant,
+        statement: Statement,
+    ) -> Option<Change> {
+        self.targets.get(target)?;
+        let stated = self.stated.entry(target)?;
+        stated.or_default().record(now, sent, statement)
+    }
+
     /// Replaces the limits.
     pub fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
@@ -167,10 +203,11 @@
         let decay_s = self.work.typical().unwrap_or(ASSUMED_WORK_S);
         let slots = self.targets.get(target)?.spec.slots;
         Some(Estimate {
-            load: stats.load(now, decay_s, self.mean_others * number(slots)),
+            load: stats.load(now, decay_s, self.usual_others(target, number(slots))),
             slowdown: stats.slowdown(now, self.mean_slowdown),
             failure_share: stats.failure_share(now),
             report_age: stats.report_age(now),
+            limit_per_s: self.stated.get(target).and_then(Stated::limit),
         })
     }
 
@@ -199,7 +236,10 @@
         };
         let candidates = self.candidates(now);
         item.probe_deadline = self.probe_best(now, &item, work, &candidates, out);
-        if self.queue.len() >= self.limits.queue || self.would_wait_too_long(now, &item, work) {
+        let is_limited = candidates.iter().all(|(_, target)| !target.is_allowed());
+        if self.queue.len() >= self.limits.queue
+            || self.would_wait_too_long(now, &item, work, is_limited)
+        {
             let call = item.job.call;
             let reason = Refusal::Overloaded;
             out.push(Action::Refuse { call, reason });
@@ -297,7 +337,8 @@
     #[must_use]
     pub fn expected_wait(&self, now: Instant) -> Span {
         let ahead = u64::try_from(self.queue.len()).unwrap_or(u64::MAX);
-        span(number(ahead + 1) / self.throughput(now).max(f64::MIN_POSITIVE))
+        let wait = span(number(ahead + 1) / self.throughput(now).max(MIN_THROUGHPUT));
+        wait.min(EXPECTED_WAIT_MAX)
     }
 
     /// Calls a second that the open targets complete when each has its largest load.
@@ -308,7 +349,11 @@
                 .stats
                 .get(key)
                 .map_or(1.0, |stats| stats.slowdown(now, self.mean_slowdown));
-            number(max_load(target.spec.slots)) / (typical * slowdown)
+            let throughput = number(max_load(target.spec.slots)) / (typical * slowdown);
+            match self.limit_of(now, key, target) {
+                Some(limit) => throughput.min(limit),
+                None => throughput,
+            }
         };
         let open = self
             .targets
@@ -317,17 +362,39 @@
         open.map(throughput).sum()
     }
 
+    /// Requests a second that the limit which the target states leaves to this VM; none without one.
+    fn limit_of(&self, now: Instant, key: target::Key, target: &target::Target) -> Option<f64> {
+        let users = self.users_of(&target.spec);
+        self.stated.get(key)?.rate(now, users)
+    }
+
+    /// Requests of other VMs that are expected at a target without reports. A target with a limit gets
+    /// few: only some VMs send there, and no more than their shares.
+    fn usual_others(&self, key: target::Key, slots: f64) -> f64 {
+        let limit = self.stated.get(key).and_then(Stated::limit);
+        limit.map_or(self.mean_others * slots, |_| 0.0)
+    }
+
+    /// Number of VMs that may use the target while it states a limit, this one included; zero if this
+    /// one may not.
+    pub(super) fn users_of(&self, spec: &entry::Target) -> usize {
+        let users = self.users.as_ref();
+        users.map_or(1, |users| users.get(&spec.name).copied().unwrap_or(0))
+    }
+
     /// Expected seconds of work of a call on a usual target.
     pub(super) fn expected_work(&self, job: &Job) -> f64 {
         self.work.expected(job.entry, seconds(job.objective))
     }
 
     /// Whether so many calls wait that the call could not be served before its caller leaves, or
-    /// would wait for longer than it may.
-    fn would_wait_too_long(&self, now: Instant, item: &Item, work: f64) -> bool {
+    /// would wait for longer than it may. `is_limited` states that no target may get it at once
+    /// because of the limits that they state: then it waits like a call behind another one.
+    fn would_wait_too_long(&self, now: Instant, item: &Item, work: f64, is_limited: bool) -> bool {
         let ahead = self
             .queue
-            .ahead(now, item.job.urgency, |job| self.expected_work(job));
+            .ahead(now, item.job.urgency, |job| self.expected_work(job))
+            + usize::from(is_limited);
         if ahead == 0 {
             return false;
         }
@@ -344,7 +411,7 @@
             let stats = self.stats.get(key)?;
             let slots = number(target.spec.slots);
             let candidate = Candidate {
-                load: stats.load(now, decay_s, self.mean_others * slots) + 1.0,
+                load: stats.load(now, decay_s, self.usual_others(key, slots)) + 1.0,
                 slots,
                 max_load: number(max_load(target.spec.slots)),
                 slowdown: stats.slowdown(now, self.mean_slowdown),
@@ -352,6 +419,9 @@
                 round_trip: target.round_trip,
                 distance: self.distance(&target.spec),
                 foreign: self.is_foreign(&target.spec),
+                allowance: self.stated.get(key).map_or(f64::INFINITY, |stated| {
+                    stated.allowance(now, self.users_of(&target.spec))
+                }),
             };
             Some((key, candidate))
         };
@@ -423,6 +493,7 @@
                     let mut chosen = candidates.iter_mut();
                     if let Some((_, candidate)) = chosen.find(|(key, _)| *key == choice.target) {
                         candidate.load += 1.0;
+                        candidate.allowance -= 1.0;
                     }
                 }
                 None if item.is_expired(now, work) => {
@@ -436,7 +507,7 @@
     }
 }
 
-/// The targets apart from `skip`, by ascending expected loss of the call.
+/// The targets that may get the call, apart from `skip`, by ascending expected loss of the call.
 pub(super) fn rank(
     candidates: &[(target::Key, Candidate)],
     now: Instant,
@@ -471,7 +542,8 @@
     best
 }
 
-/// The targets apart from `skip`, each with the expected loss of the call there.
+/// The targets that may get the call, apart from `skip`, each with the expected loss of the call
+/// there.
 pub(super) fn score<'a>(
     candidates: &'a [(target::Key, Candidate)],
     now: Instant,
@@ -486,7 +558,9 @@
         repeatable: item.job.class != Class::Once,
         urgency: item.job.urgency,
     };
-    let open = candidates.iter().filter(|(key, _)| !skip.contains(key));
+    let open = candidates
+        .iter()
+        .filter(|(key, candidate)| !skip.contains(key) && candidate.is_allowed());
     open.map(move |(target, candidate)| Choice {
         target: *target,
         candidate: *candidate,
--- a/crates/core/src/place/probe.rs
+++ b/crates/core/src/place/probe.rs
@@ -40,7 +40,7 @@
         // that one is not.
         let full = candidates
             .iter()
-            .all(|(_, candidate)| !candidate.has_room());
+            .all(|(_, candidate)| !candidate.is_below_max_load());
         // A call that is in time even beside a noisy neighbour needs no probe, nor does a late one.
         let needless = work * NOISY_SLOWDOWN < item.remaining(now) || !item.is_timely(now, work);
         if needless && !full {
--- a/crates/core/src/site/rule.rs
+++ b/crates/core/src/site/rule.rs
@@ -105,6 +105,15 @@
         self.hosts.get(&*lower).map(Vec::as_slice)
     }
 
+    /// The hosts, each with the service whose homes its callers are told, and all its services.
+    pub fn services_by_host(&self) -> impl Iterator<Item = (&str, Vec<&str>)> {
+        self.hosts.values().filter_map(|rules| {
+            let destinations = rules.iter().flat_map(|rule| &rule.destinations);
+            let services: Vec<&str> = destinations.map(|part| &*part.service).collect();
+            Some((*services.first()?, services))
+        })
+    }
+
     /// All rules.
     pub fn iter(&self) -> impl Iterator<Item = &Rule> {
         self.hosts.values().flatten()
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -154,6 +154,12 @@
         node.record_head(self.service, self.target, self.started, headers);
     }
 
+    /// Records what the target states of itself in its answer to the request `id`.
+    pub(crate) fn record_statement(&self, id: &str, headers: &HeaderMap) {
+        let mut node = self.node.borrow_mut();
+        node.record_statement(self.service, self.target, self.started, id, headers);
+    }
+
     /// Records the time spent inside this VM on a request whose head was read at `arrived` and
     /// whose whole answer was passed on.
     pub(crate) fn record_delivery(&self, arrived: Instant) {
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -5,6 +5,7 @@
 use hyper::header::HeaderName;
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::request::Outcome;
+use oriolecleat_core::stated::Statement;
 
 use crate::report;
 
@@ -25,6 +26,8 @@
     pub open_ended: bool,
     /// Reads the load that an answer reports.
     pub load: fn(&HeaderMap) -> Option<Report>,
+    /// Reads what an answer states of its target.
+    pub stated: fn(&HeaderMap) -> Statement,
     /// Whether an answer says that the target did not run the request.
     pub is_shed: fn(StatusCode, &HeaderMap) -> bool,
     /// Whether an answer says that another target has the address.
@@ -43,6 +46,7 @@
             own: true,
             open_ended: false,
             load: report::parse,
+            stated: |_| Statement::default(),
             is_shed,
             is_misdirected: |_| false,
         }
--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 
 use oriolecleat_core::address::Candidate;
+use oriolecleat_core::entry;
 use oriolecleat_core::home;
 use oriolecleat_core::home::Home;
 use oriolecleat_core::home::Target;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
+use oriolecleat_core::site::rule;
 use rand::RngExt;
 use serde_json::json;
 
@@ -21,11 +23,29 @@
     candidates: Vec<Candidate>,
     services: Vec<(Box<str>, Vec<Target>)>,
     regions: Set<Box<str>>,
+    entrances: Entrances,
 }
 
+/// By service, the services whose homes get its calls: a caller asks for a host, and is told the homes
+/// of the first service of this host.
+type Entrances = Map<Box<str>, Set<Box<str>>>;
+
 /// Homes of each service, by region of the callers and then by service.
 pub(crate) type Homes = Map<Box<str>, Map<Box<str>, Vec<Home>>>;
 
+fn entrances(rules: &rule::Table) -> Entrances {
+    let mut entrances = Entrances::default();
+    for (first, services) in rules.services_by_host() {
+        for service in services {
+            let known = entrances.entry(service.into()).or_default();
+            if !known.contains(first) {
+                known.insert(first.into());
+            }
+        }
+    }
+    entrances
+}
+
 impl Node {
     /// Updates the homes to the current members and targets.
     pub(crate) fn update_homes(&mut self) {
@@ -53,6 +73,7 @@
             candidates,
             services,
             regions,
+            entrances: entrances(&hosted.rules),
         };
         if basis == self.homes_basis {
             return;
@@ -65,6 +86,7 @@
             })
             .collect();
         self.homes_basis = basis;
+        self.update_users(&homes);
         if homes == self.homes {
             return;
         }
@@ -85,6 +107,29 @@
         self.homes = homes;
     }
 
+    /// Tells each service how many VMs use each target that this VM may use while it states a limit.
+    fn update_users(&mut self, homes: &Homes) {
+        let vm = &*self.settings.vm;
+        for service in self.services.values_mut() {
+            let entrances = self.homes_basis.entrances.get(&service.name);
+            let users = |spec: &entry::Target| {
+                let region = homes.get(&spec.region);
+                let services = entrances.into_iter().flatten();
+                let senders = services
+                    .filter_map(|service| region?.get(service))
+                    .flatten();
+                let users = home::users(&spec.name, senders.map(|home| &*home.vm));
+                users
+                    .contains(&vm)
+                    .then(|| (spec.name.clone(), users.len()))
+            };
+            let targets = service.balancer.targets().iter();
+            let users = targets.filter_map(|(_, target)| users(&target.spec));
+            let users = users.collect();
+            service.balancer.set_users(users);
+        }
+    }
+
     /// The targets of `service`, as input of the assignment of homes.
     fn home_targets(&self, service: &str) -> Vec<Target> {
         let key = self.names.get(service);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -42,6 +42,7 @@
 mod signals;
 mod socket;
 mod start;
+mod stated;
 mod stream;
 mod ticketed;
 mod timer;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -67,6 +67,8 @@
         PeerSlowWrites,
         /// Bytes of catalogue texts that were new and accepted.
         CatalogueBytes,
+        /// Answers in which a target states something of itself that cannot be read.
+        UnreadableStatements,
     }
 
     /// What is gauged; each name in docs/metrics.md.
@@ -93,7 +95,7 @@
 }
 
 /// All counts in the order of their declaration.
-pub const COUNTS: [Count; 20] = [
+pub const COUNTS: [Count; 21] = [
     Count::Calls,
     Count::Ran,
     Count::NotRun,
@@ -114,6 +116,7 @@
     Count::PeerTextBytes,
     Count::PeerSlowWrites,
     Count::CatalogueBytes,
+    Count::UnreadableStatements,
 ];
 
 /// All gauges in the order of their declaration.
@@ -154,6 +157,7 @@
             Self::PeerTextBytes => "peer.text_bytes",
             Self::PeerSlowWrites => "peer.slow_writes",
             Self::CatalogueBytes => "catalogue.bytes",
+            Self::UnreadableStatements => "targets.unreadable",
         }
     }
 }
--- a/crates/daemon/src/policy.rs
+++ b/crates/daemon/src/policy.rs
@@ -10,10 +10,13 @@
 use oriolecleat_core::balance::Progress;
 use oriolecleat_core::entry;
 use oriolecleat_core::estimate::Report;
+use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
 use oriolecleat_core::place;
 use oriolecleat_core::place::Estimate;
 use oriolecleat_core::place::Placer;
+use oriolecleat_core::stated::Change;
+use oriolecleat_core::stated::Statement;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Standing;
 use oriolecleat_core::target::Table;
@@ -61,6 +64,29 @@
         }
     }
 
+    /// Sets the names of the targets that this VM may use while they state a limit, each with the number
+    /// of VMs that may.
+    pub(crate) fn set_users(&mut self, users: Map<Box<str>, usize>) {
+        match self {
+            Self::Own(_) => {}
+            Self::Hosted(placer) => placer.set_users(users),
+        }
+    }
+
+    /// Takes over what an answer to a request sent at `sent` states of its target.
+    pub(crate) fn record_statement(
+        &mut self,
+        now: Instant,
+        target: target::Key,
+        sent: Instant,
+        statement: Statement,
+    ) -> Option<Change> {
+        match self {
+            Self::Own(_) => None,
+            Self::Hosted(placer) => placer.record_statement(now, target, sent, statement),
+        }
+    }
+
     pub(crate) fn targets(&self) -> &Table {
         match self {
             Self::Own(balancer) => balancer.targets(),
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -303,6 +303,8 @@
             log::info!(id = self.call.id(); "address of the target is in use by another target");
             let mut node = self.node.borrow_mut();
             node.record_misdirection(self.service, attempt.target());
+        } else {
+            attempt.record_statement(self.call.id(), headers);
         }
         if let Some(shed) = Shed::declared((dialect.is_shed)(status, headers)) {
             if response.body().is_end_stream() {
