Send a refused request again over a new connection only

Reported by operators of similar systems: a faulty target writes an earlier refusal once more on a kept connection, and clients are told 'not run' for a request that the target runs.

It happens here in one case: the only target with room refuses a request, which then is sent to it again over the same connection. The id of the repeated refusal is that of the request itself, so it was taken for the answer: the caller got 503 for a request that ran, and with a second target the request would have run there, too. A repeated refusal of another request was told apart by its id before.

A request that a target refused now takes no kept connection to this target.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -212,6 +212,7 @@
         ticket,
         deadline,
         deadline_timer: Box::pin(tokio::time::sleep_until(expires_at)),
+        refused_by: Vec::new(),
     };
     let mut response = match exchange.run(admitted).await {
         Ok((answer, outcome)) => deliver(exchange, tracker, answer, outcome, id).await,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -85,6 +85,7 @@
             // An idempotent request can be retried, so it may use a connection that was idle for
             // longer; its result shows whether targets drop idle connections.
             idle: (class == Class::Once).then(|| self.idle_limit.get(self.clock.now())),
+            only_new: false,
         }
     }
 }
@@ -102,6 +103,9 @@
     pub(crate) deadline: Instant,
     /// Fires at `deadline`.
     pub(crate) deadline_timer: Pin<Box<Sleep>>,
+    /// Targets that refused the request. A faulty one may write its refusal again on the connection,
+    /// where it would be taken for the answer to the same request.
+    pub(crate) refused_by: Vec<target::Key>,
 }
 
 impl Exchange {
@@ -170,6 +174,7 @@
                 }
                 Conclusion::Shed(shed, progress) => {
                     self.ticket.mark_shed();
+                    self.refused_by.push(grant.target);
                     let admitted = sent.shed(shed, self.body.is_replayable())?;
                     if !self.node.borrow_mut().take_repeat(self.service) {
                         return Err(admitted.refuse(Code::Overloaded));
@@ -296,7 +301,8 @@
     ) -> impl Future<Output = Result<Connection, Unconnected>> + use<> {
         let (checkout, limit, left) = {
             let mut node = self.node.borrow_mut();
-            let bounds = node.bounds(self.service, grant.target, self.call.class());
+            let mut bounds = node.bounds(self.service, grant.target, self.call.class());
+            bounds.only_new = self.refused_by.contains(&grant.target);
             let limit = node.settings.http.connect_timeout;
             let checkout = node.pool.take(grant.address, bounds);
             (checkout, limit, self.deadline.since(node.clock.now()))
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -37,6 +37,8 @@
     pub(crate) connections: usize,
     /// Longest idle time of a connection that is used again, if it is bounded.
     pub(crate) idle: Option<Span>,
+    /// Whether no connection is used again.
+    pub(crate) only_new: bool,
 }
 
 type Driver = http1::Connection<TokioIo<Socket>, Upload>;
@@ -176,18 +178,18 @@
     pub(crate) fn take(&mut self, address: SocketAddr, bounds: Bounds) -> Checkout {
         let connections = self.by_address.entry(address).or_default();
         // The last connection was returned last; if it was idle for too long, all were.
-        while let Some(mut connection) = connections.idle.pop_back_if(|connection| {
-            bounds
-                .idle
-                .is_none_or(|idle| connection.idle_time() <= idle)
-        }) {
+        let is_usable = |connection: &mut Connection| {
+            let idle = bounds.idle;
+            !bounds.only_new && idle.is_none_or(|idle| connection.idle_time() <= idle)
+        };
+        while let Some(mut connection) = connections.idle.pop_back_if(is_usable) {
             if connection.socket.is_quiet() {
                 connection.last_idle = Some(connection.idle_time());
                 return Checkout::Idle(connection);
             }
         }
-        // The idle connections that are left were idle for too long: at the limit, closing the
-        // oldest one makes room for a new one.
+        // The idle connections that are left are not to be used: at the limit, closing the oldest one
+        // makes room for a new one.
         if connections.open.get() >= bounds.connections && connections.idle.pop_front().is_none() {
             return Checkout::Full;
         }
