--- a/crates/bench/src/network/mod.rs
+++ b/crates/bench/src/network/mod.rs
@@ -88,7 +88,7 @@
 fn is_update(message: &Message) -> bool {
     matches!(
         message,
-        Message::Entries(_) | Message::Leaving(_) | Message::Members(_)
+        Message::Entries(_) | Message::Leaving(_) | Message::Members(_) | Message::Offers(_)
     )
 }
 
