Keep the leaving and the waits that targets state in their answers

A target that leaves says so in its answers, and one that turns a request away with 503 may name the seconds for which it wants nothing from this VM; nothing read either, so a VM that the store or its peers had not told sent on.

Both stand in the same statement as the limit, and in the same state of a target and incarnation. A target that leaves gets no call, copy or load probe from this VM any more, whatever the store says, and the peers are told; the longest wait holds, a shorter one does not cut it. If no target may get a call, it is refused at once with the end of the first wait. Values that cannot be read are counted and say nothing.

Not read yet: what the health path states, and answers that nobody waits for any more.

--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -78,7 +78,7 @@
 const JITTER: f64 = 0.01;
 /// Seconds of work that are assumed before any answer.
 const ASSUMED_WORK_S: f64 = 0.050;
-/// Calls a second that are assumed where no target may get any.
+/// Calls a second below which no target counts as getting any.
 const MIN_THROUGHPUT: f64 = 0.001;
 /// Longest wait that a refused caller is told. What binds now may end long before.
 const EXPECTED_WAIT_MAX: Span = Span::from_millis(10_000);
@@ -179,12 +179,21 @@
         target: target::Key,
         sent: Instant,
         statement: Statement,
-    ) -> Option<Change> {
-        self.targets.get(target)?;
-        let stated = self.stated.entry(target)?;
+    ) -> Vec<Change> {
+        let known = self.targets.get(target);
+        let Some(stated) = known.and_then(|_| self.stated.entry(target)) else {
+            return Vec::new();
+        };
         stated.or_default().record(now, sent, statement)
     }
 
+    /// Whether the target states that it takes nothing from this VM at `now`.
+    #[must_use]
+    pub fn is_closed(&self, now: Instant, target: target::Key) -> bool {
+        let stated = self.stated.get(target);
+        stated.is_some_and(|stated| stated.wait(now).is_none_or(|wait| wait > Span::ZERO))
+    }
+
     /// Replaces the limits.
     pub fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
@@ -337,8 +346,13 @@
     #[must_use]
     pub fn expected_wait(&self, now: Instant) -> Span {
         let ahead = u64::try_from(self.queue.len()).unwrap_or(u64::MAX);
-        let wait = span(number(ahead + 1) / self.throughput(now).max(MIN_THROUGHPUT));
-        wait.min(EXPECTED_WAIT_MAX)
+        let throughput = self.throughput(now);
+        if throughput < MIN_THROUGHPUT {
+            let targets = self.stated.values().filter_map(|stated| stated.wait(now));
+            let first = targets.filter(|wait| *wait > Span::ZERO).min();
+            return first.map_or(EXPECTED_WAIT_MAX, |wait| wait.min(EXPECTED_WAIT_MAX));
+        }
+        span(number(ahead + 1) / throughput).min(EXPECTED_WAIT_MAX)
     }
 
     /// Calls a second that the open targets complete when each has its largest load.
--- a/crates/core/src/stated.rs
+++ b/crates/core/src/stated.rs
@@ -4,9 +4,13 @@
 //! A target in need states how many requests a second it takes from all VMs together. The few VMs that
 //! callers of its service are sent to divide them evenly, and no other VM sends any, so that the sum
 //! holds without messages between VMs.
+//!
+//! A target that leaves, or that asks a VM to wait, gets nothing from the VM that was told so, whatever
+//! other sources say.
 
 use crate::estimate::number;
 use crate::estimate::seconds;
+use crate::estimate::span;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -19,6 +23,21 @@
 pub struct Statement {
     /// Requests a second that the target takes from all VMs together.
     pub limit: Option<Result<f64, Unreadable>>,
+    /// Whether the target leaves.
+    pub leaving: Option<Result<bool, Unreadable>>,
+    /// Seconds for which the target wants nothing from this VM.
+    pub wait: Option<Result<f64, Unreadable>>,
+}
+
+impl Statement {
+    /// Number of values that cannot be read.
+    #[must_use]
+    pub fn unreadable(&self) -> u64 {
+        let limit = matches!(self.limit, Some(Err(_)));
+        let leaving = matches!(self.leaving, Some(Err(_)));
+        let wait = matches!(self.wait, Some(Err(_)));
+        u64::from(limit) + u64::from(leaving) + u64::from(wait)
+    }
 }
 
 /// What changes with a statement.
@@ -28,10 +47,16 @@
     Limited(f64),
     /// The target takes any number of requests again.
     Unlimited,
+    /// The target leaves.
+    Leaving,
+    /// The target wants nothing for so long.
+    Waiting(Span),
 }
 
 /// Largest limit that counts as one; a larger number is taken for a mistake.
 pub const LIMIT_MAX_PER_S: f64 = 1_000_000.0;
+/// Longest wait that counts as one; a longer one is taken for a mistake.
+pub const WAIT_MAX_S: f64 = 3_600.0;
 /// Seconds of its share of the limit that a VM may send at once after a pause.
 const BURST_S: f64 = 0.25;
 /// Sum of the shares of all VMs that may use a target, as a multiple of its limit. Not all of them have
@@ -58,6 +83,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Stated {
     limit: Option<Limit>,
+    leaving: bool,
+    /// Until when the target wants nothing from this VM.
+    wait_until: Instant,
 }
 
 impl Limit {
@@ -77,8 +105,31 @@
 
 impl Stated {
     /// Takes over what an answer to a request sent at `sent` states. Answers can overtake each other,
-    /// so a limit ends only with an answer to a request that was sent after it was stated.
-    pub fn record(&mut self, now: Instant, sent: Instant, statement: Statement) -> Option<Change> {
+    /// so a limit ends only with an answer to a request that was sent after it was stated. Leaving does
+    /// not end, and a shorter wait does not shorten one.
+    pub fn record(&mut self, now: Instant, sent: Instant, statement: Statement) -> Vec<Change> {
+        let mut changes = Vec::new();
+        changes.extend(self.record_limit(now, sent, statement));
+        if statement.leaving == Some(Ok(true)) && !self.leaving {
+            self.leaving = true;
+            changes.push(Change::Leaving);
+        }
+        if let Some(Ok(wait)) = statement.wait {
+            let wait = span(wait);
+            if now + wait > self.wait_until {
+                self.wait_until = now + wait;
+                changes.push(Change::Waiting(wait));
+            }
+        }
+        changes
+    }
+
+    fn record_limit(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        statement: Statement,
+    ) -> Option<Change> {
         match statement.limit {
             Some(Ok(per_s)) => self.set_limit(now, per_s),
             Some(Err(Unreadable)) => None,
@@ -107,9 +158,13 @@
     }
 
     /// Requests a second that the limit of the target leaves to this VM, one of `users` that may use
-    /// it; zero if this VM is none of them, and none without a limit.
+    /// it; zero if this VM is none of them, or if the target takes nothing from it, and none without a
+    /// limit.
     #[must_use]
     pub fn rate(&self, now: Instant, users: usize) -> Option<f64> {
+        if self.leaving || now < self.wait_until {
+            return Some(0.0);
+        }
         let limit = self.limit?;
         if users > 0 {
             return Some(limit.share(users));
@@ -136,6 +191,18 @@
         }
     }
 
+    /// Whether the target states that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Time for which the target still wants nothing from this VM; none if it leaves.
+    #[must_use]
+    pub fn wait(&self, now: Instant) -> Option<Span> {
+        (!self.leaving).then(|| self.wait_until.since(now))
+    }
+
     /// Requests a second that the target states that it takes, if it states a limit.
     #[must_use]
     pub fn limit(&self) -> Option<f64> {
--- a/crates/core/tests/stated.rs
+++ b/crates/core/tests/stated.rs
@@ -31,6 +31,7 @@
 fn limit(per_s: f64) -> Statement {
     Statement {
         limit: Some(Ok(per_s)),
+        ..Statement::default()
     }
 }
 
@@ -88,6 +89,7 @@
 fn a_limit_holds_until_a_later_answer_lacks_it() {
     let unreadable = Statement {
         limit: Some(Err(Unreadable)),
+        ..Statement::default()
     };
     let none = Statement::default();
     let cases = [
@@ -136,9 +138,10 @@
         let at = |millis: u64| Instant::from_micros(millis * 1_000);
         let mut stated = Stated::default();
         let first = stated.record(at(1_000), at(900), limit(2.0));
-        assert_eq!(first, Some(Change::Limited(2.0)));
+        assert_eq!(first, [Change::Limited(2.0)]);
         let change = stated.record(at(case.at), at(case.sent), case.second);
-        assert_eq!(change, case.change, "{}", case.name);
+        let expected: Vec<Change> = case.change.into_iter().collect();
+        assert_eq!(change, expected, "{}", case.name);
         assert_eq!(stated.limit(), case.limit, "{}", case.name);
     }
 }
@@ -319,3 +322,71 @@
         assert_eq!(service.call(now), Some(Ok(1)));
     }
 }
+
+/// A statement that the target leaves.
+fn leaving() -> Statement {
+    Statement {
+        leaving: Some(Ok(true)),
+        ..Statement::default()
+    }
+}
+
+/// A statement that the target wants nothing for `seconds`.
+fn wait(seconds: f64) -> Statement {
+    Statement {
+        wait: Some(Ok(seconds)),
+        ..Statement::default()
+    }
+}
+
+// Guards against a wait that a shorter one cuts, that ends early, or that does not end.
+#[test]
+fn the_longest_wait_holds_until_it_ends() {
+    let mut stated = Stated::default();
+    let second = |seconds: u64| START + Span::from_millis(1_000 * seconds);
+    assert_eq!(
+        stated.record(START, START, wait(5.0)),
+        [Change::Waiting(Span::from_millis(5_000))]
+    );
+    assert_eq!(stated.record(second(1), second(1), wait(2.0)), []);
+    assert_eq!(
+        stated.record(second(1), second(1), Statement::default()),
+        []
+    );
+    assert!(stated.allowance(second(4), 1) < 1.0);
+    assert!(stated.allowance(second(5), 1).is_infinite());
+    stated.record(second(4), second(4), wait(10.0));
+    assert!(stated.allowance(second(13), 1) < 1.0);
+    assert!(stated.allowance(second(14), 1).is_infinite());
+}
+
+// Guards against calls for a target that leaves or asks for a wait, and against callers who wait for
+// such targets or are told a wrong time.
+#[test]
+fn targets_that_leave_or_wait_get_no_calls() {
+    let mut service = Service::new();
+    let record = |service: &mut Service, target: usize, statement| {
+        let target = service.targets[target];
+        service
+            .placer
+            .record_statement(START, target, START, statement);
+    };
+    record(&mut service, 0, leaving());
+    record(&mut service, 0, Statement::default());
+    for _ in 0..20 {
+        assert_eq!(service.call(START), Some(Ok(1)));
+    }
+    assert!(service.placer.is_closed(START, service.targets[0]));
+    record(&mut service, 1, wait(3.0));
+    assert_eq!(service.call(START), Some(Err(Refusal::Overloaded)));
+    assert_eq!(
+        service.placer.expected_wait(START),
+        Span::from_millis(3_000)
+    );
+    let later = START + Span::from_millis(3_000);
+    assert_eq!(service.call(later), Some(Ok(1)));
+    record(&mut service, 1, leaving());
+    assert_eq!(service.call(later), Some(Err(Refusal::Overloaded)));
+    service.set_targets([1, 0]);
+    assert_eq!(service.call(later), Some(Ok(0)));
+}
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -13,6 +13,7 @@
 use oriolecleat_core::balance::Progress;
 use oriolecleat_core::balance::Refusal;
 use oriolecleat_core::entry::Class;
+use oriolecleat_core::stated::Statement;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
@@ -155,9 +156,9 @@
     }
 
     /// Records what the target states of itself in its answer to the request `id`.
-    pub(crate) fn record_statement(&self, id: &str, headers: &HeaderMap) {
+    pub(crate) fn record_statement(&self, id: &str, statement: Statement) {
         let mut node = self.node.borrow_mut();
-        node.record_statement(self.service, self.target, self.started, id, headers);
+        node.record_statement(self.service, self.target, self.started, id, statement);
     }
 
     /// Records the time spent inside this VM on a request whose head was read at `arrived` and
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -27,7 +27,7 @@
     /// Reads the load that an answer reports.
     pub load: fn(&HeaderMap) -> Option<Report>,
     /// Reads what an answer states of its target.
-    pub stated: fn(&HeaderMap) -> Statement,
+    pub stated: fn(StatusCode, &HeaderMap) -> Statement,
     /// Whether an answer says that the target did not run the request.
     pub is_shed: fn(StatusCode, &HeaderMap) -> bool,
     /// Whether an answer says that another target has the address.
@@ -46,7 +46,7 @@
             own: true,
             open_ended: false,
             load: report::parse,
-            stated: |_| Statement::default(),
+            stated: |_, _| Statement::default(),
             is_shed,
             is_misdirected: |_| false,
         }
--- a/crates/daemon/src/evidence.rs
+++ b/crates/daemon/src/evidence.rs
@@ -45,6 +45,7 @@
         let can_probe = self.balancer.can_probe();
         let evidence = self.evidence.get(target);
         evidence.is_some_and(|evidence| standing(now, evidence, can_probe) == Standing::Open)
+            && !self.balancer.is_closed(now, target)
     }
 
     /// Number of targets that get no new work because they are leaving.
--- a/crates/daemon/src/policy.rs
+++ b/crates/daemon/src/policy.rs
@@ -80,13 +80,21 @@
         target: target::Key,
         sent: Instant,
         statement: Statement,
-    ) -> Option<Change> {
+    ) -> Vec<Change> {
         match self {
-            Self::Own(_) => None,
+            Self::Own(_) => Vec::new(),
             Self::Hosted(placer) => placer.record_statement(now, target, sent, statement),
         }
     }
 
+    /// Whether the target states that it takes nothing from this VM.
+    pub(crate) fn is_closed(&self, now: Instant, target: target::Key) -> bool {
+        match self {
+            Self::Own(_) => false,
+            Self::Hosted(placer) => placer.is_closed(now, target),
+        }
+    }
+
     pub(crate) fn targets(&self) -> &Table {
         match self {
             Self::Own(balancer) => balancer.targets(),
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -304,7 +304,8 @@
             let mut node = self.node.borrow_mut();
             node.record_misdirection(self.service, attempt.target());
         } else {
-            attempt.record_statement(self.call.id(), headers);
+            let statement = (dialect.stated)(status, headers);
+            attempt.record_statement(self.call.id(), statement);
         }
         if let Some(shed) = Shed::declared((dialect.is_shed)(status, headers)) {
             if response.body().is_end_stream() {
--- a/crates/daemon/src/stated.rs
+++ b/crates/daemon/src/stated.rs
@@ -1,9 +1,10 @@
 //! What targets state of themselves in their answers.
 
-use hyper::HeaderMap;
 use oriolecleat_core::stated::Change;
+use oriolecleat_core::stated::Statement;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
 
 use crate::metrics::Count;
 use crate::node::Node;
@@ -17,20 +18,39 @@
         target: target::Key,
         sent: Instant,
         id: &str,
-        headers: &HeaderMap,
+        statement: Statement,
     ) {
         let now = self.clock.now();
-        let statement = (self.dialect.stated)(headers);
-        if let Some(Err(_)) = statement.limit {
-            self.metrics.add(Count::UnreadableStatements, 1);
-        }
+        let unreadable = statement.unreadable();
+        self.metrics.add(Count::UnreadableStatements, unreadable);
         let Some(found) = self.services.get_mut(service) else {
             return;
         };
-        let change = found
+        let changes = found
             .balancer
             .record_statement(now, target, sent, statement);
-        let (Some(change), Some(known)) = (change, found.balancer.targets().get(target)) else {
+        for change in changes {
+            self.log_statement(service, target, id, change);
+            if change == Change::Leaving {
+                self.record_stated_leaving(service, target, sent);
+            }
+        }
+    }
+
+    /// Tells the peers that a target states that it leaves.
+    fn record_stated_leaving(&mut self, service: service::Key, target: target::Key, sent: Instant) {
+        let now = self.clock.now();
+        let found = self.services.get_mut(service);
+        if found.is_some_and(|found| found.record_answer(now, target, sent, true)) {
+            self.record_leaving(service, target, "stated on an answer");
+        }
+    }
+
+    fn log_statement(&self, service: service::Key, target: target::Key, id: &str, change: Change) {
+        let Some(found) = self.services.get(service) else {
+            return;
+        };
+        let Some(known) = found.balancer.targets().get(target) else {
             return;
         };
         let (service, target) = (&*found.name, &*known.spec.name);
@@ -39,6 +59,11 @@
                 log::info!(service, target, per_s, id; "target states a limit");
             }
             Change::Unlimited => log::info!(service, target, id; "target states no limit any more"),
+            Change::Leaving => log::info!(service, target, id; "target states that it leaves"),
+            Change::Waiting(wait) => {
+                let wait_ms = Span::as_millis(wait);
+                log::info!(service, target, wait_ms, id; "target states a wait");
+            }
         }
     }
 }
