--- a/crates/core/src/download.rs
+++ b/crates/core/src/download.rs
@@ -26,12 +26,8 @@
         contents: Vec<Content>,
     ) -> Vec<Action> {
         let offers = self.pack_offers(&contents);
-        let is_small = |content: &Content| !is_large(content);
-        let small: Vec<Content> = contents
-            .iter()
-            .filter(|content| is_small(content))
-            .cloned()
-            .collect();
+        let small = contents.iter().filter(|content| !is_large(content));
+        let small: Vec<Content> = small.cloned().collect();
         let except: Vec<Link> = from.into_iter().collect();
         let entries = |contents| Message::Entries(Entries { contents });
         let mut actions = Vec::new();
@@ -50,7 +46,7 @@
         actions
     }
 
-    /// Offers of the large contents that peers were not offered yet. Their texts are compressed.
+    /// Offers of the large contents that the peers were not offered yet, whose texts are compressed.
     fn pack_offers(&mut self, contents: &[Content]) -> Vec<Offer> {
         let mut offers = Vec::new();
         for content in contents.iter().filter(|content| is_large(content)) {
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -11,7 +11,9 @@
 mod placer;
 mod probe;
 mod queue;
+mod stated;
 mod stats;
+mod wait;
 mod work;
 
 pub use placer::Estimate;
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -16,7 +16,6 @@
 use crate::estimate::Report;
 use crate::estimate::number;
 use crate::estimate::seconds;
-use crate::estimate::span;
 use crate::map::Map;
 use crate::map::Set;
 use crate::place::flight::Flight;
@@ -28,9 +27,7 @@
 use crate::place::queue::Queue;
 use crate::place::stats::Stats;
 use crate::place::work::Work;
-use crate::stated::Change;
 use crate::stated::Stated;
-use crate::stated::Statement;
 use crate::target;
 use crate::target::Place;
 use crate::target::Standing;
@@ -77,11 +74,7 @@
 /// Random part of a loss, so that equal targets take turns.
 const JITTER: f64 = 0.01;
 /// Seconds of work that are assumed before any answer.
-const ASSUMED_WORK_S: f64 = 0.050;
-/// Calls a second below which no target counts as getting any.
-const MIN_THROUGHPUT: f64 = 0.001;
-/// Longest wait that a refused caller is told. What binds now may end long before.
-const EXPECTED_WAIT_MAX: Span = Span::from_millis(10_000);
+pub(super) const ASSUMED_WORK_S: f64 = 0.050;
 /// Time after which an unanswered probe is forgotten. The probe itself times out earlier.
 const PROBE_FORGOTTEN_AFTER: Span = Span::from_millis(500);
 /// Time between two ticks while calls wait for room, or for a target that is worth a copy. The ends
@@ -98,7 +91,7 @@
     pub(super) own_targets: Option<Set<Box<str>>>,
     /// Names of the targets that this VM may use while they state a limit, each with the number of VMs
     /// that may; none before homes are known, when this VM may use all by itself.
-    users: Option<Map<Box<str>, usize>>,
+    pub(super) users: Option<Map<Box<str>, usize>>,
     /// What targets state of themselves.
     pub(super) stated: SecondaryMap<target::Key, Stated>,
     pub(super) stats: SecondaryMap<target::Key, Stats>,
@@ -166,34 +159,6 @@
         self.own_targets = targets;
     }
 
-    /// Sets the names of the targets that this VM may use while they state a limit, each with the number
-    /// of VMs that may.
-    pub fn set_users(&mut self, users: Map<Box<str>, usize>) {
-        self.users = Some(users);
-    }
-
-    /// Takes over what an answer to a request sent at `sent` states of its target.
-    pub fn record_statement(
-        &mut self,
-        now: Instant,
-        target: target::Key,
-        sent: Instant,
-        statement: Statement,
-    ) -> Vec<Change> {
-        let known = self.targets.get(target);
-        let Some(stated) = known.and_then(|_| self.stated.entry(target)) else {
-            return Vec::new();
-        };
-        stated.or_default().record(now, sent, statement)
-    }
-
-    /// Whether the target states that it takes nothing from this VM at `now`.
-    #[must_use]
-    pub fn is_closed(&self, now: Instant, target: target::Key) -> bool {
-        let stated = self.stated.get(target);
-        stated.is_some_and(|stated| stated.wait(now).is_none_or(|wait| wait > Span::ZERO))
-    }
-
     /// Replaces the limits.
     pub fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
@@ -342,82 +307,11 @@
         waiting.chain(running).min()
     }
 
-    /// Expected wait of a new call, after which a refused caller may retry.
-    #[must_use]
-    pub fn expected_wait(&self, now: Instant) -> Span {
-        let ahead = u64::try_from(self.queue.len()).unwrap_or(u64::MAX);
-        let throughput = self.throughput(now);
-        if throughput < MIN_THROUGHPUT {
-            let targets = self.stated.values().filter_map(|stated| stated.wait(now));
-            let first = targets.filter(|wait| *wait > Span::ZERO).min();
-            return first.map_or(EXPECTED_WAIT_MAX, |wait| wait.min(EXPECTED_WAIT_MAX));
-        }
-        span(number(ahead + 1) / throughput).min(EXPECTED_WAIT_MAX)
-    }
-
-    /// Calls a second that the open targets complete when each has its largest load.
-    fn throughput(&self, now: Instant) -> f64 {
-        let typical = self.work.typical().unwrap_or(ASSUMED_WORK_S);
-        let throughput = |(key, target): (target::Key, &target::Target)| {
-            let slowdown = self
-                .stats
-                .get(key)
-                .map_or(1.0, |stats| stats.slowdown(now, self.mean_slowdown));
-            let throughput = number(max_load(target.spec.slots)) / (typical * slowdown);
-            match self.limit_of(now, key, target) {
-                Some(limit) => throughput.min(limit),
-                None => throughput,
-            }
-        };
-        let open = self
-            .targets
-            .iter()
-            .filter(|(_, target)| target.standing == Standing::Open);
-        open.map(throughput).sum()
-    }
-
-    /// Requests a second that the limit which the target states leaves to this VM; none without one.
-    fn limit_of(&self, now: Instant, key: target::Key, target: &target::Target) -> Option<f64> {
-        let users = self.users_of(&target.spec);
-        self.stated.get(key)?.rate(now, users)
-    }
-
-    /// Requests of other VMs that are expected at a target without reports. A target with a limit gets
-    /// few: only some VMs send there, and no more than their shares.
-    fn usual_others(&self, key: target::Key, slots: f64) -> f64 {
-        let limit = self.stated.get(key).and_then(Stated::limit);
-        limit.map_or(self.mean_others * slots, |_| 0.0)
-    }
-
-    /// Number of VMs that may use the target while it states a limit, this one included; zero if this
-    /// one may not.
-    pub(super) fn users_of(&self, spec: &entry::Target) -> usize {
-        let users = self.users.as_ref();
-        users.map_or(1, |users| users.get(&spec.name).copied().unwrap_or(0))
-    }
-
     /// Expected seconds of work of a call on a usual target.
     pub(super) fn expected_work(&self, job: &Job) -> f64 {
         self.work.expected(job.entry, seconds(job.objective))
     }
 
-    /// Whether so many calls wait that the call could not be served before its caller leaves, or
-    /// would wait for longer than it may. `is_limited` states that no target may get it at once
-    /// because of the limits that they state: then it waits like a call behind another one.
-    fn would_wait_too_long(&self, now: Instant, item: &Item, work: f64, is_limited: bool) -> bool {
-        let ahead = self
-            .queue
-            .ahead(now, item.job.urgency, |job| self.expected_work(job))
-            + usize::from(is_limited);
-        if ahead == 0 {
-            return false;
-        }
-        let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
-        let wait = number(ahead) / self.throughput(now).max(f64::MIN_POSITIVE);
-        wait > item.max_wait(now, work * self.mean_slowdown)
-            || wait + work > seconds(item.job.deadline.since(now))
-    }
-
     /// The targets that take new work, each in the state in which one more call would find it.
     pub(super) fn candidates(&self, now: Instant) -> Vec<(target::Key, Candidate)> {
         let decay_s = self.work.typical().unwrap_or(ASSUMED_WORK_S);
