--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -28,12 +28,13 @@
 
 /// By service, the services whose homes get its calls: a caller asks for a host, and is told the homes
 /// of the first service of this host.
-type Entrances = Map<Box<str>, Set<Box<str>>>;
+pub(crate) type Entrances = Map<Box<str>, Set<Box<str>>>;
 
 /// Homes of each service, by region of the callers and then by service.
 pub(crate) type Homes = Map<Box<str>, Map<Box<str>, Vec<Home>>>;
 
-fn entrances(rules: &rule::Table) -> Entrances {
+/// The entrances of the services of `rules`.
+pub(crate) fn entrances(rules: &rule::Table) -> Entrances {
     let mut entrances = Entrances::default();
     for (first, services) in rules.services_by_host() {
         for service in services {
@@ -73,7 +74,7 @@
             candidates,
             services,
             regions,
-            entrances: entrances(&hosted.rules),
+            entrances: hosted.entrances.clone(),
         };
         if basis == self.homes_basis {
             return;
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -21,6 +21,8 @@
 use serde_json::Value;
 
 use crate::dialect::Dialect;
+use crate::homes;
+use crate::homes::Entrances;
 
 /// Why a message of the platform is not understood.
 pub type Fault = Box<dyn Error + Send + Sync>;
@@ -95,6 +97,8 @@
     /// The plan in force.
     pub(crate) plan: Option<Plan>,
     pub(crate) rules: rule::Table,
+    /// Those of `rules`.
+    pub(crate) entrances: Entrances,
     pub(crate) registry: Registry,
     pub(crate) repeats: Map<Box<str>, repeat::Budget>,
 }
@@ -115,6 +119,7 @@
             settings,
             plan: None,
             rules: rule::Table::default(),
+            entrances: Entrances::default(),
             registry: Registry::default(),
             repeats: Map::default(),
         }
@@ -160,6 +165,7 @@
             "plan in force"
         );
         self.rules = rule::Table::build(&plan.rules);
+        self.entrances = homes::entrances(&self.rules);
         self.plan = Some(plan);
         Effect::Plan
     }
