Let the test of a leaving target not depend on the machine's speed

The lookup of the share of a limit comes after the check for a statement, as it is asked for every target.

--- a/crates/core/src/place/stated.rs
+++ b/crates/core/src/place/stated.rs
@@ -56,8 +56,8 @@
         key: target::Key,
         target: &target::Target,
     ) -> Option<f64> {
-        let users = self.users_of(&target.spec);
-        self.stated.get(key)?.rate(now, users)
+        let stated = self.stated.get(key)?;
+        stated.rate(now, self.users_of(&target.spec))
     }
 
     /// Requests of other VMs that are expected at a target without reports. A target with a limit gets
