--- /dev/null
+++ b/crates/bench/src/model/hosted/summary.rs
@@ -0,0 +1,156 @@
+//! Results of a run.
+
+use super::load::Call;
+use super::load::Load;
+use super::load::float;
+
+/// Length of a window in microseconds.
+const WINDOW_US: u64 = 2_000_000;
+/// Value of a late answer as a share of that of an answer in time.
+const LATE_SHARE: f64 = 0.1;
+
+/// How a call ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// An answer after so many microseconds.
+    Answered(u64),
+    /// Refused, and not tried again.
+    Refused,
+    /// Failed, or unanswered until its caller left.
+    Failed,
+}
+
+/// Counts of calls, and the value of their answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Count {
+    /// Calls.
+    pub calls: u64,
+    /// Answers within the objective.
+    pub in_time: u64,
+    /// Later answers.
+    pub late: u64,
+    /// Refused calls.
+    pub refused: u64,
+    /// Failed calls.
+    pub failed: u64,
+    /// Value of the answers.
+    pub earned: f64,
+    /// Value if all calls were answered in time.
+    pub owed: f64,
+}
+
+/// What a run measured after the warm-up.
+#[derive(Clone, Debug, Default)]
+pub struct Summary {
+    /// All calls.
+    pub all: Count,
+    /// Calls by stream.
+    pub streams: Vec<Count>,
+    /// Calls by the window of their first try.
+    pub windows: Vec<Count>,
+    /// Requests that reached targets, the first one of each try and further ones.
+    pub sends: u64,
+    /// Sends beyond the first one of a try.
+    pub repeats: u64,
+    /// Requests for which a target had no place.
+    pub overfilled: u64,
+    /// Probes.
+    pub probes: u64,
+    /// Tries that were refused.
+    pub refusals: u64,
+}
+
+impl Count {
+    fn add(&mut self, value: f64, objective_us: u64, end: End) {
+        self.calls += 1;
+        self.owed += value;
+        match end {
+            End::Answered(took) if took <= objective_us => {
+                self.in_time += 1;
+                self.earned += value;
+            }
+            End::Answered(_) => {
+                self.late += 1;
+                self.earned += value * LATE_SHARE;
+            }
+            End::Refused => self.refused += 1,
+            End::Failed => self.failed += 1,
+        }
+    }
+
+    /// Value of the answers as a share of what was owed; 1 without calls.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        if self.owed > 0.0 {
+            self.earned / self.owed
+        } else {
+            1.0
+        }
+    }
+
+    /// Share of the calls that were answered in time; 1 without calls.
+    #[must_use]
+    pub fn in_time_share(&self) -> f64 {
+        let number = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        if self.calls > 0 {
+            number(self.in_time) / number(self.calls)
+        } else {
+            1.0
+        }
+    }
+}
+
+impl Summary {
+    pub(super) fn new(load: &Load) -> Self {
+        let windows = load.end_us / WINDOW_US + 1;
+        Self {
+            streams: vec![Count::default(); load.streams.len()],
+            windows: vec![Count::default(); usize::try_from(windows).unwrap_or(0)],
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn record(&mut self, load: &Load, call: &Call, end: End) {
+        if call.at < load.warm_up_us {
+            return;
+        }
+        let stream = &load.streams[call.stream];
+        let window = usize::try_from(call.at / WINDOW_US).unwrap_or(usize::MAX);
+        let counts = [Some(&mut self.all), self.streams.get_mut(call.stream)];
+        let counts = counts.into_iter().chain([self.windows.get_mut(window)]);
+        for count in counts.flatten() {
+            count.add(stream.value, stream.objective_us, end);
+        }
+    }
+
+    /// Mean share of the value that the two worst windows earned.
+    #[must_use]
+    pub fn worst_windows(&self) -> f64 {
+        let used = self.windows.iter().filter(|window| window.calls > 0);
+        let mut shares: Vec<f64> = used.map(Count::share).collect();
+        shares.sort_by(f64::total_cmp);
+        let worst = shares.iter().take(2).sum::<f64>();
+        worst / float(shares.len().clamp(1, 2))
+    }
+
+    /// One line for people.
+    #[must_use]
+    pub fn line(&self) -> String {
+        let per_mill = |count: u64| count * 1_000 / self.all.calls.max(1);
+        format!(
+            "value {:.3} worst {:.3} in time {:.3}; per mill late {} refused {} failed {}; \
+             sends {} repeats {} overfilled {} probes {} refusals {}",
+            self.all.share(),
+            self.worst_windows(),
+            self.all.in_time_share(),
+            per_mill(self.all.late),
+            per_mill(self.all.refused),
+            per_mill(self.all.failed),
+            self.sends,
+            self.repeats,
+            self.overfilled,
+            self.probes,
+            self.refusals,
+        )
+    }
+}
--- a/crates/bench/src/model/mod.rs
+++ b/crates/bench/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! Queueing model in virtual time that drives the product's own balancer.
 
 mod drive;
+pub mod hosted;
 pub mod ideal;
 pub mod policy;
 pub mod run;
