Add review case 4: a GET with a chunked body loses its body

UNASKED: a GET request whose body comes in chunks is passed on and run without its body. The same body with a length, and POST in chunks, arrive whole.

--- a/review/standin/kit.rs
+++ b/review/standin/kit.rs
@@ -406,6 +406,8 @@
     pub at: Instant,
     pub upstream: String,
     pub id: String,
+    pub method: String,
+    pub body: Vec<u8>,
 }
 
 /// A sound upstream. A path that ends with `/wN` takes N ms of work.
@@ -507,6 +509,13 @@
                 at: Instant::now(),
                 upstream: self.id.clone(),
                 id: id.clone(),
+                method: request
+                    .first
+                    .split(' ')
+                    .next()
+                    .unwrap_or_default()
+                    .to_owned(),
+                body: request.body.clone(),
             });
             if self.loud {
                 self.record.line(&format!("upstream {} runs {id}", self.id));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! and 2 if the case could not run.
 
 mod cut_watch;
+mod get_body;
 mod kit;
 mod reader_loss;
 mod slow_stop;
@@ -49,6 +50,7 @@
     let verdict = match case.as_str() {
         "slow_stop" => slow_stop::run(&stage),
         "cut_watch" => cut_watch::run(&stage),
+        "get_body" => get_body::run(&stage),
         "reader_loss" => reader_loss::run(&stage),
         _ => Verdict::NotRun("no such case"),
     };
