--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,7 @@
 mod queue;
 pub mod read;
 pub mod reader;
+mod rendezvous;
 mod repair;
 pub mod repeat;
 pub mod request;
--- a/crates/core/tests/balance_machine.rs
+++ b/crates/core/tests/balance_machine.rs
@@ -302,6 +302,7 @@
             deadline: self.now + deadline,
             arrived: self.now,
             objective: Span::ZERO,
+            patience: None,
             urgency: 0,
             avoid: None,
             entry,
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -293,6 +293,7 @@
         arrived: node.clock.now(),
         deadline: terms.deadline,
         objective: destination.objective,
+        patience: facts.timeout,
         urgency: destination.urgency,
         avoid: None,
         entry: number,
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -9,7 +9,6 @@
 use hyper::StatusCode;
 use oriolecleat_core::catalogue::Catalogue;
 use oriolecleat_core::map::Map;
-use oriolecleat_core::map::Set;
 use oriolecleat_core::repeat;
 use oriolecleat_core::settings::Hosting;
 use oriolecleat_core::site::feed;
@@ -21,8 +20,6 @@
 use serde_json::Value;
 
 use crate::dialect::Dialect;
-use crate::homes;
-use crate::homes::Entrances;
 
 /// Why a message of the platform is not understood.
 pub type Fault = Box<dyn Error + Send + Sync>;
@@ -97,8 +94,8 @@
     /// The plan in force.
     pub(crate) plan: Option<Plan>,
     pub(crate) rules: rule::Table,
-    /// Those of `rules`.
-    pub(crate) entrances: Entrances,
+    /// Groups of services that a host of `rules` joins.
+    pub(crate) groups: Vec<Vec<Box<str>>>,
     pub(crate) registry: Registry,
     pub(crate) repeats: Map<Box<str>, repeat::Budget>,
 }
@@ -119,7 +116,7 @@
             settings,
             plan: None,
             rules: rule::Table::default(),
-            entrances: Entrances::default(),
+            groups: Vec::new(),
             registry: Registry::default(),
             repeats: Map::default(),
         }
@@ -165,7 +162,7 @@
             "plan in force"
         );
         self.rules = rule::Table::build(&plan.rules);
-        self.entrances = homes::entrances(&self.rules);
+        self.groups = self.rules.groups();
         self.plan = Some(plan);
         Effect::Plan
     }
@@ -180,10 +177,4 @@
             .get_mut(service)
             .expect("the budget was inserted if it was missing")
     }
-
-    /// The services of the plan.
-    pub(crate) fn services(&self) -> Set<Box<str>> {
-        let rules = self.rules.iter().flat_map(|rule| &rule.destinations);
-        rules.map(|part| part.service.clone()).collect()
-    }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -28,8 +28,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::Links;
 use crate::halt::Phases;
-use crate::homes::Basis;
-use crate::homes::Homes;
+use crate::homes::Assignment;
 use crate::host::Host;
 use crate::host::Hosted;
 use crate::inflight;
@@ -92,8 +91,7 @@
     pub(crate) dialect: Rc<Dialect>,
     /// State taken from the platform that hosts the fleet, if one does.
     pub(crate) hosted: Option<Hosted>,
-    pub(crate) homes: Homes,
-    pub(crate) homes_basis: Basis,
+    pub(crate) assignment: Assignment,
 }
 
 impl Node {
@@ -126,8 +124,7 @@
         Self {
             dialect: Rc::new(dialect),
             hosted,
-            homes: Homes::default(),
-            homes_basis: Basis::default(),
+            assignment: Assignment::default(),
             issuer: ticket::Issuer::new(settings.fleet_key.as_bytes()),
             ledger: ticket::Ledger::new(&settings.vm, incarnation, LEDGER_CAPACITY),
             metrics: Metrics::new(settings.statsd, &settings.vm),
