--- a/crates/bench/examples/placement.rs
+++ b/crates/bench/examples/placement.rs
@@ -19,8 +19,6 @@
     only: Option<String>,
     /// Only the product
     product: bool,
-    /// The value earned in each two seconds
-    windows: bool,
 }
 
 fn main() {
@@ -40,35 +38,17 @@
             }
             let mut value = 0.0;
             let mut worst = 0.0;
-            let mut weighed = 0.0;
             let mut last = String::new();
             for seed in options.seed..options.seed + options.repeats {
                 let summary = run(&scenario.site, &scenario.load, policy, seed);
                 value += summary.all.share();
                 worst += summary.worst_windows();
-                weighed += summary.weighed();
                 last = summary.line();
-                if options.windows {
-                    let shares = summary.windows.iter().map(|window| {
-                        format!(
-                            "{:.2}({},{})",
-                            window.share(),
-                            window.late * 100 / window.calls.max(1),
-                            window.refused * 100 / window.calls.max(1)
-                        )
-                    });
-                    println!(
-                        "{name} {} windows {}",
-                        policy.name(),
-                        shares.collect::<Vec<_>>().join(" ")
-                    );
-                }
             }
             let count = f64::from(u32::try_from(options.repeats).unwrap_or(1));
             println!(
-                "{name:30} {:8} {:.3} {:.3} {:.3} | {last}",
+                "{name:28} {:8} {:.3} {:.3} | {last}",
                 policy.name(),
-                weighed / count,
                 value / count,
                 worst / count
             );
--- a/crates/bench/src/model/drive.rs
+++ b/crates/bench/src/model/drive.rs
@@ -44,7 +44,6 @@
             deadline: Instant::from_micros(details.at + self.plan.deadline),
             arrived: Instant::from_micros(now),
             objective: Span::ZERO,
-            patience: None,
             urgency: 0,
             avoid: None,
             entry: details.entry,
--- a/crates/bench/src/model/hosted/load.rs
+++ b/crates/bench/src/model/hosted/load.rs
@@ -159,14 +159,6 @@
         self
     }
 
-    /// The first four seconds of the load, all of which count.
-    #[must_use]
-    pub fn from_start(mut self) -> Self {
-        self.warm_up_us = 0;
-        self.end_us = 4_000_000;
-        self
-    }
-
     /// The same load with other streams.
     #[must_use]
     pub fn with_streams(mut self, streams: Vec<Stream>) -> Self {
--- a/crates/bench/src/model/hosted/run.rs
+++ b/crates/bench/src/model/hosted/run.rs
@@ -11,7 +11,6 @@
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::target::Key;
-use oriolecleat_core::target::Standing;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 use rand::RngExt;
@@ -35,8 +34,6 @@
 
 /// Most sends of one try.
 const MAX_SENDS: u8 = 3;
-/// Time after which a VM tries a target again that refused a connection, in microseconds.
-const REOPEN_US: u64 = 1_000_000;
 /// Time that a failing target takes for an error, in microseconds.
 const ERROR_US: u64 = 2_000;
 
@@ -61,8 +58,6 @@
     Tick(usize),
     /// A target goes down.
     Down(usize),
-    /// A VM forgets that a target refused a connection.
-    Reopen(usize, usize),
 }
 
 /// Result of an attempt.
@@ -212,13 +207,7 @@
         let stream = &self.load.streams[details.stream];
         let near = |index: &usize| self.site.vms[*index].region == details.region;
         let near: Vec<usize> = (0..self.site.vms.len()).filter(near).collect();
-        let total: f64 = near.iter().map(|vm| self.site.vms[*vm].callers).sum();
-        let mut left = self.rng.random::<f64>() * total;
-        let drawn = near.iter().find(|vm| {
-            left -= self.site.vms[**vm].callers;
-            left < 0.0
-        });
-        let vm = drawn.copied().unwrap_or(near[0]);
+        let vm = near[self.rng.random_range(0..near.len())];
         let deadline = (at + stream.timeout_us).min(details.at + stream.patience_us);
         self.state[call].0 += 1;
         self.tries.push(Try {
@@ -269,10 +258,6 @@
             Event::Leave(tried) => self.leave(now, tried),
             Event::Tick(vm) => self.tick(now, vm),
             Event::Down(target) => self.take_down(now, target),
-            Event::Reopen(vm, target) => {
-                let key = self.vms[vm].keys[target];
-                self.vms[vm].placer.set_standing(key, Standing::Open);
-            }
         }
     }
 
@@ -320,9 +305,6 @@
             arrived: Instant::from_micros(arrived),
             deadline: Instant::from_micros(deadline),
             objective: Span::from_micros(stream.objective_us),
-            patience: Some(Span::from_micros(
-                (self.calls[call].at + stream.patience_us).saturating_sub(arrived),
-            )),
             urgency: stream.urgency,
             avoid: avoid.map(|target| self.vms[vm].keys[target]),
             entry: u32::try_from(self.calls[call].stream).unwrap_or(u32::MAX),
@@ -558,16 +540,14 @@
             let may = !shed || self.vms[vm].budget.take(time);
             let call = CallId(u64::try_from(parent).unwrap_or(u64::MAX));
             let is_down = outcome == Outcome::Refused;
-            if is_down {
-                self.schedule(now + REOPEN_US, Event::Reopen(vm, target));
-            }
             self.with_vm(now, vm, |vm, rng| {
                 let key = vm.keys[target];
                 if let Some(report) = report {
                     vm.placer.record_report(time, key, report);
                 }
                 if is_down {
-                    vm.placer.set_standing(key, Standing::Leaving);
+                    vm.placer
+                        .set_standing(key, oriolecleat_core::target::Standing::Leaving);
                 }
                 let out = &mut vm.actions;
                 progress = vm.placer.finish(time, call, key, ending, rng, out);
--- a/crates/bench/src/model/hosted/scenario.rs
+++ b/crates/bench/src/model/hosted/scenario.rs
@@ -57,18 +57,11 @@
         load,
     };
     let (two, four) = (pairs(1, Full::Hang), quads(1, Full::Reset));
-    let uneven = Site::new(3, 4, 24, noisy(2, Full::Hang)).with_skew(3.0);
-    let alone = Site::new(1, 1, 6, Kind::quiet(4, Full::Reset));
-    let noisy_alone = Site::new(1, 1, 6, noisy(4, Full::Reset));
-    let shared =
-        Site::new(1, 80, 16, Kind::quiet(4, Full::Reset).noisy(0.35, 4.0)).without_owners();
-    let many = Site::new(3, 4, 24, noisy(2, Full::Hang));
+    let many = pairs(4, Full::Hang);
     vec![
         case(&two, load("two slots, calm", 0.17)),
         case(&two, load("two slots, busy", 0.28)),
         case(&two, burst("two slots, burst", 0.28, 2.0)),
-        case(&two, load("two slots, full", 0.36)),
-        case(&two, load("two slots, more than full", 0.45)),
         case(&two, load("two slots, overload", 0.6)),
         case(&two, shed(load("two slots, all reject half", 0.25), 0.55)),
         case(
@@ -90,7 +83,6 @@
         case(&four, load("four slots, calm", 0.2)),
         case(&four, load("four slots, busy", 0.4)),
         case(&four, burst("four slots, burst", 0.35, 2.0)),
-        case(&four, load("four slots, more than full", 0.55)),
         case(&four, load("four slots, overload", 0.8)),
         case(
             &four,
@@ -99,17 +91,5 @@
         case(&many, load("many VMs, busy", 0.25)),
         case(&many, burst("many VMs, burst", 0.25, 2.0)),
         case(&many, load("many VMs, overload", 0.6)),
-        case(&uneven, load("uneven VMs, calm", 0.15)),
-        case(&uneven, load("uneven VMs, busy", 0.25)),
-        case(&uneven, burst("uneven VMs, burst", 0.25, 2.0)),
-        case(&alone, Load::new("one VM, overload without noise", 0.9)),
-        case(&noisy_alone, Load::new("one VM, overload", 0.7)),
-        case(
-            &shared,
-            Load::new("shared targets, burst", 0.38).with_burst(8 * SECOND_US, 10 * SECOND_US, 2.6),
-        ),
-        case(&shared, Load::new("shared targets", 0.38)),
-        case(&many, load("many VMs, start", 0.25).from_start()),
-        case(&two, load("two slots, start", 0.28).from_start()),
     ]
 }
--- a/crates/bench/src/model/hosted/site.rs
+++ b/crates/bench/src/model/hosted/site.rs
@@ -51,8 +51,6 @@
     pub region: usize,
     /// Share of a processor core that it has; infinite if its processor is not modelled.
     pub cores: f64,
-    /// Callers that come to it, against those of the other VMs of its region.
-    pub callers: f64,
 }
 
 /// VMs and targets of one service.
@@ -66,8 +64,6 @@
     pub near_us: u64,
     /// Microseconds to a target in another region and back.
     pub far_us: u64,
-    /// Whether each target belongs to a VM.
-    pub owned: bool,
 }
 
 impl Kind {
@@ -120,7 +116,6 @@
         let vms = (0..regions * vms).map(|index| Vm {
             region: index % regions,
             cores,
-            callers: 1.0,
         });
         let targets = (0..regions * targets).map(|index| (index % regions, kind));
         Self {
@@ -128,17 +123,9 @@
             targets: targets.collect(),
             near_us: 600,
             far_us: 40_000,
-            owned: true,
         }
     }
 
-    /// The same site where all VMs of a region send to all of its targets alike.
-    #[must_use]
-    pub fn without_owners(mut self) -> Self {
-        self.owned = false;
-        self
-    }
-
     /// The same site with VMs that have `cores` of a processor core each.
     #[must_use]
     pub fn with_cores(mut self, cores: f64) -> Self {
@@ -146,20 +133,6 @@
         self
     }
 
-    /// The same site where every other VM of a region gets `factor` times as many callers as the others.
-    #[must_use]
-    pub fn with_skew(mut self, factor: f64) -> Self {
-        let regions = self.regions();
-        for (index, vm) in self.vms.iter_mut().enumerate() {
-            vm.callers = if (index / regions).is_multiple_of(2) {
-                factor
-            } else {
-                1.0
-            };
-        }
-        self
-    }
-
     /// Number of regions.
     #[must_use]
     pub fn regions(&self) -> usize {
--- a/crates/bench/src/model/hosted/summary.rs
+++ b/crates/bench/src/model/hosted/summary.rs
@@ -91,7 +91,12 @@
     /// Share of the calls that were answered in time; 1 without calls.
     #[must_use]
     pub fn in_time_share(&self) -> f64 {
-        ratio(self.in_time, self.calls)
+        let number = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        if self.calls > 0 {
+            number(self.in_time) / number(self.calls)
+        } else {
+            1.0
+        }
     }
 }
 
@@ -128,17 +133,6 @@
         worst / float(shares.len().clamp(1, 2))
     }
 
-    /// The value of the run as operators weigh it: the worst windows, the whole run, the calls that are
-    /// answered at all and the stream that is served worst.
-    #[must_use]
-    pub fn weighed(&self) -> f64 {
-        let streams = self.streams.iter().map(Count::share);
-        let worst_stream = streams.fold(1.0, f64::min);
-        let answered = self.all.in_time + self.all.late;
-        let served = ratio(answered, self.all.calls);
-        0.4 * self.worst_windows() + 0.28 * self.all.share() + 0.2 * served + 0.12 * worst_stream
-    }
-
     /// One line for people.
     #[must_use]
     pub fn line(&self) -> String {
@@ -160,13 +154,3 @@
         )
     }
 }
-
-/// `part` as a share of `whole`; 1 of nothing.
-fn ratio(part: u64, whole: u64) -> f64 {
-    let number = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
-    if whole > 0 {
-        number(part) / number(whole)
-    } else {
-        1.0
-    }
-}
--- a/crates/bench/src/model/hosted/vm.rs
+++ b/crates/bench/src/model/hosted/vm.rs
@@ -4,7 +4,6 @@
 use oriolecleat_core::place::Limits;
 use oriolecleat_core::place::Placer;
 use oriolecleat_core::repeat::Budget;
-use oriolecleat_core::settings::Cost;
 use oriolecleat_core::settings::Repeats;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Standing;
@@ -53,24 +52,15 @@
 
 impl Vm {
     pub(super) fn new(site: &Site, index: usize, seed: u64) -> Self {
-        let cost = Cost {
-            data_center: 30_000,
-            region: 85_000,
-        };
-        let limits = Limits { queue: QUEUE, cost };
-        let mut placer = Placer::new(&vm_name(index), site.place(index), limits);
+        let mut placer = Placer::new(site.place(index), Limits { queue: QUEUE });
         placer.update(Instant::default(), &site.specs(), |_| None);
         let key = |index: usize| placer.targets().find(&name(index));
         let keys: Vec<target::Key> = (0..site.targets.len()).filter_map(key).collect();
         for key in &keys {
             placer.set_standing(*key, Standing::Open);
         }
-        let owned = |vm: usize| {
-            let targets = site.own_targets(vm).into_iter().map(name);
-            targets.map(move |target| (target, vm_name(vm)))
-        };
-        let owners = (0..site.vms.len()).flat_map(owned).collect();
-        placer.set_owners(site.owned.then_some(&owners));
+        let own = site.own_targets(index).into_iter().map(name);
+        placer.set_own_targets(Some(own.collect()));
         let ceiling = u64::try_from(site.vms.len()).unwrap_or(1);
         let bound = Repeats {
             ratio_thousandths: 200,
@@ -103,7 +93,3 @@
         self.keys.iter().position(|known| *known == key)
     }
 }
-
-fn vm_name(index: usize) -> Box<str> {
-    format!("v{index}").into()
-}
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -128,8 +128,6 @@
         pub deadline: Instant,
         /// Time since the arrival within which an answer has its full value.
         pub objective: Span,
-        /// Time for which the caller states that it will wait, if it states one.
-        pub patience: Option<Span>,
         /// Priority against the calls of other entries; 0 is served first.
         pub urgency: u8,
         /// A target that failed the request before.
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -1,9 +1,8 @@
-//! Home VMs: the few entry VMs that send to the targets of some services in one region.
+//! Home VMs: the few entry VMs that send to the targets of a service in one region.
 //!
 //! A VM that knows all that runs at its targets places calls better than many that know a part
-//! each, so services have as few homes in a region as can carry them. Callers ask for a host, and its calls
-//! may go to several services, so the services of a host form a group with the same homes. Each target
-//! belongs to one home, and other VMs prefer other targets. Homes are in the data centres of the targets.
+//! each, so a service has as few homes in a region as can carry it. Each target belongs to one
+//! home, and other VMs prefer other targets. Homes are in the data centres of the targets.
 
 use std::cmp::Ordering;
 use std::cmp::Reverse;
@@ -15,7 +14,7 @@
 use crate::map::Map;
 use crate::member::State;
 use crate::member::USUAL_CAPACITY;
-use crate::rendezvous::weight;
+use crate::member::hash;
 
 data! {
     /// A target, with the properties by which it is assigned to a home.
@@ -30,12 +29,6 @@
         pub slots: u64,
     }
 
-    /// Services with the same homes, in order of their names, each with its targets.
-    pub struct Group {
-        /// Names and targets of the services.
-        pub services: Vec<(Box<str>, Vec<Target>)>,
-    }
-
     /// An entry VM with the targets of a service that belong to it.
     pub struct Home {
         /// Name of the VM.
@@ -46,7 +39,7 @@
         pub data_center: Box<str>,
         /// Names of its targets.
         pub targets: Vec<Box<str>>,
-        /// Slots of its targets of all services of the group.
+        /// Slots of its targets.
         pub slots: u64,
     }
 }
@@ -54,13 +47,13 @@
 /// Scale of a load in slots for each slot of capacity, which is an integer.
 const LOAD_SCALE: u64 = 1_000;
 
-/// The homes of each service for the callers of `region`. `groups` are all services in order of their names; a
-/// VM becomes home to a second group only if there are too few.
+/// The homes of each service for the callers of `region`. `services` are all services in order of
+/// their names with their targets; a VM becomes home to a second one only if there are too few.
 #[must_use]
 pub fn assign(
     region: &str,
     candidates: &[Candidate],
-    groups: &[Group],
+    services: &[(Box<str>, Vec<Target>)],
 ) -> Map<Box<str>, Vec<Home>> {
     let alive = |candidate: &&Candidate| candidate.state == State::Alive;
     let all: Vec<&Candidate> = candidates.iter().filter(alive).collect();
@@ -71,48 +64,36 @@
     }
     let mut carried: Map<&str, u64> = Map::default();
     let mut homes = Map::default();
-    for group in groups {
-        let targets = group.services.iter().flat_map(|(_, targets)| targets);
-        let targets: Vec<&Target> = targets.filter(|target| *target.region == *region).collect();
-        let name = group.services.first().map_or("", |(name, _)| &**name);
-        let chosen = choose(&pool, &carried, name, &targets);
-        let mut slots = vec![0; chosen.len()];
-        for (service, targets) in &group.services {
-            let near = |target: &&Target| *target.region == *region;
-            let targets: Vec<&Target> = targets.iter().filter(near).collect();
-            let assigned = assign_targets(&chosen, &targets);
-            let sums = slots.iter_mut().zip(&assigned);
-            sums.for_each(|(slots, home)| *slots += home.slots);
-            homes.insert(service.clone(), assigned);
-        }
-        for (candidate, slots) in chosen.iter().zip(&slots) {
-            *carried.entry(&candidate.vm).or_default() += slots;
-        }
-        for (service, _) in &group.services {
-            let known = homes.get_mut(service).into_iter().flatten();
-            known
-                .zip(&slots)
-                .for_each(|(home, slots): (&mut Home, _)| home.slots = *slots);
+    for (service, targets) in services {
+        let targets: Vec<&Target> = targets
+            .iter()
+            .filter(|target| *target.region == *region)
+            .collect();
+        let chosen = choose(&pool, &carried, service, &targets);
+        let assigned = assign_targets(&chosen, &targets);
+        for (candidate, home) in chosen.iter().zip(&assigned) {
+            *carried.entry(&candidate.vm).or_default() += home.slots;
         }
+        homes.insert(service.clone(), assigned);
     }
     homes
 }
 
-/// The candidates that become homes of a group, in the data centres of its targets. `carried` holds the
-/// slots that each VM carries of other groups, `name` is that of the group.
+/// The candidates that become homes of `service`, in the data centres of its targets. `carried`
+/// holds the slots that each VM carries of other services.
 fn choose<'a>(
     pool: &[&'a Candidate],
     carried: &Map<&str, u64>,
-    name: &str,
+    service: &str,
     targets: &[&Target],
 ) -> Vec<&'a Candidate> {
     let needed: u64 = targets.iter().map(|target| target.slots).sum();
-    // A VM that is also home to another group carries less of this one. Few callers move when a
+    // A VM that is also home to another service carries less of this one. Few callers move when a
     // VM joins or leaves, as the order of equal ones rests on a hash.
     let order = |candidate: &&Candidate| {
         let carried = carried.get(&*candidate.vm).copied().unwrap_or(0);
         let load = (carried + USUAL_CAPACITY) * LOAD_SCALE / candidate.capacity.max(1);
-        let weight = weight(&candidate.vm, name);
+        let weight = hash(&[candidate.vm.as_bytes(), service.as_bytes()]);
         (load, Reverse(weight))
     };
     let mut ranked = pool.to_vec();
@@ -189,7 +170,7 @@
             let assigned = u64::try_from(home.targets.len()).unwrap_or(u64::MAX);
             let is_full = assigned >= **share;
             let is_remote = home.data_center != target.data_center;
-            let weight = weight(&home.vm, &target.name);
+            let weight = hash(&[home.vm.as_bytes(), target.name.as_bytes()]);
             (is_full, is_remote, Reverse(weight))
         };
         if let Some((home, _)) = homes.iter_mut().zip(&shares).min_by_key(order) {
@@ -209,7 +190,7 @@
 #[must_use]
 pub fn users<'a>(target: &str, senders: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
     let mut users: Vec<&str> = senders.collect();
-    users.sort_unstable_by_key(|vm| (weight(vm, target), *vm));
+    users.sort_unstable_by_key(|vm| (hash(&[vm.as_bytes(), target.as_bytes()]), *vm));
     users.dedup();
     users.truncate(USERS_MAX);
     users
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,7 +41,6 @@
 mod queue;
 pub mod read;
 pub mod reader;
-mod rendezvous;
 mod repair;
 pub mod repeat;
 pub mod request;
--- a/crates/core/src/place/flight.rs
+++ b/crates/core/src/place/flight.rs
@@ -4,25 +4,15 @@
 use crate::balance::Action;
 use crate::balance::Call;
 use crate::balance::Ending;
+use crate::balance::Job;
 use crate::balance::Progress;
-use crate::balance::Refusal;
-use crate::estimate::number;
 use crate::estimate::seconds;
-use crate::estimate::span;
-use crate::place::dispatch::refusal;
+use crate::place::loss::CONGESTED_SLOWDOWN;
 use crate::place::placer::Choice;
 use crate::place::placer::Placer;
 use crate::place::queue::Item;
-use crate::place::queue::Line;
 use crate::target;
 use crate::time::Instant;
-use crate::time::Span;
-
-/// Age up to which a report tells the slowdown of a machine at the start or the end of a call.
-const TOLD_WITHIN: Span = Span::from_millis(50);
-
-/// Change of the slowdown of a machine, as a share, up to which its speed counts as steady.
-const STEADY: f64 = 0.2;
 
 /// One copy of a call at a target.
 #[derive(Clone, Copy, Debug)]
@@ -33,18 +23,21 @@
     pub(super) work: f64,
     /// Seconds until the answer as expected when it was sent.
     pub(super) expected: f64,
-    /// Requests at the target with this one, and its slots.
-    pub(super) load: f64,
-    pub(super) slots: f64,
-    /// Slowdown of the target's machine when it was sent, if a report told it.
-    pub(super) machine_slowdown: Option<f64>,
+    /// How many times longer the load of the target made the work.
+    pub(super) congestion: f64,
+    /// Slowdown of the target's machine when it was sent.
+    pub(super) machine_slowdown: f64,
 }
 
 /// A call in flight.
 #[derive(Clone, Debug)]
 pub(super) struct Flight {
-    pub(super) item: Item,
+    pub(super) job: Job,
+    pub(super) arrived: Instant,
     pub(super) attempts: Vec<Attempt>,
+    /// Targets that failed or shed the call.
+    pub(super) tried: Vec<target::Key>,
+    pub(super) hedged: bool,
 }
 
 impl Placer {
@@ -56,11 +49,11 @@
         choice: &Choice,
         work: f64,
     ) -> Attempt {
-        let expected = choice.candidate.expected_time(work, &self.noise);
-        let mut machine_slowdown = None;
+        let expected = choice.candidate.expected_time(work);
+        let mut machine_slowdown = 1.0;
         if let Some(stats) = self.stats.get_mut(choice.target) {
             stats.add_attempt(now, call, expected);
-            machine_slowdown = stats.machine_slowdown(now, TOLD_WITHIN);
+            machine_slowdown = stats.machine_slowdown();
         }
         if let Some(target) = self.targets.get_mut(choice.target) {
             target.in_flight += 1;
@@ -75,8 +68,11 @@
             sent: now,
             work,
             expected,
-            load: choice.candidate.load,
-            slots: choice.candidate.slots,
+            congestion: if choice.candidate.is_congested() {
+                CONGESTED_SLOWDOWN
+            } else {
+                1.0
+            },
             machine_slowdown,
         }
     }
@@ -87,10 +83,11 @@
         now: Instant,
         item: Item,
         choice: &Choice,
+        work: f64,
         out: &mut Vec<Action>,
     ) {
         let call = item.job.call;
-        let attempt = self.start_attempt(now, call, choice, item.work);
+        let attempt = self.start_attempt(now, call, choice, work);
         out.push(Action::Assign {
             call,
             target: choice.target,
@@ -98,10 +95,12 @@
             report: true,
         });
         let flight = Flight {
-            item,
+            job: item.job,
+            arrived: item.arrived,
             attempts: vec![attempt],
+            tried: item.tried,
+            hedged: false,
         };
-        self.schedule_hedge(call, &flight);
         self.flights.insert(call, flight);
     }
 
@@ -127,7 +126,7 @@
         };
         let attempt = flight.attempts.swap_remove(ended);
         let last = flight.attempts.is_empty();
-        let entry = flight.item.job.entry;
+        let entry = flight.job.entry;
         self.release(call, target);
         self.record_ending(now, entry, &attempt, ending);
         match ending {
@@ -140,10 +139,14 @@
                 let Some(flight) = self.flights.remove(&call) else {
                     return Progress::Done;
                 };
-                let mut item = flight.item;
-                item.tried.push(target);
-                item.probe_deadline = None;
-                self.wait_again(now, item, out);
+                let mut tried = flight.tried;
+                tried.push(target);
+                self.queue.push(Item {
+                    job: flight.job,
+                    arrived: flight.arrived,
+                    probe_deadline: None,
+                    tried,
+                });
                 Progress::Pending
             }
             Ending::Answered { .. } | Ending::Broken { .. } | Ending::Cancelled => {
@@ -153,22 +156,6 @@
         }
     }
 
-    /// Lets a call wait that did not run where it was sent, or refuses it.
-    fn wait_again(&mut self, now: Instant, item: Item, out: &mut Vec<Action>) {
-        let work = item.work;
-        let slack = item.remaining(now) - work;
-        let line = if slack > 0.0 {
-            Some(Line::First(now + span(slack)))
-        } else {
-            self.late_line(now, &item.job, work)
-        };
-        if let Some(line) = line {
-            self.queue.push(item, line);
-        } else {
-            out.push(refusal(item.job.call, Refusal::Overloaded));
-        }
-    }
-
     /// Removes a call in flight and cancels its attempts.
     pub(super) fn cancel_flight(&mut self, call: Call, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.remove(&call) else {
@@ -212,28 +199,20 @@
                 latency,
                 failed: false,
             } => {
-                let at_end = stats.machine_slowdown(now, TOLD_WITHIN).unwrap_or(1.0);
-                let at_start = attempt.machine_slowdown.unwrap_or(at_end);
-                let machine_slowdown = f64::midpoint(at_start, at_end);
+                let at_end = stats.machine_slowdown();
+                let machine_slowdown = f64::midpoint(attempt.machine_slowdown, at_end);
                 let round_trip = self
                     .targets
                     .get(attempt.target)
                     .map_or(0.0, |target| target.round_trip);
                 let taken = (seconds(latency) - round_trip).max(0.000_1);
-                let on_usual = taken / machine_slowdown;
-                // A change of the machine's speed meanwhile hides how long the call took by itself.
-                let is_steady = (at_start - at_end).abs() <= STEADY * at_end;
-                if is_steady && (attempt.machine_slowdown.is_some() || at_end <= 1.0 + STEADY) {
-                    self.speed
-                        .record(entry, attempt.load, attempt.slots, on_usual);
-                }
-                let congestion = self.speed.factor(attempt.load, attempt.slots);
-                stats.add_answer(now, on_usual / (attempt.work * congestion));
-                stats.mark_silent(now, attempt.sent);
-                let full = self.speed.max_load(slots);
-                self.full_congestion = self.speed.factor(number(full), number(slots));
-                self.full_share = number(full) / number(slots.max(1));
-                self.record_took(seconds(latency));
+                let slowdown = machine_slowdown * attempt.congestion;
+                stats.add_answer(
+                    now,
+                    taken / (attempt.work * slowdown).max(f64::MIN_POSITIVE),
+                );
+                let ratio = stats.latency_ratio(now);
+                self.work.add(entry, taken / (slowdown * ratio));
             }
             Ending::Answered { failed: true, .. } | Ending::Broken { .. } => stats.add_failure(now),
             Ending::Shed { .. } => {
--- a/crates/core/src/place/hedge.rs
+++ b/crates/core/src/place/hedge.rs
@@ -4,12 +4,13 @@
 use rand::rngs::SmallRng;
 
 use crate::balance::Action;
-use crate::balance::Call;
 use crate::entry::Class;
 use crate::estimate::seconds;
 use crate::estimate::span;
 use crate::place::flight::Flight;
 use crate::place::placer::Placer;
+use crate::place::placer::pick;
+use crate::place::queue::Item;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -20,84 +21,72 @@
 /// A call that took this many times the expected time counts as stuck.
 const STUCK_RATIO: f64 = 4.0;
 
-/// Time between two looks for a target for the copy of a call, as a share of the time that the call was
-/// expected to take, and at least.
-const LOOK_SHARE: f64 = 0.2;
-const LOOK_MIN: Span = Span::from_millis(10);
-/// Calls for which one tick looks for a target.
-const LOOKS: usize = 4;
-
-impl Placer {
-    /// Schedules the first look for a target for a copy of a call that was just sent, if it may get one.
-    pub(super) fn schedule_hedge(&mut self, call: Call, flight: &Flight) {
-        let [attempt] = flight.attempts.as_slice() else {
-            return;
+impl Flight {
+    /// When the call has taken so long that a copy may be of use; none if it gets none.
+    pub(super) fn hedge_due(&self) -> Option<Instant> {
+        let [attempt] = self.attempts.as_slice() else {
+            return None;
         };
-        if flight.item.job.class != Class::Once {
-            let after = span(HEDGE_AFTER_RATIO * attempt.expected).max(HEDGE_AFTER_MIN);
-            self.hedges.insert((attempt.sent + after, call));
-        }
+        let after = span(HEDGE_AFTER_RATIO * attempt.expected).max(HEDGE_AFTER_MIN);
+        (self.job.class != Class::Once && !self.hedged).then(|| attempt.sent + after)
     }
+}
 
+impl Placer {
     /// Sends copies of the calls that take too long, where another target is faster.
     pub(super) fn hedge(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
-        for _ in 0..LOOKS {
-            let Some((_, call)) = self.hedges.first().copied().filter(|(due, _)| *due <= now)
-            else {
-                return;
-            };
-            self.hedges.pop_first();
-            let Some(flight) = self.flights.get(&call).cloned() else {
-                continue;
-            };
-            if !self.hedge_call(now, &flight, rng, out)
-                && let [attempt] = flight.attempts.as_slice()
-            {
-                let next = span(LOOK_SHARE * attempt.expected).max(LOOK_MIN);
-                self.hedges.insert((now + next, call));
-            }
+        let slow = |flight: &&Flight| flight.hedge_due().is_some_and(|due| due <= now);
+        let mut slow: Vec<Flight> = self.flights.values().filter(slow).cloned().collect();
+        slow.sort_by_key(|flight| (flight.arrived, flight.job.call));
+        for flight in slow {
+            self.hedge_call(now, &flight, rng, out);
         }
     }
 
     /// Sends a copy of the call to the best other target with room, if it is expected to answer
-    /// first and early enough. Returns whether no later copy can be of use.
-    fn hedge_call(
+    /// first and early enough.
+    pub(super) fn hedge_call(
         &mut self,
         now: Instant,
         flight: &Flight,
         rng: &mut SmallRng,
         out: &mut Vec<Action>,
-    ) -> bool {
-        let [first] = flight.attempts.as_slice() else {
-            return true;
+    ) {
+        let Some(first) = flight.attempts.first() else {
+            return;
         };
-        let item = &flight.item;
-        let work = item.work;
-        let view = self.view(now, None, rng);
-        let Some(choice) = self.pick_from(now, item, &view, &[first.target], rng) else {
-            return false;
+        let item = Item {
+            job: flight.job.clone(),
+            arrived: flight.arrived,
+            probe_deadline: None,
+            tried: flight.tried.clone(),
+        };
+        let work = self.expected_work(&flight.job);
+        let candidates = self.candidates(now);
+        let Some(choice) = pick(&candidates, now, &item, work, &[first.target], rng) else {
+            return;
         };
         let elapsed = seconds(now.since(first.sent));
-        let time = choice.candidate.expected_time(work, &self.noise);
+        let time = choice.candidate.expected_time(work);
         let is_stuck = elapsed > STUCK_RATIO * first.expected;
-        let left = seconds(flight.item.job.deadline.since(now));
+        let left = seconds(flight.job.deadline.since(now));
         // A call that took long so far is expected to take half as long again.
         let faster = time < elapsed / 2.0;
         let useful = time < item.remaining(now) || (is_stuck && time < left);
         if !faster || !useful {
-            return false;
+            return;
         }
-        let call = flight.item.job.call;
+        let call = flight.job.call;
         let attempt = self.start_attempt(now, call, &choice, work);
         if let Some(flight) = self.flights.get_mut(&call) {
             flight.attempts.push(attempt);
+            flight.hedged = true;
         }
         out.push(Action::Hedge {
             call,
             target: choice.target,
-            queue: flight.item.job.deadline.since(now),
+            queue: flight.job.deadline.since(now),
             report: true,
         });
-        true
     }
 }
--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -3,7 +3,7 @@
 //!
 //! For noisy neighbours, which slow a machine fourfold for some hundred milliseconds.
 
-use crate::place::noise::Noise;
+use crate::estimate::number;
 
 /// Loss of a late answer.
 const LATE_LOSS: f64 = 0.9;
@@ -12,6 +12,12 @@
 /// Loss of a failed call; one that may be repeated loses less.
 const FAILURE_LOSS: f64 = 1.0;
 const FAILURE_LOSS_REPEATABLE: f64 = 0.6;
+/// Cost of the bytes sent to another data centre and to another region.
+const DATA_CENTER_LOSS: f64 = 0.12;
+const REGION_LOSS: f64 = 0.7;
+/// Cost of the bytes sent to another region for calls of urgency 0 and 1, which are worth more than
+/// these bytes.
+const REGION_LOSS_URGENT: [f64; 2] = [0.25, 0.35];
 /// Loss at a target that belongs to another VM of the region, which knows the target's load better.
 const FOREIGN_LOSS: f64 = 0.1;
 /// Loss for an expected time equal to the objective. It grows in proportion to the time, so that of
@@ -19,15 +25,16 @@
 const TIME_LOSS: f64 = 0.15;
 /// Expected time above which the loss stops growing, as a multiple of the objective.
 const TIME_LOSS_LIMIT: f64 = 4.0;
+/// Share of its slots up to which a target works at full speed.
+const KNEE_SHARE: f64 = 0.8;
+/// How many times longer work takes above the knee.
+pub(crate) const CONGESTED_SLOWDOWN: f64 = 1.7;
 /// Requests by which an estimated load may exceed the maximum: the load of other VMs is a fraction
 /// once its report ages.
 const LOAD_TOLERANCE: f64 = 0.5;
 /// Loss of the other calls at a target when it becomes congested.
 const CONGESTION_LOSS: f64 = 0.25;
 
-/// Slowdown above which a target counts as slow, as a multiple of the usual one.
-const SLOW: f64 = 1.5;
-
 /// How far a target is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Distance {
@@ -47,16 +54,8 @@
     pub(crate) slots: f64,
     /// Largest load that the target may get.
     pub(crate) max_load: f64,
-    /// Largest load at which the target works at full speed.
-    pub(crate) easy_load: f64,
-    /// How many times longer the load makes work.
-    pub(crate) congestion: f64,
-    /// How many times longer work takes than usual on the machine now.
-    pub(crate) machine: f64,
-    /// Slowdown of long work on any machine.
-    pub(crate) usual_machine: f64,
-    /// How many times longer work takes than on a usual target, apart from load and machine.
-    pub(crate) slowness: f64,
+    /// How many times longer work takes than usual, apart from the load.
+    pub(crate) slowdown: f64,
     /// Share of calls that fail.
     pub(crate) failure_share: f64,
     /// Seconds to the target and back.
@@ -64,8 +63,6 @@
     pub(crate) distance: Distance,
     /// Whether the target belongs to another VM of the region.
     pub(crate) foreign: bool,
-    /// Whether the state of the target is known well enough to send a call there.
-    pub(crate) known: bool,
     /// Requests that the target may get at once under the limit that it states.
     pub(crate) allowance: f64,
 }
@@ -81,20 +78,14 @@
     pub(crate) remaining: f64,
     /// Whether the call may run twice.
     pub(crate) repeatable: bool,
-    /// Loss for the bytes sent to another data centre, and to another region.
-    pub(crate) data_center_loss: f64,
-    pub(crate) region_loss: f64,
+    /// Rank against other calls, 0 for the most urgent ones.
+    pub(crate) urgency: u8,
 }
 
 impl Candidate {
-    /// Whether the load is beyond that of full speed.
+    /// Whether the load is above the knee, so that work takes longer.
     pub(crate) fn is_congested(&self) -> bool {
-        self.load > self.easy_load + LOAD_TOLERANCE
-    }
-
-    /// Whether the target belongs to this VM.
-    pub(crate) fn is_own(&self) -> bool {
-        !self.foreign && self.distance != Distance::Region
+        self.load > KNEE_SHARE * self.slots && self.slots > 1.0
     }
 
     /// Whether the load leaves room for the call that it includes.
@@ -109,34 +100,24 @@
 
     /// Whether the target may get the call.
     pub(crate) fn has_room(&self) -> bool {
-        let below = if self.is_own() {
-            self.is_below_max_load()
-        } else {
-            !self.is_congested()
-        };
-        self.known && below && self.is_allowed()
-    }
-
-    /// Whether the machine or the target is slower now than most.
-    pub(crate) fn is_slow(&self) -> bool {
-        self.machine * self.slowness > SLOW * self.usual_machine
+        self.is_below_max_load() && self.is_allowed()
     }
 
-    /// Whether the target answers the call as fast as a usual one without load.
-    pub(crate) fn is_good(&self) -> bool {
-        self.has_room() && !self.is_congested() && !self.is_slow()
-    }
-
-    /// Expected seconds until the answer, on machines with `noise`.
-    pub(crate) fn expected_time(&self, work: f64, noise: &Noise) -> f64 {
-        let each = work * self.slowness * self.congestion;
-        let waiting = (self.load - self.slots).max(0.0) / self.slots.max(1.0);
-        self.round_trip + noise.time(each * (1.0 + waiting), self.machine)
+    /// Expected seconds until the answer.
+    pub(crate) fn expected_time(&self, work: f64) -> f64 {
+        let congestion = if self.is_congested() {
+            CONGESTED_SLOWDOWN
+        } else {
+            1.0
+        };
+        let each = work * self.slowdown * congestion;
+        let waiting = (self.load - self.slots).max(0.0);
+        self.round_trip + each + waiting * each / self.slots.max(1.0)
     }
 
     /// Expected loss of a call with `criteria` at this target.
-    pub(crate) fn loss(&self, criteria: &Criteria, noise: &Noise) -> f64 {
-        let time = self.expected_time(criteria.work, noise);
+    pub(crate) fn loss(&self, criteria: &Criteria) -> f64 {
+        let time = self.expected_time(criteria.work);
         let failure = if criteria.repeatable {
             FAILURE_LOSS_REPEATABLE
         } else {
@@ -144,8 +125,11 @@
         };
         let distance = match self.distance {
             Distance::Local => 0.0,
-            Distance::DataCenter => criteria.data_center_loss,
-            Distance::Region => criteria.region_loss,
+            Distance::DataCenter => DATA_CENTER_LOSS,
+            Distance::Region => REGION_LOSS_URGENT
+                .get(usize::from(criteria.urgency))
+                .copied()
+                .unwrap_or(REGION_LOSS),
         };
         let foreign = if self.foreign { FOREIGN_LOSS } else { 0.0 };
         let congestion = if self.is_congested() {
@@ -164,10 +148,25 @@
 }
 
 /// Share of answers that take longer than `remaining` seconds if `expected` seconds are expected.
-pub(crate) fn late_share(expected: f64, remaining: f64) -> f64 {
+fn late_share(expected: f64, remaining: f64) -> f64 {
     if remaining <= 0.0 {
         return 1.0;
     }
     let distance = (expected.max(f64::MIN_POSITIVE) / remaining).ln();
     1.0 / (1.0 + (-LATE_STEEPNESS * distance).exp())
 }
+
+/// Largest number of calls that a target with `slots` gets: up to the knee, if the target completes
+/// at least as much work there as with all slots in use, and all slots otherwise.
+pub(crate) fn max_load(slots: u64) -> u64 {
+    let knee = number(slots) * KNEE_SHARE;
+    let below = (1..=slots)
+        .rev()
+        .find(|count| number(*count) <= knee)
+        .unwrap_or(1);
+    if number(below) >= number(slots) / CONGESTED_SLOWDOWN {
+        below
+    } else {
+        slots
+    }
+}
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -5,25 +5,17 @@
 //! in as method calls of [`Placer`]; the resulting actions come out as
 //! [`Action`](crate::balance::Action)s.
 
-mod cost;
-mod dispatch;
 mod flight;
 mod hedge;
 mod loss;
-mod median;
-mod noise;
 mod placer;
 mod probe;
 mod queue;
-mod returns;
-mod search;
-mod speed;
 mod stated;
 mod stats;
-mod view;
 mod wait;
+mod work;
 
 pub use placer::Estimate;
-pub use placer::Learned;
 pub use placer::Limits;
 pub use placer::Placer;
--- a/crates/core/src/place/probe.rs
+++ b/crates/core/src/place/probe.rs
@@ -2,13 +2,12 @@
 //! call waits for the answers. For a service with few calls, whose reports are old.
 
 use crate::balance::Action;
-use crate::estimate::number;
 use crate::estimate::span;
 use crate::place::loss::Candidate;
 use crate::place::placer::Placer;
-use crate::place::placer::View;
+use crate::place::placer::rank;
+use crate::place::placer::score;
 use crate::place::queue::Item;
-use crate::place::stats::Stats;
 use crate::target;
 use crate::time::Instant;
 use crate::time::Span;
@@ -23,6 +22,8 @@
 /// in seconds.
 const PROBE_WAIT_TRIPS: f64 = 3.0;
 const PROBE_WAIT_MAX_S: f64 = 0.006;
+/// How many times longer than usual work takes on a machine with a noisy neighbour.
+const NOISY_SLOWDOWN: f64 = 4.0;
 
 impl Placer {
     /// Probes the best targets for a call if their load is not known well enough. Returns until
@@ -31,28 +32,21 @@
         &mut self,
         now: Instant,
         item: &Item,
-        view: &View,
+        work: f64,
+        candidates: &[(target::Key, Candidate)],
         out: &mut Vec<Action>,
     ) -> Option<Instant> {
         // If all targets count as full, no call is sent, and without a probe no report would tell
-        // that one is not. Those that are full with calls of this VM are known to be.
-        let full = view
+        // that one is not.
+        let full = candidates
             .iter()
             .all(|(_, candidate)| !candidate.is_below_max_load());
-        let by_others = |key: &target::Key, candidate: &Candidate| {
-            let own = self.stats.get(*key).map_or(0, Stats::own_calls);
-            number(u64::try_from(own).unwrap_or(u64::MAX)) < candidate.max_load
-        };
         // A call that is in time even beside a noisy neighbour needs no probe, nor does a late one.
-        let remaining = item.remaining(now);
-        let needless = item.work * self.noise.peak() < remaining || remaining < item.work;
+        let needless = work * NOISY_SLOWDOWN < item.remaining(now) || !item.is_timely(now, work);
         if needless && !full {
             return None;
         }
-        let mut choices = self.rank(now, item, view, &[]);
-        if full {
-            choices.retain(|choice| by_others(&choice.target, &choice.candidate));
-        }
+        let mut choices = rank(candidates, now, item, work, &[]);
         choices.truncate(PROBES_PER_CALL);
         let mut wait: Option<f64> = None;
         for (index, choice) in choices.iter().enumerate() {
@@ -82,8 +76,14 @@
     }
 
     /// Whether no probe of the best target for the call is pending.
-    pub(super) fn is_best_probed(&self, now: Instant, item: &Item, view: &View) -> bool {
-        let choices = self.score(now, item, view, &item.tried);
+    pub(super) fn is_best_probed(
+        &self,
+        now: Instant,
+        item: &Item,
+        work: f64,
+        candidates: &[(target::Key, Candidate)],
+    ) -> bool {
+        let choices = score(candidates, now, item, work, &item.tried);
         choices
             .min_by(|left, right| left.loss.total_cmp(&right.loss))
             .is_none_or(|best| !self.pending_probes.contains_key(best.target))
--- a/crates/core/src/place/queue.rs
+++ b/crates/core/src/place/queue.rs
@@ -1,33 +1,25 @@
-//! Queue of the calls that wait for a target, for bursts that exceed the slots: in which order they get
-//! targets, and until when each waits.
+//! Queue of the calls that wait for a target, for bursts that exceed the slots: which calls wait,
+//! in which order they get targets, and for how long they wait.
 //!
 //! Calls wait here rather than in a target: a place in a target's queue cannot be given to a more
-//! urgent call, and a full target resets connections or stays silent. Calls that can still be answered
-//! within their objective, the time in which an answer has its full value, form the first line. The
-//! others form the second one, which gets only what the first one leaves.
-//!
-//! The order of a line is kept as calls join and leave, so that a decision looks at its first calls only.
-
-use std::collections::BTreeSet;
+//! urgent call, and a full target resets connections. Calls that can still be answered within their
+//! objective, the time in which an answer has its full value, go first, ordered by urgency and by
+//! the end of the objective; the others only take slots that no other call needs.
 
 use crate::balance::Call;
 use crate::balance::Job;
 use crate::estimate::seconds;
-use crate::map::Map;
 use crate::target;
 use crate::time::Instant;
 
-/// Urgencies that are counted apart; the last one counts all that are less urgent, too.
-const URGENCIES: usize = 8;
+/// How long a call that cannot be answered in time any more may wait, as a share of its objective.
+const LATE_WAIT_SHARE: f64 = 0.125;
 
 /// A call that waits.
 #[derive(Clone, Debug)]
 pub(crate) struct Item {
     pub(crate) job: Job,
-    /// End of its objective.
-    pub(crate) objective_end: Instant,
-    /// Expected seconds of work on a usual target.
-    pub(crate) work: f64,
+    pub(crate) arrived: Instant,
     /// Until when the call waits for answers to probes.
     pub(crate) probe_deadline: Option<Instant>,
     /// Targets that failed or shed the call.
@@ -35,55 +27,37 @@
 }
 
 impl Item {
-    /// Whether the call waits for answers to probes.
-    pub(crate) fn is_probing(&self, now: Instant) -> bool {
-        self.probe_deadline.is_some_and(|deadline| now < deadline)
-    }
-
     /// Seconds of the objective that are left; negative once it has passed.
     pub(crate) fn remaining(&self, now: Instant) -> f64 {
-        seconds(self.objective_end.since(now)) - seconds(now.since(self.objective_end))
+        seconds(self.job.objective) - seconds(now.since(self.arrived))
     }
-}
 
-/// The line in which a call waits, and until when.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Line {
-    /// It can be answered in time if it gets a target by then.
-    First(Instant),
-    /// It is late; refused then.
-    Second(Instant),
-}
+    /// Whether `work` seconds of work can still end within the objective.
+    pub(crate) fn is_timely(&self, now: Instant, work: f64) -> bool {
+        self.remaining(now) > work
+    }
 
-/// What becomes of a call whose wait in a line is over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Expiry {
-    /// It cannot be answered in time any more.
-    Late(Call),
-    /// It has waited for as long as a late call may.
-    Over(Call),
-}
+    /// Seconds that a call with `work` seconds of work may wait: until it would miss its objective,
+    /// and for `LATE_WAIT_SHARE` of the objective at least.
+    pub(crate) fn max_wait(&self, now: Instant, work: f64) -> f64 {
+        let late = seconds(self.job.objective) * LATE_WAIT_SHARE;
+        (self.remaining(now) - work).max(late)
+    }
 
-type Rank = (u8, Instant, Call);
+    /// Whether the call has to be refused now: its work cannot end before its deadline, or it
+    /// is late and has waited for `LATE_WAIT_SHARE` of its objective.
+    pub(crate) fn is_expired(&self, now: Instant, work: f64) -> bool {
+        let waited = seconds(now.since(self.arrived));
+        let left = seconds(self.job.deadline.since(now));
+        let late = !self.is_timely(now, work);
+        left < work || (late && waited > seconds(self.job.objective) * LATE_WAIT_SHARE)
+    }
+}
 
-/// Calls that wait.
+/// Calls that wait, in no order.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
-    items: Map<Call, (Item, Line)>,
-    first: BTreeSet<Rank>,
-    second: BTreeSet<Rank>,
-    /// Calls by the end of their wait.
-    ends: BTreeSet<(Instant, Call)>,
-    /// Calls of the first line by urgency.
-    first_counts: [usize; URGENCIES],
-}
-
-fn rank(item: &Item) -> Rank {
-    (item.job.urgency, item.objective_end, item.job.call)
-}
-
-fn index(urgency: u8) -> usize {
-    usize::from(urgency).min(URGENCIES - 1)
+    items: Vec<Item>,
 }
 
 impl Queue {
@@ -95,87 +69,42 @@
         self.items.is_empty()
     }
 
-    /// Number of calls in the second line.
-    pub(crate) fn late(&self) -> usize {
-        self.second.len()
-    }
-
-    pub(crate) fn get(&self, call: Call) -> Option<&Item> {
-        self.items.get(&call).map(|(item, _)| item)
-    }
-
-    pub(crate) fn push(&mut self, item: Item, line: Line) {
-        let call = item.job.call;
-        self.remove(call);
-        match line {
-            Line::First(end) => {
-                self.first.insert(rank(&item));
-                self.first_counts[index(item.job.urgency)] += 1;
-                self.ends.insert((end, call));
-            }
-            Line::Second(end) => {
-                self.second.insert(rank(&item));
-                self.ends.insert((end, call));
-            }
-        }
-        self.items.insert(call, (item, line));
+    pub(crate) fn push(&mut self, item: Item) {
+        self.items.push(item);
     }
 
     pub(crate) fn remove(&mut self, call: Call) -> Option<Item> {
-        let (item, line) = self.items.remove(&call)?;
-        match line {
-            Line::First(end) => {
-                self.first.remove(&rank(&item));
-                self.first_counts[index(item.job.urgency)] -= 1;
-                self.ends.remove(&(end, call));
-            }
-            Line::Second(end) => {
-                self.second.remove(&rank(&item));
-                self.ends.remove(&(end, call));
-            }
-        }
-        Some(item)
-    }
-
-    /// At most `count` calls of the first line, in order.
-    pub(crate) fn first(&self, count: usize) -> Vec<Call> {
-        self.first.iter().take(count).map(|rank| rank.2).collect()
-    }
-
-    /// At most `count` calls of the second line, in order.
-    pub(crate) fn second(&self, count: usize) -> Vec<Call> {
-        self.second.iter().take(count).map(|rank| rank.2).collect()
+        let index = self.items.iter().position(|item| item.job.call == call)?;
+        Some(self.items.swap_remove(index))
     }
 
-    /// Number of calls of the first line that get a target before a new one of `urgency`.
-    pub(crate) fn ahead(&self, urgency: u8) -> usize {
-        self.first_counts[..=index(urgency)].iter().sum()
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Item> {
+        self.items.iter()
     }
 
-    /// The next call whose wait has ended by `now`. It stays in its line.
-    pub(crate) fn expired(&self, now: Instant) -> Option<Expiry> {
-        let (end, call) = self.ends.first()?;
-        if *end > now {
-            return None;
-        }
-        let (_, line) = self.items.get(call)?;
-        Some(match line {
-            Line::First(_) => Expiry::Late(*call),
-            Line::Second(_) => Expiry::Over(*call),
-        })
+    /// The calls in the order in which they get targets; `work` returns the expected seconds of
+    /// work of a call.
+    pub(crate) fn by_priority(&self, now: Instant, work: impl Fn(&Job) -> f64) -> Vec<Call> {
+        let rank = |item: &&Item| {
+            let timely = item.is_timely(now, work(&item.job));
+            let end = item.arrived + item.job.objective;
+            (!timely, item.job.urgency, end, item.job.call)
+        };
+        let mut items: Vec<&Item> = self.items.iter().collect();
+        items.sort_by_cached_key(rank);
+        items.into_iter().map(|item| item.job.call).collect()
     }
 
-    /// When the wait of the next call ends.
-    pub(crate) fn next_end(&self) -> Option<Instant> {
-        self.ends.first().map(|(end, _)| *end)
+    /// Number of calls that get a target before a new call of `urgency` that can be answered in
+    /// time.
+    pub(crate) fn ahead(&self, now: Instant, urgency: u8, work: impl Fn(&Job) -> f64) -> usize {
+        let before =
+            |item: &&Item| item.job.urgency <= urgency && item.is_timely(now, work(&item.job));
+        self.items.iter().filter(before).count()
     }
 
-    /// Removes and returns all calls.
-    pub(crate) fn drain(&mut self) -> Vec<Item> {
-        let calls: Vec<Call> = self.items.keys().copied().collect();
-        calls
-            .into_iter()
-            .filter_map(|call| self.remove(call))
-            .collect()
+    /// Removes and returns every call for which `matches` holds.
+    pub(crate) fn extract(&mut self, matches: impl Fn(&Item) -> bool) -> Vec<Item> {
+        self.items.extract_if(.., |item| matches(item)).collect()
     }
 }
--- a/crates/core/src/place/stated.rs
+++ b/crates/core/src/place/stated.rs
@@ -64,13 +64,7 @@
     /// few: only some VMs send there, and no more than their shares.
     pub(super) fn usual_others(&self, key: target::Key, slots: f64) -> f64 {
         let limit = self.stated.get(key).and_then(Stated::limit);
-        if limit.is_some() {
-            0.0
-        } else if self.is_own(key) {
-            self.own_others * slots
-        } else {
-            self.foreign_others * slots
-        }
+        limit.map_or(self.mean_others * slots, |_| 0.0)
     }
 
     /// Number of VMs that may use the target while it states a limit, this one included; zero if this
--- a/crates/core/src/place/stats.rs
+++ b/crates/core/src/place/stats.rs
@@ -10,10 +10,12 @@
 use crate::estimate::Report;
 use crate::estimate::number;
 use crate::estimate::seconds;
-use crate::place::noise::Noise;
 use crate::time::Instant;
 use crate::time::Span;
 
+/// Time after which a reported slowdown counts for 1/e; the slowdown of a machine changes after
+/// about 300 ms.
+const SLOWDOWN_DECAY_S: f64 = 0.25;
 /// Time after which the failures of a target count for 1/e, so that it is tried again.
 const FAILURE_DECAY_S: f64 = 3.0;
 /// Time after which the latency ratio counts for 1/e without new answers.
@@ -29,9 +31,6 @@
 /// A call that takes this many times the expected time is overdue; the work of calls spreads by a
 /// third.
 const OVERDUE_RATIO: f64 = 1.5;
-/// A call that takes this many times the expected time is silent if a later one was answered: the target
-/// works, but does not answer this one.
-const SILENT_RATIO: f64 = 4.0;
 /// How many times longer work takes on a target that has just started.
 const COLD_SLOWDOWN: f64 = 1.8;
 
@@ -42,8 +41,6 @@
     sent: Instant,
     /// Seconds that it was expected to take.
     expected: f64,
-    /// Whether the target is taken not to answer it.
-    silent: bool,
 }
 
 /// Statistics of one target.
@@ -86,12 +83,6 @@
 }
 
 impl Stats {
-    /// The slowdown of the newest report and its age; none without any.
-    pub(crate) fn last_slowdown(&self, now: Instant) -> Option<(f64, Span)> {
-        self.reported
-            .map(|at| (self.machine_slowdown, now.since(at)))
-    }
-
     /// Records a report that was true at `now`, when `own` calls of this VM were at the target.
     /// Returns the requests of other VMs there.
     pub(crate) fn add_report(&mut self, now: Instant, report: Report, own: usize) -> f64 {
@@ -113,10 +104,14 @@
     }
 
     /// How many times longer work took on the machine at the newest report, 1 for as usual or if
-    /// there is none that is as new as `age`.
-    pub(crate) fn machine_slowdown(&self, now: Instant, age: Span) -> Option<f64> {
-        let (slowdown, reported) = self.last_slowdown(now)?;
-        (reported <= age).then_some(slowdown)
+    /// there is none.
+    pub(crate) fn machine_slowdown(&self) -> f64 {
+        self.reported.map_or(1.0, |_| self.machine_slowdown)
+    }
+
+    /// How many times longer answers take than expected.
+    pub(crate) fn latency_ratio(&self, now: Instant) -> f64 {
+        self.log_ratio_now(now).exp()
     }
 
     /// Sets until when the target is slow after its start.
@@ -130,7 +125,6 @@
             call,
             sent: now,
             expected,
-            silent: false,
         });
     }
 
@@ -173,44 +167,28 @@
         self.log_ratio * decay(now.since(self.log_ratio_at), LATENCY_RATIO_DECAY_S)
     }
 
-    /// How many times longer work takes than usual on the machine; `noise` is that of all machines.
-    pub(crate) fn machine(&self, now: Instant, noise: &Noise) -> f64 {
-        let mean = noise.mean();
-        self.last_slowdown(now).map_or(mean, |(slowdown, age)| {
-            mean + (slowdown - mean) * noise.weight(age)
-        })
-    }
-
-    /// How many times longer work takes than on a usual target, apart from its load and its machine.
-    pub(crate) fn slowness(&self, now: Instant) -> f64 {
+    /// How many times longer work takes than on a usual target, apart from its load;
+    /// `usual_slowdown` is the mean slowdown of all machines.
+    pub(crate) fn slowdown(&self, now: Instant, usual_slowdown: f64) -> f64 {
+        let machine = match self.reported {
+            Some(at) => {
+                let weight = decay(now.since(at), SLOWDOWN_DECAY_S);
+                usual_slowdown + (self.machine_slowdown - usual_slowdown) * weight
+            }
+            None => usual_slowdown,
+        };
         let cold = if now < self.cold_until {
             COLD_SLOWDOWN
         } else {
             1.0
         };
         // Overdue calls show that a target is slow before any answer does.
-        let open = self.attempts.iter().filter(|attempt| !attempt.silent);
-        let overdue = open.map(|attempt| {
+        let overdue = self.attempts.iter().map(|attempt| {
             let elapsed = seconds(now.since(attempt.sent));
             (elapsed / attempt.expected.max(f64::MIN_POSITIVE) / OVERDUE_RATIO).max(1.0)
         });
         let overdue = overdue.fold(1.0, f64::max).min(MAX_RATIO);
-        cold * self.log_ratio_now(now).exp().max(overdue)
-    }
-
-    /// Marks the calls that the target is taken not to answer, now that it answered one sent at `sent`.
-    /// Returns how many are new. They keep their place in the load: whether they run is not known.
-    pub(crate) fn mark_silent(&mut self, now: Instant, sent: Instant) -> usize {
-        let mut found = 0;
-        for attempt in &mut self.attempts {
-            let elapsed = seconds(now.since(attempt.sent));
-            let overdue = elapsed > SILENT_RATIO * attempt.expected;
-            if !attempt.silent && attempt.sent < sent && overdue {
-                attempt.silent = true;
-                found += 1;
-            }
-        }
-        found
+        machine * cold * self.log_ratio_now(now).exp().max(overdue)
     }
 
     /// Expected requests at the target, own ones included. `usual` is the number of requests of
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -16,7 +16,6 @@
 mod hosting;
 
 pub use builder::Builder;
-pub use hosting::Cost;
 pub use hosting::Hosting;
 pub use hosting::Region;
 pub use hosting::Repeats;
--- a/crates/core/src/settings/hosting.rs
+++ b/crates/core/src/settings/hosting.rs
@@ -26,21 +26,10 @@
         pub cores_thousandths: u64,
         /// Bandwidth of the network link of this VM, in kbit/s.
         pub link_kbps: u64,
-        /// Price of the bytes of calls between data centres and regions.
-        pub cost: Cost,
         /// Regions of the data centres that targets may name.
         pub regions: Vec<Region>,
     }
 
-    /// Price of bytes, against the worth of an answer in time to a call of the least urgent rank.
-    #[derive(Copy)]
-    pub struct Cost {
-        /// Answers that are worth as much as a gigabyte between two data centres of a region.
-        pub data_center: u64,
-        /// Answers that are worth as much as a gigabyte between two regions.
-        pub region: u64,
-    }
-
     /// Bound on the repeated requests to a service, over all VMs together: in each window at most
     /// `ratio` repeats for each request, and `slack` more.
     #[derive(Copy)]
@@ -64,8 +53,9 @@
     }
 }
 
-/// Target slots whose calls one processor can forward.
-const SLOTS_PER_CORE: u64 = 300;
+/// Target slots whose calls one processor can forward: a fifth of a processor forwards the calls of
+/// six targets.
+const SLOTS_PER_CORE: u64 = 120;
 /// Target slots whose calls one Mbit/s of link bandwidth can carry: with calls of 60 ms and 4 KB a
 /// slot transfers about half a Mbit/s.
 const SLOTS_PER_MBPS: u64 = 2;
@@ -79,7 +69,6 @@
     let named = reader.integer("named", 1..=64, Some(2));
     let cores = reader.thousandths("cores", 1..=1_024_000, 200);
     let link = reader.thousandths("link_mbps", 1..=4_000_000_000, 1_000_000);
-    let cost = reader.nested("cost", cost);
     let regions = reader.named_texts("regions");
     let region = |(data_center, name)| Region { data_center, name };
     Some(Hosting {
@@ -90,7 +79,6 @@
         named: usize::try_from(named?).unwrap_or(usize::MAX),
         cores_thousandths: cores?,
         link_kbps: link?,
-        cost: cost?,
         regions: regions.into_iter().map(region).collect(),
     })
 }
@@ -108,15 +96,6 @@
     })
 }
 
-fn cost(reader: &mut Reader) -> Option<Cost> {
-    let data_center = reader.integer("data_center", 0..=1_000_000_000, Some(30_000));
-    let region = reader.integer("region", 0..=1_000_000_000, Some(85_000));
-    Some(Cost {
-        data_center: data_center?,
-        region: region?,
-    })
-}
-
 impl Hosting {
     /// Number of target slots that this VM can forward calls to, as its processor share and its
     /// link allow; at least 1.
@@ -151,10 +130,6 @@
             "named": self.named,
             "cores": decimal(self.cores_thousandths),
             "link_mbps": decimal(self.link_kbps),
-            "cost": {
-                "data_center": self.cost.data_center,
-                "region": self.cost.region,
-            },
             "regions": regions,
         })
     }
--- a/crates/core/src/site/registry.rs
+++ b/crates/core/src/site/registry.rs
@@ -80,8 +80,6 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     records: Map<Box<str>, Record>,
-    /// Keys of the registrations that vanished and are kept for now.
-    vanished: Set<Box<str>>,
     /// Whether removals are part of the first update after an outage of the store.
     after_outage: bool,
 }
@@ -100,7 +98,6 @@
         key: &str,
         registration: Option<Registration>,
     ) -> Vec<Box<str>> {
-        self.vanished.remove(key);
         let Some(registration) = registration else {
             return self.records.remove(key).into_iter().map(service).collect();
         };
@@ -125,7 +122,6 @@
             return Vec::new();
         };
         if record.registration.state == State::Ready {
-            self.vanished.insert(key.into());
             record.removal.get_or_insert(Removal {
                 at: now,
                 after_outage: self.after_outage,
@@ -138,9 +134,6 @@
     /// Removes the registrations that vanished and did not come back in time. Returns the services
     /// whose targets changed.
     pub fn expire(&mut self, now: Instant) -> Vec<Box<str>> {
-        if self.vanished.is_empty() {
-            return Vec::new();
-        }
         let services = self.services_with_many_vanished();
         let overdue = |record: &Record| {
             record.removal.is_some_and(|removal| {
@@ -154,13 +147,10 @@
                 now.since(removal.at) >= grace
             })
         };
-        let records = &self.records;
-        let expired = self
-            .vanished
-            .extract_if(|key| records.get(key).is_none_or(overdue));
-        let expired: Vec<Box<str>> = expired.collect();
-        let removed = expired.iter().filter_map(|key| self.records.remove(key));
-        removed.map(service).collect()
+        let expired = self.records.extract_if(|_, record| overdue(record));
+        expired
+            .map(|(_, record)| record.registration.service)
+            .collect()
     }
 
     /// Services of which many registrations have vanished.
--- a/crates/core/src/site/rule.rs
+++ b/crates/core/src/site/rule.rs
@@ -6,7 +6,6 @@
 
 use crate::entry::Class;
 use crate::map::Map;
-use crate::map::Set;
 use crate::time::Span;
 
 data! {
@@ -106,27 +105,13 @@
         self.hosts.get(&*lower).map(Vec::as_slice)
     }
 
-    /// The services in groups: those that a host has rules for are in the same one. Each group, and the list
-    /// of groups, is ordered by name.
-    #[must_use]
-    pub fn groups(&self) -> Vec<Vec<Box<str>>> {
-        let mut groups: Vec<Set<&str>> = Vec::new();
-        for rules in self.hosts.values() {
+    /// The hosts, each with the service whose homes its callers are told, and all its services.
+    pub fn services_by_host(&self) -> impl Iterator<Item = (&str, Vec<&str>)> {
+        self.hosts.values().filter_map(|rules| {
             let destinations = rules.iter().flat_map(|rule| &rule.destinations);
-            let mut group: Set<&str> = destinations.map(|part| &*part.service).collect();
-            let joined = groups.extract_if(.., |known| !known.is_disjoint(&group));
-            let joined: Vec<Set<&str>> = joined.collect();
-            group.extend(joined.into_iter().flatten());
-            groups.push(group);
-        }
-        let ordered = |group: Set<&str>| {
-            let mut names: Vec<Box<str>> = group.into_iter().map(Box::from).collect();
-            names.sort_unstable();
-            names
-        };
-        let mut groups: Vec<Vec<Box<str>>> = groups.into_iter().map(ordered).collect();
-        groups.sort_unstable();
-        groups
+            let services: Vec<&str> = destinations.map(|part| &*part.service).collect();
+            Some((*services.first()?, services))
+        })
     }
 
     /// All rules.
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -6,7 +6,6 @@
 use crate::estimate::Estimate;
 use crate::estimate::seconds;
 use crate::estimate::span;
-use crate::map::Map;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -208,15 +207,10 @@
 impl Table {
     /// Updates the targets to `specs`: adds new ones, keeps known ones and removes the rest.
     pub fn update(&mut self, now: Instant, place: &Place, specs: &[entry::Target]) {
-        let mut missing: Map<&str, &entry::Target> =
-            specs.iter().map(|spec| (&*spec.name, spec)).collect();
-        self.targets.retain(|_, target| {
-            let same = missing.get(&*target.spec.name) == Some(&&target.spec);
-            same && missing.remove(&*target.spec.name).is_some()
-        });
-        // In the order of `specs`, so that equal tables have equal keys.
+        self.targets
+            .retain(|_, target| specs.contains(&target.spec));
         for spec in specs {
-            if missing.remove(&*spec.name).is_some() {
+            if !self.targets.values().any(|target| target.spec == *spec) {
                 let remote = spec.region != place.region;
                 let round_trip = place.round_trip(spec);
                 self.targets
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -44,7 +44,6 @@
         deadline: at(deadline),
         arrived: at(0),
         objective: Span::ZERO,
-        patience: None,
         urgency: 0,
         avoid: None,
         entry: 0,
--- a/crates/core/tests/balance_machine.rs
+++ b/crates/core/tests/balance_machine.rs
@@ -302,7 +302,6 @@
             deadline: self.now + deadline,
             arrived: self.now,
             objective: Span::ZERO,
-            patience: None,
             urgency: 0,
             avoid: None,
             entry,
--- a/crates/core/tests/home.rs
+++ b/crates/core/tests/home.rs
@@ -5,7 +5,6 @@
 
 use oriolecleat_core::address::Candidate;
 use oriolecleat_core::home;
-use oriolecleat_core::home::Group;
 use oriolecleat_core::home::Home;
 use oriolecleat_core::home::Target;
 use oriolecleat_core::map::Set;
@@ -49,11 +48,11 @@
     services: &[(&str, Vec<Target>)],
     service: &str,
 ) -> Vec<Home> {
-    let group = |(name, targets): &(&str, Vec<Target>)| Group {
-        services: vec![(Box::from(*name), targets.clone())],
-    };
-    let groups: Vec<Group> = services.iter().map(group).collect();
-    let mut homes = home::assign("cai", candidates, &groups);
+    let services: Vec<(Box<str>, Vec<Target>)> = services
+        .iter()
+        .map(|(name, targets)| (Box::from(*name), targets.clone()))
+        .collect();
+    let mut homes = home::assign("cai", candidates, &services);
     homes.remove(service).expect("the service has homes")
 }
 
--- a/crates/core/tests/measuring.rs
+++ b/crates/core/tests/measuring.rs
@@ -145,7 +145,6 @@
             deadline: Instant::from_micros(self.now + 600_000_000),
             arrived: Instant::from_micros(self.now),
             objective: Span::ZERO,
-            patience: None,
             urgency: 0,
             avoid: None,
             entry: 0,
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -14,7 +14,6 @@
 use oriolecleat_core::map::Map;
 use oriolecleat_core::place::Limits;
 use oriolecleat_core::place::Placer;
-use oriolecleat_core::settings::Cost;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::target::Standing;
@@ -24,10 +23,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-const COST: Cost = Cost {
-    data_center: 30_000,
-    region: 85_000,
-};
 const SLOTS: usize = 4;
 const QUEUE: usize = 8;
 const OBJECTIVE_US: u64 = 200_000;
@@ -40,9 +35,6 @@
 /// Time after which placement has learned the work of the calls; earlier calls do not count.
 const WARM_UP_US: u64 = 2_000_000;
 
-/// Seeds over which a mean is taken.
-const SEEDS: u32 = 8;
-
 /// A simulated load, and the result that placement has to reach under it.
 #[derive(Clone, Copy)]
 struct Load {
@@ -359,7 +351,6 @@
             arrived: now,
             deadline: now + Span::from_micros(DEADLINE_US),
             objective: Span::from_micros(OBJECTIVE_US),
-            patience: None,
             urgency: 1,
             avoid: None,
             entry: 1,
@@ -441,14 +432,7 @@
         region: "r".into(),
         data_center: "c".into(),
     };
-    let mut placer = Placer::new(
-        "vm",
-        place,
-        Limits {
-            queue: 256,
-            cost: COST,
-        },
-    );
+    let mut placer = Placer::new(place, Limits { queue: 256 });
     placer.update(Instant::default(), specs, |_| None);
     let keys: Vec<target::Key> = specs
         .iter()
@@ -497,23 +481,19 @@
 
 /// Guards against congestion that outlasts a burst: VMs that assume targets without reports to be
 /// idle send more work to busy targets, which makes the work longer and keeps the targets busy.
-///
-/// One run is decided by a few slow machines, so the mean over eight of them counts.
 #[test]
 fn a_burst_is_over_two_seconds_after_its_end() {
     let burst = Load {
         burst: 1.0,
         ..FLEET
     };
-    let mut difference = 0.0;
-    for seed in 1..=u64::from(SEEDS) {
+    for seed in 1..=2 {
         let calm = Simulation::new(FLEET, seed, true).run();
         let after = Simulation::new(burst, seed, true).run();
         println!("seed {seed}: {after:.3} in time after a burst, {calm:.3} without");
-        difference += after - calm;
+        assert!(
+            after >= calm - 0.03,
+            "seed {seed}: {after:.3} in time after a burst, {calm:.3} without"
+        );
     }
-    assert!(
-        difference >= -0.015 * f64::from(SEEDS),
-        "{difference:.3} more in time after a burst than without, over {SEEDS} seeds"
-    );
 }
--- a/crates/core/tests/placer.rs
+++ b/crates/core/tests/placer.rs
@@ -9,7 +9,6 @@
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::place::Limits;
 use oriolecleat_core::place::Placer;
-use oriolecleat_core::settings::Cost;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::target::Standing;
@@ -18,10 +17,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-const COST: Cost = Cost {
-    data_center: 30_000,
-    region: 170_000,
-};
 const OBJECTIVE: Span = Span::from_millis(200);
 const DEADLINE: Span = Span::from_millis(800);
 
@@ -40,14 +35,7 @@
             region: "r".into(),
             data_center: "c".into(),
         };
-        let mut placer = Placer::new(
-            "vm",
-            place,
-            Limits {
-                queue: 256,
-                cost: COST,
-            },
-        );
+        let mut placer = Placer::new(place, Limits { queue: 256 });
         let specs: Vec<entry::Target> = (1_000..).zip(regions).map(spec).collect();
         placer.update(Instant::default(), &specs, |_| None);
         let find = |spec: &entry::Target| placer.targets().find(&spec.name).expect("the target");
@@ -81,7 +69,6 @@
             arrived: now,
             deadline: now + DEADLINE,
             objective: OBJECTIVE,
-            patience: None,
             urgency,
             avoid: None,
             entry: 1,
--- a/crates/core/tests/stated.rs
+++ b/crates/core/tests/stated.rs
@@ -11,7 +11,6 @@
 use oriolecleat_core::home::USERS_MAX;
 use oriolecleat_core::place::Limits;
 use oriolecleat_core::place::Placer;
-use oriolecleat_core::settings::Cost;
 use oriolecleat_core::stated::Change;
 use oriolecleat_core::stated::Stated;
 use oriolecleat_core::stated::Statement;
@@ -24,10 +23,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-const COST: Cost = Cost {
-    data_center: 30_000,
-    region: 85_000,
-};
 const START: Instant = Instant::from_micros(1_000_000);
 const STEP: Span = Span::from_millis(10);
 /// Time over which requests are counted against a limit.
@@ -195,14 +190,7 @@
             data_center: "c".into(),
         };
         let mut service = Self {
-            placer: Placer::new(
-                "vm",
-                place,
-                Limits {
-                    queue: 256,
-                    cost: COST,
-                },
-            ),
+            placer: Placer::new(place, Limits { queue: 256 }),
             targets: Vec::new(),
             rng: SmallRng::seed_from_u64(1),
             calls: 0,
@@ -239,7 +227,6 @@
             arrived: now,
             deadline: now + Span::from_millis(800),
             objective: Span::from_millis(200),
-            patience: None,
             urgency: 0,
             avoid: None,
             entry: 1,
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -293,7 +293,6 @@
         arrived: node.clock.now(),
         deadline: terms.deadline,
         objective: destination.objective,
-        patience: facts.timeout,
         urgency: destination.urgency,
         avoid: None,
         entry: number,
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -5,7 +5,6 @@
 use oriolecleat_core::leaving;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
-use oriolecleat_core::place;
 use oriolecleat_core::route;
 use oriolecleat_core::site::plan::Plan;
 use oriolecleat_core::time::Instant;
@@ -144,7 +143,6 @@
                 service.sync_targets(bounds);
             }
         }
-        self.assignment.record_targets();
         self.release_connections();
     }
 
@@ -164,23 +162,20 @@
         let place = self.place();
         let ceiling = self.vm_ceiling();
         let bounds = leaving::Bounds::from(&self.settings.evidence);
-        let cost = self.settings.hosting.as_ref().map(|hosting| hosting.cost);
-        let vm = self.settings.vm.clone();
+        let hosted = self.hosted.is_some();
         let mut named = Set::default();
         for (name, entries) in self.routes.services() {
             let limits = service::limits(entries, ceiling);
             let targets = self.targets_of(name, entries);
             let cold = self.cold_targets(name);
             let key = *self.names.entry(name.into()).or_insert_with(|| {
-                let limits = limits.clone();
-                self.services.insert(match cost {
-                    Some(cost) => {
-                        let queue = limits.queue;
-                        let limits = place::Limits { queue, cost };
-                        Service::hosted(name, &vm, place.clone(), limits)
-                    }
-                    None => Service::own(now, name, place.clone(), limits),
-                })
+                self.services.insert(Service::new(
+                    now,
+                    name,
+                    place.clone(),
+                    limits.clone(),
+                    hosted,
+                ))
             });
             named.insert(key);
             if let Some(service) = self.services.get_mut(key) {
@@ -197,7 +192,6 @@
             }
         }
         self.update_quotas();
-        self.assignment.record_rules();
         self.release_connections();
     }
 }
--- a/crates/daemon/src/evidence.rs
+++ b/crates/daemon/src/evidence.rs
@@ -28,33 +28,16 @@
                 self.evidence.insert(key, Evidence::new(bounds));
             }
         }
-        let evidence = &self.evidence;
-        self.suspects.retain(|key| evidence.contains_key(*key));
     }
 
-    /// Updates the standing of the targets in the balancer. Evidence ages without any event, so
+    /// Updates the standing of each target in the balancer. Evidence ages without any event, so
     /// this has to run before every decision.
-    ///
-    /// Targets that are never confirmed by probes take work unless there is evidence of leaving, so that
-    /// only those with such evidence are looked at.
     pub(crate) fn update_standings(&mut self, now: Instant) {
         let can_probe = self.balancer.can_probe();
-        if self.balancer.confirms() {
-            for (key, evidence) in &self.evidence {
-                let standing = standing(now, evidence, can_probe);
-                self.balancer.set_standing(key, standing);
-            }
-            return;
-        }
-        let (evidence, balancer) = (&self.evidence, &mut self.balancer);
-        self.suspects.retain(|key| {
-            let Some(evidence) = evidence.get(*key) else {
-                return false;
-            };
+        for (key, evidence) in &self.evidence {
             let standing = standing(now, evidence, can_probe);
-            balancer.set_standing(*key, standing);
-            standing != Standing::Open
-        });
+            self.balancer.set_standing(key, standing);
+        }
     }
 
     /// Whether the target may get a request at `now`.
@@ -79,9 +62,6 @@
         sent: Instant,
         draining: bool,
     ) -> bool {
-        if draining {
-            self.suspects.insert(target);
-        }
         let evidence = self.evidence.get_mut(target);
         evidence.is_some_and(|evidence| evidence.record_answer(now, sent, draining))
     }
@@ -95,7 +75,6 @@
         probe: Probe,
     ) -> bool {
         self.balancer.end_confirmation(target);
-        self.suspects.insert(target);
         let evidence = self.evidence.get_mut(target);
         evidence.is_some_and(|evidence| evidence.record_probe(now, sent, probe))
     }
@@ -112,7 +91,6 @@
             if target.spec.address == address
                 && let Some(evidence) = self.evidence.get_mut(key)
             {
-                self.suspects.insert(key);
                 let _ = evidence.record_news(now, news);
             }
         }
@@ -131,11 +109,9 @@
         for (key, target) in self.balancer.targets().iter() {
             if *target.spec.vm == *vm
                 && let Some(evidence) = self.evidence.get_mut(key)
+                && evidence.record_listing(now, listed, age)
             {
-                self.suspects.insert(key);
-                if evidence.record_listing(now, listed, age) {
-                    news.push(key);
-                }
+                news.push(key);
             }
         }
         news
@@ -143,7 +119,6 @@
 
     /// Records that the target refused a connection. Returns whether peers have to be told.
     pub(crate) fn record_refused_connection(&mut self, now: Instant, target: target::Key) -> bool {
-        self.suspects.insert(target);
         let evidence = self.evidence.get_mut(target);
         evidence.is_some_and(|evidence| evidence.record_refusal(now))
     }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -205,7 +205,6 @@
             service = &*found.name,
             target = &*grant.name,
             attempt,
-            remote = grant.remote,
             left_ms = left.as_millis(),
             load = state.load,
             slowness = state.slowdown,
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use oriolecleat_core::catalogue::Catalogue;
 use oriolecleat_core::map::Map;
+use oriolecleat_core::map::Set;
 use oriolecleat_core::repeat;
 use oriolecleat_core::settings::Hosting;
 use oriolecleat_core::site::feed;
@@ -20,6 +21,8 @@
 use serde_json::Value;
 
 use crate::dialect::Dialect;
+use crate::homes;
+use crate::homes::Entrances;
 
 /// Why a message of the platform is not understood.
 pub type Fault = Box<dyn Error + Send + Sync>;
@@ -94,8 +97,8 @@
     /// The plan in force.
     pub(crate) plan: Option<Plan>,
     pub(crate) rules: rule::Table,
-    /// Groups of services that a host of `rules` joins.
-    pub(crate) groups: Vec<Vec<Box<str>>>,
+    /// Those of `rules`.
+    pub(crate) entrances: Entrances,
     pub(crate) registry: Registry,
     pub(crate) repeats: Map<Box<str>, repeat::Budget>,
 }
@@ -116,7 +119,7 @@
             settings,
             plan: None,
             rules: rule::Table::default(),
-            groups: Vec::new(),
+            entrances: Entrances::default(),
             registry: Registry::default(),
             repeats: Map::default(),
         }
@@ -162,7 +165,7 @@
             "plan in force"
         );
         self.rules = rule::Table::build(&plan.rules);
-        self.groups = self.rules.groups();
+        self.entrances = homes::entrances(&self.rules);
         self.plan = Some(plan);
         Effect::Plan
     }
@@ -177,4 +180,10 @@
             .get_mut(service)
             .expect("the budget was inserted if it was missing")
     }
+
+    /// The services of the plan.
+    pub(crate) fn services(&self) -> Set<Box<str>> {
+        let rules = self.rules.iter().flat_map(|rule| &rule.destinations);
+        rules.map(|part| part.service.clone()).collect()
+    }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -28,7 +28,8 @@
 use crate::dialect::Dialect;
 use crate::fleet::Links;
 use crate::halt::Phases;
-use crate::homes::Assignment;
+use crate::homes::Basis;
+use crate::homes::Homes;
 use crate::host::Host;
 use crate::host::Hosted;
 use crate::inflight;
@@ -91,7 +92,8 @@
     pub(crate) dialect: Rc<Dialect>,
     /// State taken from the platform that hosts the fleet, if one does.
     pub(crate) hosted: Option<Hosted>,
-    pub(crate) assignment: Assignment,
+    pub(crate) homes: Homes,
+    pub(crate) homes_basis: Basis,
 }
 
 impl Node {
@@ -124,7 +126,8 @@
         Self {
             dialect: Rc::new(dialect),
             hosted,
-            assignment: Assignment::default(),
+            homes: Homes::default(),
+            homes_basis: Basis::default(),
             issuer: ticket::Issuer::new(settings.fleet_key.as_bytes()),
             ledger: ticket::Ledger::new(&settings.vm, incarnation, LEDGER_CAPACITY),
             metrics: Metrics::new(settings.statsd, &settings.vm),
--- a/crates/daemon/src/policy.rs
+++ b/crates/daemon/src/policy.rs
@@ -11,6 +11,8 @@
 use oriolecleat_core::entry;
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::map::Map;
+use oriolecleat_core::map::Set;
+use oriolecleat_core::place;
 use oriolecleat_core::place::Estimate;
 use oriolecleat_core::place::Placer;
 use oriolecleat_core::stated::Change;
@@ -35,7 +37,9 @@
     pub(crate) fn set_limits(&mut self, now: Instant, limits: balance::Limits) {
         match self {
             Self::Own(balancer) => balancer.set_limits(now, limits),
-            Self::Hosted(placer) => placer.set_queue(limits.queue),
+            Self::Hosted(placer) => placer.set_limits(place::Limits {
+                queue: limits.queue,
+            }),
         }
     }
 
@@ -52,11 +56,11 @@
         }
     }
 
-    /// Sets the VM to which each target belongs, by name.
-    pub(crate) fn set_owners(&mut self, owners: Option<&Map<Box<str>, Box<str>>>) {
+    /// Sets the names of the targets that are assigned to this VM.
+    pub(crate) fn set_own_targets(&mut self, targets: Option<Set<Box<str>>>) {
         match self {
             Self::Own(_) => {}
-            Self::Hosted(placer) => placer.set_owners(owners),
+            Self::Hosted(placer) => placer.set_own_targets(targets),
         }
     }
 
@@ -139,11 +143,6 @@
         }
     }
 
-    /// Whether targets are confirmed by probes when the evidence that they live is old.
-    pub(crate) fn confirms(&self) -> bool {
-        matches!(self, Self::Own(_))
-    }
-
     /// Submits a new call.
     pub(crate) fn submit(
         &mut self,
@@ -228,17 +227,11 @@
         }
     }
 
-    /// Counts the bytes that the exchange of `call` with `target` carried.
-    pub(crate) fn record_bytes(
-        &mut self,
-        now: Instant,
-        call: Call,
-        target: target::Key,
-        bytes: u64,
-    ) {
+    /// Counts the bytes that an exchange with `target` carried.
+    pub(crate) fn record_bytes(&mut self, now: Instant, target: target::Key, bytes: u64) {
         match self {
             Self::Own(balancer) => balancer.charge_exchange(now, target, bytes),
-            Self::Hosted(placer) => placer.record_bytes(call, bytes),
+            Self::Hosted(_) => {}
         }
     }
 
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -8,7 +8,6 @@
 use oriolecleat_core::data;
 use oriolecleat_core::entry;
 use oriolecleat_core::entry::Entry;
-use oriolecleat_core::map::Set;
 use oriolecleat_core::place;
 use oriolecleat_core::place::Placer;
 use oriolecleat_core::target;
@@ -32,10 +31,6 @@
     pub(crate) name: Box<str>,
     pub(crate) balancer: Policy,
     pub(crate) evidence: evidence::Map,
-    /// Targets with evidence of leaving, or that had some when it was last looked at.
-    pub(crate) suspects: Set<target::Key>,
-    /// Number of targets that belong to this VM; none before homes are known.
-    pub(crate) own_targets: Option<usize>,
 }
 
 data! {
@@ -84,29 +79,24 @@
 }
 
 impl Service {
-    /// Creates a service with targets of the product.
-    pub(crate) fn own(now: Instant, name: &str, place: Place, limits: Limits) -> Self {
-        Self::new(
-            name,
-            Policy::Own(Box::new(Balancer::new(now, place, limits))),
-        )
-    }
-
-    /// Creates a service on the VM called `vm` with targets of a platform.
-    pub(crate) fn hosted(name: &str, vm: &str, place: Place, limits: place::Limits) -> Self {
-        Self::new(
-            name,
-            Policy::Hosted(Box::new(Placer::new(vm, place, limits))),
-        )
-    }
-
-    fn new(name: &str, balancer: Policy) -> Self {
+    /// Creates a service with the product's own targets, or with those of a platform if `hosted`.
+    pub(crate) fn new(
+        now: Instant,
+        name: &str,
+        place: Place,
+        limits: Limits,
+        hosted: bool,
+    ) -> Self {
+        let balancer = if hosted {
+            let queue = limits.queue;
+            Policy::Hosted(Box::new(Placer::new(place, place::Limits { queue })))
+        } else {
+            Policy::Own(Box::new(Balancer::new(now, place, limits)))
+        };
         Self {
             name: name.into(),
             balancer,
             evidence: evidence::Map::new(),
-            suspects: Set::default(),
-            own_targets: None,
         }
     }
 
