Refuse what a planned stop would cut

Cause: a stopping VM took requests until its address answers had expired and compared neither the deadline of a request nor what its entry usually takes with the end of the process, which it knows.

Evidence: log of the stopping VM on ("request sent" with left_ms 9,999 at 3.1 s to 3.4 s, phase draining at 3.5 s, no "stopped" before the SIGKILL at 6.0 s). Ruled out: the drain limit of the VM itself, and a target that broke off.

Change: Phase::admits. While the VM leaves, a request is sent if its deadline lies before the end; in the first half of the grace period also if it is idempotent and the longest answer of its entry in the last 30 s to 60 s (50 answers at least) fits into the time left. Others are refused as not run at once. 50 answers: the next one is longer than all of them in 1 of 51 cases; a caller whose idempotent request is cut may repeat it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,7 @@
 mod queue;
 pub mod read;
 pub mod reader;
+pub mod recent;
 mod repair;
 pub mod repeat;
 pub mod request;
--- a/crates/core/src/stop.rs
+++ b/crates/core/src/stop.rs
@@ -1,8 +1,9 @@
 //! The phases of a planned stop of a VM: `Serving` → `Leaving` → `Draining` → `Stopped`.
 //!
 //! Callers learn to which VMs they can send from address answers, which expire after a while. A VM
-//! that stops is first left out of them, and refuses requests only once the last one that names it
-//! has expired.
+//! that stops is first left out of them, and refuses all requests only once the last one that names
+//! it has expired. Where a platform ends the process by force after a grace period, the VM refuses
+//! earlier what might not end within that period.
 
 use crate::settings;
 use crate::time::Instant;
@@ -24,9 +25,28 @@
     /// The VM serves, and address answers name it.
     pub struct Serving;
 
+    /// A request that arrives at a VM that stops.
+    pub struct Arrival {
+        /// When its caller stops waiting.
+        pub deadline: Instant,
+        /// The longest time that requests of its entry took lately, if enough of them were served.
+        pub longest: Option<Span>,
+        /// Whether it may run twice, so that its caller may repeat it if it is cut.
+        pub idempotent: bool,
+    }
+
     /// The VM serves, but address answers do not name it any more.
     pub struct Leaving {
         refuses_at: Instant,
+        force: Option<Force>,
+    }
+
+    /// The end of the process that the platform enforces.
+    struct Force {
+        /// Half of the grace period.
+        half: Instant,
+        /// When the process has to be done.
+        end: Instant,
     }
 
     /// The VM refuses new requests and waits for those in flight.
@@ -77,15 +97,35 @@
 }
 
 impl Serving {
-    /// Starts the planned stop.
+    /// Starts the planned stop. The platform ends the process by force after `grace`, if it does.
     #[must_use]
-    pub fn leave(self, now: Instant, bounds: &settings::Stop) -> Leaving {
+    pub fn leave(self, now: Instant, bounds: &settings::Stop, grace: Option<Span>) -> Leaving {
+        let force = |grace: Span| Force {
+            half: now + grace.half(),
+            end: now + grace.saturating_sub(EXIT),
+        };
         Leaving {
             refuses_at: now + bounds.address_ttl + NOTICE,
+            force: grace.map(force),
         }
     }
 }
 
+impl Force {
+    /// Whether `arrival` may be sent to a target although the process ends.
+    ///
+    /// Its own deadline lies before the end; or its entry took less than the time that is left, a cut
+    /// would not leave its caller with an unknown outcome, and at least half of the grace period is
+    /// left.
+    fn leaves_time_for(self, now: Instant, arrival: Arrival) -> bool {
+        let is_expected = || {
+            let ends = arrival.longest.map(|longest| now + longest);
+            arrival.idempotent && now < self.half && ends.is_some_and(|ends| ends <= self.end)
+        };
+        arrival.deadline <= self.end || is_expected()
+    }
+}
+
 impl Leaving {
     /// Starts to refuse new requests once every address answer that names this VM has expired.
     ///
@@ -135,11 +175,11 @@
 }
 
 impl Phase {
-    /// Starts the planned stop; a second signal changes nothing.
+    /// Starts the planned stop; a second signal changes nothing. See [`Serving::leave`].
     #[must_use]
-    pub fn leave(self, now: Instant, bounds: &settings::Stop) -> Self {
+    pub fn leave(self, now: Instant, bounds: &settings::Stop, grace: Option<Span>) -> Self {
         match self {
-            Self::Serving(serving) => Self::Leaving(serving.leave(now, bounds)),
+            Self::Serving(serving) => Self::Leaving(serving.leave(now, bounds, grace)),
             later @ (Self::Leaving(_) | Self::Draining(_) | Self::Stopped(_)) => later,
         }
     }
@@ -164,6 +204,19 @@
         matches!(self, Self::Serving(_))
     }
 
+    /// Whether `arrival` may be sent to a target: a request that a target works on when the process
+    /// ends is lost, so it is refused before.
+    #[must_use]
+    pub fn admits(self, now: Instant, arrival: Arrival) -> bool {
+        match self {
+            Self::Serving(_) => true,
+            Self::Leaving(leaving) => leaving
+                .force
+                .is_none_or(|force| force.leaves_time_for(now, arrival)),
+            Self::Draining(_) | Self::Stopped(_) => false,
+        }
+    }
+
     /// Whether new requests are accepted.
     #[must_use]
     pub const fn is_accepting(self) -> bool {
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -3,8 +3,10 @@
 
 mod seeded;
 
+use oriolecleat_core::recent::Maximum;
 use oriolecleat_core::settings::Stop;
 use oriolecleat_core::stop;
+use oriolecleat_core::stop::Arrival;
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::stop::Work;
 use oriolecleat_core::time::Instant;
@@ -132,7 +134,7 @@
     fn apply(mut subject: Self, world: &World, step: Step) -> Self {
         match step {
             Step::Pass(_) | Step::Resolve => {}
-            Step::Term => subject.phase = subject.phase.leave(at(world.now), &BOUNDS),
+            Step::Term => subject.phase = subject.phase.leave(at(world.now), &BOUNDS, None),
             Step::Arrive(ago, deadline) => subject.arrive(world, ago, deadline),
             Step::Finish => {
                 subject.in_flight.pop();
@@ -219,12 +221,12 @@
 #[test]
 fn a_stop_ends_in_time() {
     for case in CASES {
-        let mut phase = Phase::default().leave(at(0), &BOUNDS);
+        let mut phase = Phase::default().leave(at(0), &BOUNDS, None);
         let mut now = 0;
         while !matches!(phase, Phase::Stopped(_)) && now < 1_000_000 {
             now += 100;
             phase = phase.advance(at(now), &BOUNDS, case.work);
-            phase = phase.leave(at(now), &BOUNDS);
+            phase = phase.leave(at(now), &BOUNDS, None);
             assert_eq!(phase.is_accepting(), now < 12_000, "{}", case.name);
         }
         assert_eq!(now, case.stops_at, "{}", case.name);
@@ -279,3 +281,106 @@
         );
     }
 }
+
+struct Late {
+    name: &'static str,
+    at: u64,
+    deadline: u64,
+    longest: Option<u64>,
+    idempotent: bool,
+    admitted: bool,
+}
+
+/// Requests at a VM that gets the signal at 0 ms and is ended by force at 6,000 ms.
+const LATE: &[Late] = &[
+    Late {
+        name: "its deadline is before the end",
+        at: 3_400,
+        deadline: 5_200,
+        longest: None,
+        idempotent: false,
+        admitted: true,
+    },
+    Late {
+        name: "its deadline is after the end and nothing else is known",
+        at: 100,
+        deadline: 6_000,
+        longest: None,
+        idempotent: true,
+        admitted: false,
+    },
+    Late {
+        name: "its entry took less than the time left",
+        at: 2_900,
+        deadline: 20_000,
+        longest: Some(2_000),
+        idempotent: true,
+        admitted: true,
+    },
+    Late {
+        name: "its entry took longer than the time left",
+        at: 2_900,
+        deadline: 20_000,
+        longest: Some(3_000),
+        idempotent: true,
+        admitted: false,
+    },
+    Late {
+        name: "it must not run twice, so that a cut leaves its outcome unknown",
+        at: 100,
+        deadline: 20_000,
+        longest: Some(100),
+        idempotent: false,
+        admitted: false,
+    },
+    Late {
+        name: "less than half of the time is left",
+        at: 3_000,
+        deadline: 20_000,
+        longest: Some(100),
+        idempotent: true,
+        admitted: false,
+    },
+];
+
+/// Guards against a request that is accepted during a planned stop although the platform ends the
+/// process by force before the request may end.
+#[test]
+fn a_stop_admits_no_request_that_its_end_would_cut() {
+    let bounds = Stop {
+        address_ttl: Span::from_millis(1_500),
+        drain_limit: Span::from_millis(1_800),
+    };
+    for case in LATE {
+        let arrival = Arrival {
+            deadline: at(case.deadline),
+            longest: case.longest.map(Span::from_millis),
+            idempotent: case.idempotent,
+        };
+        let serving = Phase::default();
+        assert!(serving.admits(at(case.at), arrival), "{}", case.name);
+        let hosted = serving.leave(at(0), &bounds, Some(Span::from_millis(6_000)));
+        assert_eq!(
+            hosted.admits(at(case.at), arrival),
+            case.admitted,
+            "{}",
+            case.name
+        );
+        let unbounded = serving.leave(at(0), &bounds, None);
+        assert!(unbounded.admits(at(case.at), arrival), "{}", case.name);
+    }
+}
+
+/// Guards against a maximum that a few short requests, or requests of long ago, make too low or keep
+/// for ever.
+#[test]
+fn the_longest_time_is_that_of_many_recent_requests() {
+    let mut longest = Maximum::default();
+    for number in 0..49 {
+        longest.record(at(number), Span::from_millis(number));
+    }
+    assert_eq!(longest.get(at(50)), None);
+    longest.record(at(50), Span::from_millis(7));
+    assert_eq!(longest.get(at(59_999)), Some(Span::from_millis(48)));
+    assert_eq!(longest.get(at(60_000)), None);
+}
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -29,6 +29,7 @@
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::request::Received;
 use oriolecleat_core::site::plan::Plan;
+use oriolecleat_core::stop::Arrival;
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::time::Span;
 use rand::RngExt;
@@ -216,7 +217,13 @@
     };
     let mut response = match exchange.run(admitted).await {
         Ok((answer, outcome)) => deliver(exchange, tracker, answer, outcome, id).await,
-        Err(failure) => refuse(&node, tracker, failure, id, Some(service)),
+        Err(failure) => {
+            if failure.outcome != Outcome::NotRun {
+                let arrived = tracker.in_flight.arrived;
+                node.borrow_mut().record_duration(quota, arrived);
+            }
+            refuse(&node, tracker, failure, id, Some(service))
+        }
     };
     if !node.borrow().phase().is_advertised() {
         close_connection(&mut response);
@@ -280,17 +287,27 @@
         return Err(received.refuse(Code::UnknownService));
     };
     let quota = node.entries.get(name).copied().unwrap_or_default();
-    let number = node.quotas.get(quota).map_or(0, |quota| quota.number);
+    let found = node.quotas.get(quota);
+    let number = found.map_or(0, |quota| quota.number);
     let hosted = node.hosted.is_some();
     let mut admitted = received.admit(entry)?;
     if hosted {
         admitted = admitted.limit_sends(entry.retry.attempts);
     }
     let terms = admitted.terms();
+    let now = node.clock.now();
+    let arrival = Arrival {
+        deadline: terms.deadline,
+        longest: found.and_then(|quota| quota.longest.get(now)),
+        idempotent: terms.class != Class::Once,
+    };
+    if !node.phase().admits(now, arrival) {
+        return Err(admitted.refuse(Code::Stopping));
+    }
     let job = Job {
         call,
         class: terms.class,
-        arrived: node.clock.now(),
+        arrived: now,
         deadline: terms.deadline,
         objective: destination.objective,
         urgency: destination.urgency,
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -103,6 +103,9 @@
         let received = head::bytes(&parts.headers) + length.unwrap_or(0);
         attempt.record_bytes(sent + received);
         attempt.record_delivery(self.call.arrived());
+        self.node
+            .borrow_mut()
+            .record_duration(self.quota, self.call.arrived());
         attempt.end_answered(parts.status.is_server_error());
         self.ticket.mark_ran();
         self.call.mark_finished();
--- a/crates/daemon/src/halt.rs
+++ b/crates/daemon/src/halt.rs
@@ -29,7 +29,10 @@
 impl Node {
     /// Starts the planned stop.
     pub(crate) fn start_stop(&mut self) {
-        let phase = self.phase().leave(self.clock.now(), &self.stop_bounds());
+        let hosting = self.settings.hosting.as_ref();
+        let grace = hosting.map(|hosting| hosting.grace);
+        let now = self.clock.now();
+        let phase = self.phase().leave(now, &self.stop_bounds(), grace);
         self.set_phase(phase);
     }
 
@@ -56,7 +59,13 @@
 
     fn set_phase(&mut self, phase: Phase) {
         if phase != self.phase() {
-            log::info!(phase = name(phase); "phase of the VM changed");
+            let work = self.in_flight.work(true);
+            log::info!(
+                phase = name(phase),
+                in_flight = work.in_flight,
+                latest_deadline_ms = work.latest_deadline.since(self.clock.now()).as_millis();
+                "phase of the VM changed"
+            );
             self.phases.send_replace(phase);
         }
     }
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -6,9 +6,11 @@
 use oriolecleat_core::limit::Bucket;
 use oriolecleat_core::limit::Rate;
 use oriolecleat_core::limit::Semaphore;
+use oriolecleat_core::recent::Maximum;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::time::Instant;
 
+use crate::node::Node;
 use crate::node::Shared;
 
 slotmap::new_key_type! {
@@ -37,6 +39,8 @@
     pub(crate) concurrency_refused: u64,
     /// Requests by outcome: ran, not run, unknown.
     pub(crate) outcomes: [u64; 3],
+    /// Longest time from the head of a request to the end of its answer.
+    pub(crate) longest: Maximum,
 }
 
 impl Quota {
@@ -49,6 +53,7 @@
             rate_refused: 0,
             concurrency_refused: 0,
             outcomes: [0; 3],
+            longest: Maximum::default(),
         }
     }
 
@@ -107,6 +112,11 @@
         })
     }
 
+    /// Records that the whole answer to the request, which arrived at `arrived`, was read.
+    pub(crate) fn record_duration(&self, arrived: Instant) {
+        self.node.borrow_mut().record_duration(self.key, arrived);
+    }
+
     /// Counts the outcome of the request.
     pub(crate) fn count(&self, outcome: Outcome) {
         if let Some(quota) = self.node.borrow_mut().quotas.get_mut(self.key) {
@@ -115,6 +125,16 @@
     }
 }
 
+impl Node {
+    /// Records that a request of the entry, which arrived at `arrived`, was answered or given up.
+    pub(crate) fn record_duration(&mut self, key: Key, arrived: Instant) {
+        let now = self.clock.now();
+        if let Some(quota) = self.quotas.get_mut(key) {
+            quota.longest.record(now, now.since(arrived));
+        }
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         if let Some(quota) = self.node.borrow_mut().quotas.get_mut(self.key) {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -67,7 +67,11 @@
         }
         self.ticket.mark_ran();
         attempt.record_bytes(self.bytes);
-        attempt.record_delivery(self.tracker.in_flight.arrived);
+        let arrived = self.tracker.in_flight.arrived;
+        attempt.record_delivery(arrived);
+        if let Some(permit) = &self.tracker.permit {
+            permit.record_duration(arrived);
+        }
         attempt.end_answered(self.failed);
         self.call.mark_finished();
     }
