Pass confirmations of the view on at once

Change: a VM whose view gets fresher by more than 0.5 s sends its heartbeats at once, in place of the next ones. A starting VM counts that time from the end of its wait for peers, as no reader confirms anything before.

--- a/crates/core/src/heartbeat.rs
+++ b/crates/core/src/heartbeat.rs
@@ -41,6 +41,7 @@
     ) -> Vec<Action> {
         let now = context.now;
         self.update_roots(context);
+        let mut actions = Vec::new();
         let waits_for_local = self.is_waiting_for_local_catalogue(context, link);
         let [catalogue, members, leaving] = self.roots;
         let own = &self.fleet.own().record().vm;
@@ -82,12 +83,26 @@
             && let Some(age_ms) = heartbeat.view_age_ms
         {
             let age = Span::from_millis(age_ms);
-            let gains = |own: Span| own > age + VIEW_GAIN;
-            if context.reader.age(now).is_none_or(gains) {
-                context.reader.confirm(now, age);
+            if is_gain(context.reader.age(now), age) {
+                actions.extend(self.confirm_view(context, age));
             }
         }
-        reply(link, messages)
+        actions.extend(reply(link, messages));
+        actions
+    }
+
+    /// Records that the view was complete `age` ago. If that is much fresher than what was known, all
+    /// peers are told at once: so the view of every VM has nearly the same age, however many links
+    /// lie between it and a reader, and one that is older shows that readers were lost.
+    pub fn confirm_view(&mut self, context: &mut Context, age: Span) -> Vec<Action> {
+        let now = context.now;
+        let known = context.reader.age(now);
+        context.reader.confirm(now, age);
+        if !is_gain(known, age) {
+            return Vec::new();
+        }
+        self.next_heartbeat = now + HEARTBEAT_INTERVAL;
+        self.heartbeat_all(context)
     }
 
     /// Recomputes the own root hashes.
@@ -172,3 +187,8 @@
         actions
     }
 }
+
+/// Whether a view of the age `stated` is much fresher than one of the age `known`.
+fn is_gain(known: Option<Span>, stated: Span) -> bool {
+    known.is_none_or(|known| known > stated + VIEW_GAIN)
+}
--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -278,7 +278,10 @@
         let interval = interval(&self.limits).as_micros();
         let wait = Span::from_micros(interval * turn) + self.jitter;
         let limit = self.limits.takeover_after + wait;
-        if now >= self.takeover_until && self.age_or_uptime(now) > limit {
+        // No reader confirms a view before it has waited for its peers.
+        let waited = now.since(self.started + self.limits.peer_wait);
+        let age = self.view.age(now).unwrap_or(waited);
+        if now >= self.takeover_until && age > limit {
             self.takeover_until = now + TAKEOVER_HOLD;
             self.jitter = jitter(&self.limits, random);
         }
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -18,6 +18,7 @@
 
 use crate::metrics::Count;
 use crate::node::Node;
+use crate::node::Shared;
 use crate::probe;
 use crate::service;
 use crate::service::Decision;
@@ -116,9 +117,10 @@
 
     /// Confirms that the view is current, as a wait for changes is pending at the store of the
     /// platform.
-    pub(crate) fn confirm_view(&mut self) {
-        let now = self.clock.now();
-        self.reader.confirm(now, Span::ZERO);
+    pub(crate) fn confirm_view(&mut self, node: &Shared) {
+        self.event(node, |gossip, context| {
+            gossip.confirm_view(context, Span::ZERO)
+        });
     }
 
     /// Sets whether the next changes are the first ones after an outage of the store.
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -129,7 +129,7 @@
         }
         loop {
             tokio::time::sleep(CONFIRM_EVERY).await;
-            node.borrow_mut().confirm_view();
+            node.borrow_mut().confirm_view(node);
         }
     };
     let (status, body) = tokio::select! {
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -190,7 +190,6 @@
 
     /// Publishes an update of the configuration service that was complete `age` ago.
     pub(crate) fn publish_update(&mut self, node: &Shared, news: Update, age: Span) {
-        let now = self.clock.now();
         self.reader.record_response();
         let content = |key: Box<str>, revision, text: Option<Box<str>>| Content {
             version: self.catalogue.version(&key, revision, text.as_deref()),
@@ -222,7 +221,7 @@
             });
         }
         if news.confirmed {
-            self.reader.confirm(now, age);
+            self.event(node, |gossip, context| gossip.confirm_view(context, age));
         }
     }
 
