Let a VM that hears no neighbour read the store at once

Cause: a VM whose last link to a neighbour ended, or over which nothing comes any more, is pushed no changes. It knew that and waited until its view was old, plus the turns of the very VMs that were lost. Without links it dialled only these until they were declared dead 9 s later.

Evidence: log of the third VM: both links "down" with a reset within 10 ms, "reading of the store starts" 2.75 s and more later, the plan in force milliseconds after that. Ruled out: a slow store, a slow peer. The line now says whether the VM was cut off.

Change: mesh::Hearing tells a VM that starts, is linked, lost its last link a moment ago, or hears nobody. In the last state it reads at once. Links that were only reset have 0.5 s to be opened again (they are redialled at the next tick of 0.2 s); a peer counts as unheard after 1.5 s, as each sends a heartbeat at least every 1.2 s. The turn in a takeover skips neighbours that are not heard. A VM without links dials members that count as alive.

Tests (bench hearing): a_vm_that_hears_nobody_reads_at_once fails without the reading, a_vm_without_links_dials_other_members without the dials; links_that_are_opened_again_make_no_reader guards the other side.

--- a/crates/bench/src/network/mod.rs
+++ b/crates/bench/src/network/mod.rs
@@ -168,6 +168,17 @@
         }
     }
 
+    /// Closes all links, as a middlebox does that loses its state.
+    pub fn reset_links(&mut self) {
+        for vm in 0..self.vms.len() {
+            let links: Vec<Link> = self.links_of(vm).collect();
+            for link in links {
+                self.close(vm, link);
+                self.act(vm, |gossip, context| gossip.remove_link(context, link));
+            }
+        }
+    }
+
     /// Starts a new incarnation of a killed VM at the same address.
     pub fn start(&mut self, vm: usize) {
         let incarnation = self.vms[vm].incarnation + 100_000;
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -21,6 +21,7 @@
 use crate::member::Fleet;
 use crate::member::Merge;
 use crate::member::State;
+use crate::mesh::Hearing;
 use crate::message::Audit;
 use crate::message::Departure;
 use crate::message::Leaving;
@@ -130,6 +131,7 @@
     pub(crate) neighbours_version: Option<u64>,
     /// Neighbours without a link, and since when.
     pub(crate) unlinked: BTreeMap<Box<str>, Instant>,
+    pub(crate) hearing: Hearing,
     /// When this VM recently suspected each member.
     pub(crate) suspicions: BTreeMap<Box<str>, Vec<Instant>>,
     /// When the next address of a lost member, a seed or the VM list is dialled.
@@ -162,6 +164,7 @@
             neighbours: Vec::new(),
             neighbours_version: None,
             unlinked: BTreeMap::new(),
+            hearing: Hearing::Starting,
             suspicions: BTreeMap::new(),
             next_rejoin: now,
             departures: departure::Table::new(hold),
@@ -198,6 +201,12 @@
         self.peers.values().map(|peer| &*peer.vm)
     }
 
+    /// Whether this VM hears none of its neighbours any more.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.hearing == Hearing::Lost
+    }
+
     /// Replaces the peer addresses that the VM list gives; they are dialled like seeds.
     pub fn set_peer_hints(&mut self, addresses: Vec<SocketAddr>) {
         self.hints = addresses;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -96,6 +96,14 @@
         self.rank
     }
 
+    /// Whether `other` is alive, in the same data centre and ranks before this member.
+    #[must_use]
+    pub fn is_preceded_by(&self, other: &Self) -> bool {
+        other.record.data_center == self.record.data_center
+            && other.record.state == State::Alive
+            && (other.rank, &other.record.vm) < (self.rank, &self.record.vm)
+    }
+
     /// When this VM learned that the member entered its state.
     #[must_use]
     pub fn state_since(&self) -> Instant {
--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -13,7 +13,9 @@
 use crate::gossip::Link;
 use crate::gossip::Remote;
 use crate::gossip::reply;
+use crate::map::Map;
 use crate::map::Set;
+use crate::member::Member;
 use crate::member::State;
 use crate::message::Members;
 use crate::message::Message;
@@ -38,12 +40,30 @@
 const REJOIN_INTERVAL_ALONE: Span = Span::from_millis(1_000);
 // Longest time between two dials of lost addresses otherwise; the shortest is half.
 const REJOIN_INTERVAL: Span = Span::from_millis(10_000);
+// Time in which lost links may be opened again before a VM without any counts as cut off.
+const RELINK_WAIT: Span = Span::from_millis(500);
+// Time without a message after which a peer counts as not heard; it sends a heartbeat more often.
+const UNHEARD_AFTER: Span = Span::from_millis(1_500);
 // Time over which the own suspicions of one member are counted.
 const SUSPICION_WINDOW: Span = Span::from_millis(60_000);
 // Most own suspicions of one member in the window: a VM that is the only one that cannot reach a
 // member must not keep the whole fleet from using it.
 const MAX_SUSPICIONS: usize = 2;
 
+key! {
+    /// Whether this VM hears of changes over links to its neighbours.
+    pub(crate) enum Hearing {
+        /// It had no link to a neighbour yet.
+        Starting,
+        /// It hears a neighbour.
+        Linked,
+        /// Its last link to a neighbour ended at this time and may be opened again.
+        Unlinked(Instant),
+        /// It hears none, and has to learn of changes by itself.
+        Lost,
+    }
+}
+
 impl Gossip {
     /// Takes over a link that was established. Of two links to the same VM, one is closed.
     pub fn add_link(&mut self, context: &mut Context, link: Link, remote: Remote) -> Vec<Action> {
@@ -106,6 +126,7 @@
         actions.extend(self.expire_suspects(context));
         self.choose_neighbours(now);
         actions.extend(self.close_unneeded(context));
+        self.record_hearing(context);
         actions.extend(self.dial_neighbours(context));
         actions.extend(self.dial_lost(context));
         actions.extend(self.send_audit_copies(context));
@@ -232,6 +253,45 @@
         }
     }
 
+    // Tells the reader which neighbours this VM does not hear. One that hears none of them is pushed no
+    // changes: over other links, these come only with repairs.
+    fn record_hearing(&mut self, context: &mut Context) {
+        let now = context.now;
+        let linked: Map<&str, &Peer> = self
+            .peers
+            .values()
+            .filter(|peer| self.neighbours.contains(&peer.vm))
+            .map(|peer| (&*peer.vm, peer))
+            .collect();
+        let is_heard = |vm: &str| {
+            let peer = linked.get(vm);
+            peer.is_some_and(|peer| now.since(peer.last_received) < UNHEARD_AFTER)
+        };
+        let own = self.fleet.own();
+        let unheard = self.neighbours.iter().filter(|vm| {
+            let member = self.fleet.get(vm);
+            !is_heard(vm) && member.is_some_and(|member| own.is_preceded_by(member))
+        });
+        let unheard = unheard.count() as u64;
+        let hears = self.neighbours.iter().any(|vm| is_heard(vm));
+        let relinks = |since: Instant| now.since(since) < RELINK_WAIT;
+        self.hearing = match self.hearing {
+            _ if self.neighbours.is_empty() => Hearing::Starting,
+            _ if !linked.is_empty() && hears => Hearing::Linked,
+            Hearing::Linked if linked.is_empty() => Hearing::Unlinked(now),
+            Hearing::Unlinked(since) if linked.is_empty() && relinks(since) => self.hearing,
+            Hearing::Starting => Hearing::Starting,
+            Hearing::Linked | Hearing::Unlinked(_) | Hearing::Lost => Hearing::Lost,
+        };
+        if self.peers.is_empty() && matches!(self.hearing, Hearing::Unlinked(since) if since == now)
+        {
+            self.next_rejoin = now;
+        }
+        context
+            .reader
+            .record_hearing(now, unheard, self.is_cut_off());
+    }
+
     // Closes links whose peer has not been a neighbour for [`LINGER`].
     fn close_unneeded(&mut self, context: &mut Context) -> Vec<Action> {
         let now = context.now;
@@ -278,13 +338,15 @@
     }
 
     // Dials one address, chosen at random, at which a lost part of the fleet may be reached: that
-    // of a dead member, a seed or an address of the VM list, unless a live member has it.
+    // of a dead member, a seed or an address of the VM list, unless a live member has it. A VM
+    // without links dials live members, too, as its neighbours may all be lost.
     fn dial_lost(&mut self, context: &mut Context) -> Vec<Action> {
         let now = context.now;
         if now < self.next_rejoin {
             return Vec::new();
         }
-        let pause = if self.peers.is_empty() {
+        let is_linkless = self.peers.is_empty();
+        let pause = if is_linkless {
             REJOIN_INTERVAL_ALONE
         } else {
             REJOIN_INTERVAL
@@ -292,20 +354,24 @@
         let jitter = context.random.random_range(0..=pause.half().as_micros());
         self.next_rejoin = now + pause.half() + Span::from_micros(jitter);
         self.dials.expire(now);
-        let live: Set<SocketAddr> = self
+        let own = self.fleet.own().record();
+        let is_excluded = |member: &&Member| {
+            let record = member.record();
+            record.vm == own.vm || (record.state != State::Dead && !is_linkless)
+        };
+        let excluded: Set<SocketAddr> = self
             .fleet
-            .live()
+            .iter()
+            .filter(is_excluded)
             .map(|member| member.record().peer)
             .collect();
-        let dead = self
+        let mut lost: Vec<SocketAddr> = self
             .fleet
             .iter()
-            .filter(|member| member.record().state == State::Dead);
-        let mut lost: Vec<SocketAddr> = dead
             .map(|member| member.record().peer)
             .chain(self.seeds.iter().copied())
             .chain(self.hints.iter().copied())
-            .filter(|address| !live.contains(address))
+            .filter(|address| !excluded.contains(address))
             .collect();
         lost.sort_unstable();
         lost.dedup();
--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -1,7 +1,7 @@
 //! Selects the VMs that read the configuration service and bounds how often they call it.
 //!
 //! Each data centre has a few designated readers. Any other VM takes over reading when its view of
-//! the catalogue gets too old.
+//! the catalogue gets too old, or as soon as it hears none of its peers.
 
 use rand::Rng;
 use rand::RngExt;
@@ -44,15 +44,8 @@
 /// Number of alive members of this VM's data centre that rank before it.
 fn rank_in_data_center(fleet: &Fleet) -> u64 {
     let own = fleet.own();
-    let lower = fleet
-        .live()
-        .filter(|member| {
-            member.record().data_center == own.record().data_center
-                && member.record().state == State::Alive
-                && (member.rank(), &member.record().vm) < (own.rank(), &own.record().vm)
-        })
-        .count();
-    lower as u64
+    let lower = fleet.live().filter(|member| own.is_preceded_by(member));
+    lower.count() as u64
 }
 
 /// Token bucket for this VM's share of the call rate of the configuration service.
@@ -102,6 +95,8 @@
     jitter: Span,
     view: View,
     takeover_until: Instant,
+    /// Neighbours that rank before this VM and that it does not hear.
+    unheard: u64,
     phase: Phase,
     backoff: Backoff,
     budget: Budget,
@@ -193,6 +188,7 @@
             jitter,
             view: View::default(),
             takeover_until: Instant::default(),
+            unheard: 0,
             phase: Phase::Idle { next },
             backoff: Backoff::default(),
             budget: Budget::new(now),
@@ -210,6 +206,15 @@
         self.view.confirm(now, age);
     }
 
+    /// Records how many neighbours that rank before this VM it does not hear, for whose turn it then
+    /// need not wait. A VM that is cut off hears nobody: it reads at once.
+    pub fn record_hearing(&mut self, now: Instant, unheard: u64, is_cut_off: bool) {
+        self.unheard = unheard;
+        if is_cut_off {
+            self.takeover_until = now + TAKEOVER_HOLD;
+        }
+    }
+
     /// Records that the configuration service responded, which resets the backoff.
     pub fn record_response(&mut self) {
         self.backoff.reset();
@@ -274,7 +279,7 @@
     fn update_takeover(&mut self, now: Instant, fleet: &Fleet, random: &mut dyn Rng) -> bool {
         let readers = self.limits.readers_per_data_center;
         let turn = rank_in_data_center(fleet).saturating_sub(readers);
-        let turn = turn.min(TAKEOVER_TURNS - 2);
+        let turn = turn.min(TAKEOVER_TURNS - 2).saturating_sub(self.unheard);
         let interval = interval(&self.limits).as_micros();
         let wait = Span::from_micros(interval * turn) + self.jitter;
         let limit = self.limits.takeover_after + wait;
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -341,7 +341,10 @@
         };
         let view_age_ms = self.reader.age(now).map(Span::as_millis);
         match step {
-            Step::Open => log::info!(view_age_ms; "reading of the store starts"),
+            Step::Open => {
+                let cut_off = self.gossip.is_cut_off();
+                log::info!(view_age_ms, cut_off; "reading of the store starts");
+            }
             Step::Close => log::info!(view_age_ms; "reading of the store ends"),
         }
         self.links.reading.send_replace(step == Step::Open);
