Bound what an outage of the store excuses by its return

Cause: whatever came with the first answer after any failed call was taken for a registration that had lapsed in an outage and kept for 2.5 s from its reading. One cut connection is no outage; that answer could be a wait of 2 s that returned changes of long after the return of the store; and the time counted from each removal.

Evidence: log of the reading VM: "the store answers again" 0.09 s after the cut, with the removal in that answer, requests until 2.8 s; VMs that hear of the removal from a peer stop after 0.4 s. Ruled out: late or lost news.

Change: the call after a failed one asks for the changes so far and is answered at once. If it is answered, the store was not away; if it fails too, the next answer is the return of the store, and what vanishes within 2 s of it is kept until then. A living target lapses after three heartbeats of 1.5 s, so no outage that a single call covers (2.7 s) can be the reason.

The cases of registry.rs that set "the first news after an outage" now record the return of the store; each still checks both sides of its bound, and one case is new (a removal shortly after the return). OUTAGE_GRACE, 2.5 s from the reading, is gone: RETURN_GRACE is 2 s from the return.

--- a/crates/core/src/site/feed.rs
+++ b/crates/core/src/site/feed.rs
@@ -40,6 +40,38 @@
     }
 }
 
+/// Whether the store answers, by the calls so far.
+#[derive(Debug, Default)]
+pub struct Contact {
+    failures: u32,
+}
+
+impl Contact {
+    /// Calls that failed since the last answer.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Whether a call failed since the last answer. The next one then has to be answered at once,
+    /// since what it returns tells the changes made meanwhile from later ones.
+    #[must_use]
+    pub fn is_in_doubt(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Records a failed call.
+    pub fn record_failure(&mut self) {
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Records an answer. Returns whether the store was away before it: a single failed call may have
+    /// been cut or its answer lost, and the answer to the next call shows that the store was there.
+    pub fn record_answer(&mut self) -> bool {
+        std::mem::take(&mut self.failures) > 1
+    }
+}
+
 /// Reading session over one range of keys.
 #[derive(Debug, Default)]
 pub struct Session {
--- a/crates/core/src/site/registry.rs
+++ b/crates/core/src/site/registry.rs
@@ -1,10 +1,10 @@
 //! Registry of the targets as they register themselves in the platform's store. It decides how long
 //! a registration that vanished is kept.
 //!
-//! A registration that lapses during an outage of the store comes back shortly after the outage if
-//! the target is alive. It is therefore kept for a while if it is missing from the first update
-//! after an outage, or if many of a service vanish together. A target whose registration vanishes
-//! alone has left or crashed, and one that was draining does not come back.
+//! A registration that lapses during an outage of the store comes back shortly after the store does
+//! if the target is alive. One that vanishes by then is therefore kept until then; where many of a
+//! service vanish together, they are kept for a while. A target whose registration vanishes alone has
+//! left or crashed, and one that was draining does not come back.
 
 use std::net::SocketAddr;
 
@@ -59,13 +59,12 @@
 #[derive(Clone, Copy, Debug)]
 struct Removal {
     at: Instant,
-    /// Whether it was missing from the first update after an outage of the store.
-    after_outage: bool,
+    /// Until when it may come back because the store was away.
+    back_by: Instant,
 }
 
-/// Time for which a registration is kept that is missing from the first update after an outage of
-/// the store. Those of living targets are back within about two seconds.
-pub const OUTAGE_GRACE: Span = Span::from_millis(2_500);
+/// Time from the return of the store until the registrations of living targets are back.
+pub const RETURN_GRACE: Span = Span::from_millis(2_000);
 /// Time for which registrations are kept that vanished together. A target that leaves without
 /// draining serves for about two and a half seconds; up to half a second of that passes until its
 /// removal arrives.
@@ -80,14 +79,14 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     records: Map<Box<str>, Record>,
-    /// Whether removals are part of the first update after an outage of the store.
-    after_outage: bool,
+    /// Until when registrations that lapsed during an outage of the store come back.
+    back_by: Instant,
 }
 
 impl Registry {
-    /// Sets whether the next removals are part of the first update after an outage of the store.
-    pub fn set_after_outage(&mut self, after_outage: bool) {
-        self.after_outage = after_outage;
+    /// Records that the store is back after an outage.
+    pub fn record_return(&mut self, now: Instant) {
+        self.back_by = now + RETURN_GRACE;
     }
 
     /// Replaces the registration under `key`, or removes it if there is none because the new value
@@ -124,7 +123,7 @@
         if record.registration.state == State::Ready {
             record.removal.get_or_insert(Removal {
                 at: now,
-                after_outage: self.after_outage,
+                back_by: self.back_by,
             });
             return Vec::new();
         }
@@ -137,14 +136,12 @@
         let services = self.services_with_many_vanished();
         let overdue = |record: &Record| {
             record.removal.is_some_and(|removal| {
-                let grace = if removal.after_outage {
-                    OUTAGE_GRACE
-                } else if services.contains(&record.registration.service) {
+                let grace = if services.contains(&record.registration.service) {
                     GROUP_GRACE
                 } else {
                     SINGLE_GRACE
                 };
-                now.since(removal.at) >= grace
+                now >= (removal.at + grace).max(removal.back_by)
             })
         };
         let expired = self.records.extract_if(|_, record| overdue(record));
--- a/crates/core/tests/feed.rs
+++ b/crates/core/tests/feed.rs
@@ -3,6 +3,7 @@
 use oriolecleat_core::gateway::Change;
 use oriolecleat_core::site::feed::Call;
 use oriolecleat_core::site::feed::Changes;
+use oriolecleat_core::site::feed::Contact;
 use oriolecleat_core::site::feed::Page;
 use oriolecleat_core::site::feed::Session;
 
@@ -123,3 +124,18 @@
         .expect("the last page");
     assert!(update.confirmed, "the pages were current");
 }
+
+/// Guards against a cut connection or a lost answer that is taken for an outage of the store.
+#[test]
+fn a_single_failed_call_is_no_outage() {
+    let mut contact = Contact::default();
+    assert!(!contact.record_answer());
+    for (failures, was_away) in [(1, false), (2, true), (9, true), (1, false)] {
+        for _ in 0..failures {
+            contact.record_failure();
+            assert!(contact.is_in_doubt());
+        }
+        assert_eq!(contact.record_answer(), was_away, "{failures}");
+        assert!(!contact.is_in_doubt());
+    }
+}
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use oriolecleat_core::site::registry::GROUP_GRACE;
-use oriolecleat_core::site::registry::OUTAGE_GRACE;
+use oriolecleat_core::site::registry::RETURN_GRACE;
 use oriolecleat_core::site::registry::Registration;
 use oriolecleat_core::site::registry::Registry;
 use oriolecleat_core::site::registry::SINGLE_GRACE;
@@ -52,8 +52,8 @@
     Put(u16, State),
     Unusable(u16),
     Remove(u16),
-    Outage,
-    News,
+    /// The store is back after an outage.
+    Return,
 }
 
 struct Case {
@@ -86,31 +86,30 @@
     },
     Case {
         name: "an earlier outage does not keep one that vanishes later",
-        events: &[
-            (1_000, Event::Outage),
-            (1_100, Event::News),
-            (2_500, Event::Remove(0)),
-        ],
-        usable: &[(2_500 + SINGLE_GRACE.as_millis(), 4)],
+        events: &[(1_000, Event::Return), (3_100, Event::Remove(0))],
+        usable: &[(3_100 + SINGLE_GRACE.as_millis(), 4)],
     },
     Case {
-        name: "one that the first news after an outage lack is kept until it should be back",
-        events: &[
-            (1_000, Event::Outage),
-            (5_000, Event::Remove(0)),
-            (5_000, Event::News),
+        name: "one that lapsed in an outage is kept until it should be back",
+        events: &[(5_000, Event::Return), (5_000, Event::Remove(0))],
+        usable: &[
+            (5_000 + RETURN_GRACE.as_millis() - 1, 5),
+            (5_000 + RETURN_GRACE.as_millis(), 4),
         ],
+    },
+    Case {
+        name: "one that vanishes after the return of the store is kept no longer",
+        events: &[(5_000, Event::Return), (6_900, Event::Remove(0))],
         usable: &[
-            (5_000 + OUTAGE_GRACE.as_millis() - 1, 5),
-            (5_000 + OUTAGE_GRACE.as_millis(), 4),
+            (6_900 + SINGLE_GRACE.as_millis() - 1, 5),
+            (6_900 + SINGLE_GRACE.as_millis(), 4),
         ],
     },
     Case {
         name: "one that comes back stays",
         events: &[
-            (1_000, Event::Outage),
+            (5_000, Event::Return),
             (5_000, Event::Remove(0)),
-            (5_000, Event::News),
             (6_000, Event::Put(0, State::Ready)),
         ],
         usable: &[(9_000, 5)],
@@ -119,7 +118,7 @@
         name: "one that was draining is gone for good, outage or not",
         events: &[
             (500, Event::Put(0, State::Draining)),
-            (1_000, Event::Outage),
+            (5_000, Event::Return),
             (5_000, Event::Remove(0)),
         ],
         usable: &[(5_000, 4)],
@@ -149,8 +148,7 @@
                     Event::Put(id, state) => put(&mut registry, *time, *id, *state),
                     Event::Unusable(id) => drop(registry.put(at(*time), &format!("t{id}"), None)),
                     Event::Remove(id) => drop(registry.remove(at(*time), &format!("t{id}"))),
-                    Event::Outage => registry.set_after_outage(true),
-                    Event::News => registry.set_after_outage(false),
+                    Event::Return => registry.record_return(at(*time)),
                 }
             }
             registry.expire(at(*millis));
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -123,10 +123,11 @@
         });
     }
 
-    /// Sets whether the next changes are the first ones after an outage of the store.
-    pub(crate) fn set_after_outage(&mut self, outage: bool) {
+    /// Records that the store of the platform is back after an outage.
+    pub(crate) fn record_return(&mut self) {
+        let now = self.clock.now();
         if let Some(hosted) = &mut self.hosted {
-            hosted.registry.set_after_outage(outage);
+            hosted.registry.record_return(now);
         }
     }
 
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use oriolecleat_core::site::feed;
+use oriolecleat_core::site::feed::Contact;
 use oriolecleat_core::site::feed::Session;
 use oriolecleat_core::time::Span;
 use rand::RngExt;
@@ -75,56 +76,63 @@
 async fn read(node: &Shared, host: &dyn Host, address: SocketAddr) {
     let mut session = Session::default();
     let mut connection = None;
-    let mut failures: u32 = 0;
+    let mut contact = Contact::default();
     loop {
-        let outage = failures > 0;
-        match make_call(node, host, address, &mut session, &mut connection, outage).await {
+        let calling = make_call(
+            node,
+            host,
+            address,
+            &mut session,
+            &mut connection,
+            &mut contact,
+        );
+        match calling.await {
             Ok(changed) => {
-                if failures > 0 {
-                    log::info!(failures; "the store answers again");
-                }
-                failures = 0;
                 if changed {
                     tokio::time::sleep(CHANGE_PAUSE).await;
                 }
             }
             Err(error) => {
-                if failures == 0 {
+                if !contact.is_in_doubt() {
                     log::warn!(cause:% = logs::chain(&*error); "reading the store failed");
                 }
                 connection = None;
                 let wait = {
                     let mut node = node.borrow_mut();
-                    let limit = RETRY_FIRST * 2_u32.saturating_pow(failures.min(8));
+                    let limit = RETRY_FIRST * 2_u32.saturating_pow(contact.failures().min(8));
                     let share = node.rng.random_range(0.5..1.0);
                     limit.min(RETRY_LAST).mul_f64(share)
                 };
-                failures = failures.saturating_add(1);
+                contact.record_failure();
                 tokio::time::sleep(wait).await;
             }
         }
     }
 }
 
-/// Makes one call and returns whether a wait returned changes. `outage` states that the previous
-/// call failed.
+/// Makes one call and returns whether a wait returned changes.
 async fn make_call(
     node: &Shared,
     host: &dyn Host,
     address: SocketAddr,
     session: &mut Session,
     connection: &mut Option<Connection>,
-    outage: bool,
+    contact: &mut Contact,
 ) -> Result<bool, Failure> {
     let call = session.next_call();
     let waits = matches!(call, feed::Call::Wait { .. });
-    let limit = if waits { WAIT } else { Duration::ZERO } + CALL_TIMEOUT;
-    let path = host.call(&call, WAIT);
+    let wait = if waits && !contact.is_in_doubt() {
+        WAIT
+    } else {
+        Duration::ZERO
+    };
+    let limit = wait + CALL_TIMEOUT;
+    let path = host.call(&call, wait);
     node.borrow_mut().metrics.add(Count::ConfigurationCalls, 1);
     let sent_at = node.borrow().clock.now();
     let answer = tokio::time::timeout(limit, send_call(connection, address, &path));
     let confirm = async {
-        if !waits {
+        if wait.is_zero() {
             std::future::pending::<()>().await;
         }
         loop {
@@ -138,6 +146,7 @@
     };
     let news = if waits {
         let changes = host.changes(status, &body)?;
+        record_answer(node, contact);
         let gone = matches!(changes, feed::Changes::Gone);
         let news = session.apply_changes(changes);
         if gone || news.is_none() {
@@ -145,7 +154,9 @@
         }
         news
     } else if status.is_success() {
-        session.apply_page(host.page(&body)?)
+        let page = host.page(&body)?;
+        record_answer(node, contact);
+        session.apply_page(page)
     } else {
         return Err(format!("the store answered with status {status}").into());
     };
@@ -158,16 +169,21 @@
     } else {
         node.borrow().clock.now().since(sent_at)
     };
-    // Only keys missing from the first update after an outage may have expired during it. Updates
-    // that peers send in the meantime come from a VM that can read the store.
-    let mut state = node.borrow_mut();
-    state.set_after_outage(outage);
-    state.publish_update(node, news, age);
-    state.set_after_outage(false);
-    drop(state);
+    node.borrow_mut().publish_update(node, news, age);
     Ok(changed && waits)
 }
 
+/// Records that the store answered a call.
+fn record_answer(node: &Shared, contact: &mut Contact) {
+    let failures = contact.failures();
+    if contact.record_answer() {
+        log::info!(failures; "the store answers again after an outage");
+        node.borrow_mut().record_return();
+    } else if failures > 0 {
+        log::info!(failures; "the store answers again");
+    }
+}
+
 /// Sends one call and returns the status and body of its answer.
 async fn send_call(
     connection: &mut Option<Connection>,
