State the framing of a request's body to its target

Cause: framing headers are hop-by-hop and removed, and hyper frames the body anew: one of unknown length by the method, chunks for POST, none for GET and HEAD.

Evidence: what the target gets is a whole request without Content-Length and Transfer-Encoding. Ruled out: a body that is not read (with POST it arrives).

Change: a body keeps how its end is marked, and each attempt states chunks where it came in chunks, whatever the method.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -203,13 +203,14 @@
     let expires_at = tokio::time::Instant::now() + left;
     tracker.state.set_deadline(expires_at);
     let idle = clock::duration(node.borrow().settings.http.body_idle);
+    let body = upload::Shared::new(body, idle);
     let mut exchange = Exchange {
         node: node.clone(),
         service,
         quota,
         call: Handle::new(&node, service, job, id.clone()),
         outgoing: Outgoing::new(parts, depth, id.clone(), dialect),
-        body: upload::Shared::new(body, idle),
+        body,
         ticket,
         deadline,
         deadline_timer: Box::pin(tokio::time::sleep_until(expires_at)),
--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -21,6 +21,7 @@
 use crate::dialect::Dialect;
 use crate::service::Grant;
 use crate::upload;
+use crate::upload::Framing;
 use crate::upload::Upload;
 
 const PREFIX: &str = "oriolecleat-";
@@ -163,7 +164,7 @@
             .get(TE)
             .is_some_and(|te| te.as_bytes().eq_ignore_ascii_case(b"trailers"));
         strip(&mut head.headers);
-        // hyper handles `Expect: 100-continue` and writes the length of the body itself.
+        // hyper handles `Expect: 100-continue` and writes the length of a body itself.
         head.headers.remove(EXPECT);
         head.headers.remove(CONTENT_LENGTH);
         if trailers {
@@ -205,6 +206,11 @@
                 headers.insert(REPORT, HeaderValue::from_static("0"));
             }
         }
+        // hyper frames a body without a stated length by the method, and sends none with some.
+        if body.framing() == Framing::Chunks {
+            let chunked = HeaderValue::from_static("chunked");
+            headers.insert(TRANSFER_ENCODING, chunked);
+        }
         *request.headers_mut() = headers;
         request
     }
--- a/crates/daemon/src/upload.rs
+++ b/crates/daemon/src/upload.rs
@@ -62,18 +62,33 @@
     fault: Option<Fault>,
 }
 
+/// How the end of a request's body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// There is no body.
+    None,
+    /// Its length is stated.
+    Length,
+    /// It is sent in chunks.
+    Chunks,
+}
+
 /// A body that several attempts may read.
 #[derive(Clone)]
-pub(crate) struct Shared(Option<Rc<RefCell<Source>>>);
+pub(crate) struct Shared {
+    source: Option<Rc<RefCell<Source>>>,
+    framing: Framing,
+}
 
 impl Shared {
     /// Wraps `body`, in which the caller may pause for at most `idle`.
     pub(crate) fn new(body: Incoming, idle: Duration) -> Self {
         if body.is_end_stream() {
-            return Self(None);
+            return Self::empty();
         }
         let length = body.size_hint().exact();
-        Self(Some(Rc::new(RefCell::new(Source {
+        let framing = length.map_or(Framing::Chunks, |_| Framing::Length);
+        let source = Rc::new(RefCell::new(Source {
             body,
             kept: Vec::new(),
             read_bytes: 0,
@@ -83,12 +98,24 @@
             idle,
             idle_timer: None,
             fault: None,
-        }))))
+        }));
+        Self {
+            source: Some(source),
+            framing,
+        }
     }
 
     /// An empty body.
     pub(crate) fn empty() -> Self {
-        Self(None)
+        Self {
+            source: None,
+            framing: Framing::None,
+        }
+    }
+
+    /// How the end of the body is marked.
+    pub(crate) fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Creates a reader of the whole body for one attempt.
@@ -101,7 +128,7 @@
 
     /// Whether another attempt can read the whole body.
     pub(crate) fn is_replayable(&self) -> bool {
-        self.0.as_ref().is_none_or(|source| {
+        self.source.as_ref().is_none_or(|source| {
             let source = source.borrow();
             source.fault.is_none() && source.kept.len() == source.read_parts
         })
@@ -110,7 +137,7 @@
     /// Upper bound on the bytes of the body that one attempt has sent.
     pub(crate) fn sent_bytes(&self) -> u64 {
         let bytes = self
-            .0
+            .source
             .as_ref()
             .map_or(0, |source| source.borrow().read_bytes);
         u64::try_from(bytes).unwrap_or(u64::MAX / 2)
@@ -118,7 +145,9 @@
 
     /// Why the body ended early, if it did.
     pub(crate) fn fault(&self) -> Option<Fault> {
-        self.0.as_ref().and_then(|source| source.borrow().fault)
+        self.source
+            .as_ref()
+            .and_then(|source| source.borrow().fault)
     }
 }
 
@@ -199,7 +228,7 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
-        let Some(source) = self.source.0.clone() else {
+        let Some(source) = self.source.source.clone() else {
             return Poll::Ready(None);
         };
         let polled = source.borrow_mut().poll_part(context, self.next);
@@ -210,7 +239,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.source.0.as_ref().is_none_or(|source| {
+        self.source.source.as_ref().is_none_or(|source| {
             let source = source.borrow();
             source.fault.is_none()
                 && self.next == source.read_parts
@@ -219,7 +248,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let Some(source) = &self.source.0 else {
+        let Some(source) = &self.source.source else {
             return SizeHint::with_exact(0);
         };
         let length = source.borrow().length;
