Pass on a Content-Length of zero

The body is the same, but a target may insist on a length (411) where a method usually has a body.

Cause: the header is removed because hyper writes the length of a body, and it writes none for a request without a body. Change: the framing of a body knows a stated length of zero.

Test: the rows "a length of zero" of path framing a_body_reaches_the_target_with_every_method_and_framing; without the change GET gets none.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -203,7 +203,7 @@
     let expires_at = tokio::time::Instant::now() + left;
     tracker.state.set_deadline(expires_at);
     let idle = clock::duration(node.borrow().settings.http.body_idle);
-    let body = upload::Shared::new(body, idle);
+    let body = upload::Shared::new(body, &parts.headers, idle);
     let mut exchange = Exchange {
         node: node.clone(),
         service,
--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -207,9 +207,13 @@
             }
         }
         // hyper frames a body without a stated length by the method, and sends none with some.
-        if body.framing() == Framing::Chunks {
-            let chunked = HeaderValue::from_static("chunked");
-            headers.insert(TRANSFER_ENCODING, chunked);
+        match body.framing() {
+            Framing::None | Framing::Length => {}
+            Framing::Zero => drop(headers.insert(CONTENT_LENGTH, 0.into())),
+            Framing::Chunks => {
+                let chunked = HeaderValue::from_static("chunked");
+                headers.insert(TRANSFER_ENCODING, chunked);
+            }
         }
         *request.headers_mut() = headers;
         request
--- a/crates/daemon/src/upload.rs
+++ b/crates/daemon/src/upload.rs
@@ -13,7 +13,9 @@
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
+use hyper::HeaderMap;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
@@ -67,6 +69,8 @@
 pub(crate) enum Framing {
     /// There is no body.
     None,
+    /// Its stated length is zero.
+    Zero,
     /// Its length is stated.
     Length,
     /// It is sent in chunks.
@@ -81,10 +85,18 @@
 }
 
 impl Shared {
-    /// Wraps `body`, in which the caller may pause for at most `idle`.
-    pub(crate) fn new(body: Incoming, idle: Duration) -> Self {
+    /// Wraps the `body` of a request with `headers`, in which the caller may pause for at most `idle`.
+    pub(crate) fn new(body: Incoming, headers: &HeaderMap, idle: Duration) -> Self {
         if body.is_end_stream() {
-            return Self::empty();
+            let framing = if headers.contains_key(CONTENT_LENGTH) {
+                Framing::Zero
+            } else {
+                Framing::None
+            };
+            return Self {
+                source: None,
+                framing,
+            };
         }
         let length = body.size_hint().exact();
         let framing = length.map_or(Framing::Chunks, |_| Framing::Length);
