Bound what a target sends without a part of a body

Report of another operator: a faulty target sent bytes that were no answer, without end; the VM kept them all and ran out of memory, and the requests of other callers ended with it.

Here memory is bounded (32 KB a connection for a head), but time was not: a target that sends interim answers as fast as it can occupied the VM's only thread until the deadline of its request, and longer, as that deadline is looked at by the same thread. Requests of other callers beside it were not answered within their 800 ms. The older test bytes_without_end_end_with_the_request did not show it: its target pauses after each 4 KB, and nobody else calls.

Cause: bytes that lead to no answer are skipped by hyper within one poll, and reads of the target's socket never make that poll end while bytes are there.

Change: a connection reads at most two heads of the largest size (http.head_bytes) between a request and the first part of the body of its answer, and between two such parts: heads, interim answers, chunk sizes and trailers. Beyond that the connection ends, and the request as with any broken connection. The body of the answer to a load probe, which nobody takes, is read up to 4 KB. The connection of a health probe of the product's own targets has a small head and ends with its probe.

--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -128,6 +128,7 @@
                     if let Ok(data) = frame.into_data() {
                         bytes.extend_from_slice(&data);
                     }
+                    reply.connection.record_progress();
                     idle.as_mut().reset(Instant::now() + self.body_idle());
                     driven = false;
                 }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -28,6 +28,10 @@
 /// Connections returned between two checks of the oldest idle one. Each check is a system call.
 const RETURNS_PER_STALE_CHECK: u64 = 16;
 
+/// Bytes that a target may send without a part of a body for the caller, in heads of the largest size:
+/// one for the head and what is read with it, one for interim answers.
+const UNTAKEN_HEADS: usize = 2;
+
 /// Bounds on connections to targets.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Bounds {
@@ -80,7 +84,7 @@
         let stream = TcpStream::connect(reservation.address).await?;
         stream.set_nodelay(true)?;
         socket::keep_alive(&stream)?;
-        let socket = Socket::new(stream);
+        let socket = Socket::new(stream, UNTAKEN_HEADS * head);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(head)
             .handshake(TokioIo::new(socket.clone()))
@@ -115,6 +119,7 @@
         &mut self,
         request: Request<Upload>,
     ) -> Result<Response<Incoming>, hyper::Error> {
+        self.record_progress();
         let mut answer = std::pin::pin!(self.sender.send_request(request));
         let driver = &mut self.driver;
         std::future::poll_fn(|context| {
@@ -124,6 +129,11 @@
         .await
     }
 
+    /// Records that a part of the body of an answer was taken.
+    pub(crate) fn record_progress(&self) {
+        self.socket.record_progress();
+    }
+
     /// Reads and writes what is possible without waiting.
     pub(crate) fn drive(&mut self, context: &mut Context<'_>) {
         drive(&mut self.driver, context);
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -21,6 +21,7 @@
 use oriolecleat_core::target;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 use crate::clock;
 use crate::node::Shared;
@@ -28,8 +29,12 @@
 use crate::service;
 use crate::upload;
 
+/// Most bytes of the body of the answer to a probe that are read.
 const BODY_LIMIT_BYTES: usize = 4_096;
 
+/// Largest head of the answer to a probe of a target of the product; the library takes no less.
+const HEAD_LIMIT_BYTES: usize = 8_192;
+
 /// An order to probe a target.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Order {
@@ -99,18 +104,29 @@
     let response = connection.send(request).await?;
     let report = (dialect.load)(response.headers());
     let mut body = response.into_body();
-    poll_fn(|context| {
+    let mut read = 0;
+    // The body is of no use; reading it to its end only lets the connection be used again.
+    let ended = poll_fn(|context| {
         connection.drive(context);
         loop {
             match Pin::new(&mut body).poll_frame(context) {
-                Poll::Ready(Some(Ok(_))) => {}
+                Poll::Ready(Some(Ok(frame))) => {
+                    read += frame.data_ref().map_or(0, Bytes::len);
+                    if read > BODY_LIMIT_BYTES {
+                        return Poll::Ready(Ok(false));
+                    }
+                }
                 Poll::Ready(Some(Err(error))) => return Poll::Ready(Err(error)),
-                Poll::Ready(None) => return Poll::Ready(Ok(())),
+                Poll::Ready(None) => return Poll::Ready(Ok(true)),
                 Poll::Pending => return Poll::Pending,
             }
         }
     })
     .await?;
+    if !ended {
+        log::debug!(address:% = order.address; "the answer to a load probe has a large body");
+        return Ok(report);
+    }
     let mut connection = Some(connection);
     poll_fn(|context| {
         if let Some(connection) = connection.take() {
@@ -122,6 +138,15 @@
     Ok(report)
 }
 
+/// A task that ends when this is dropped, also if a target goes on sending.
+struct Task<T>(JoinHandle<T>);
+
+impl<T> Drop for Task<T> {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// The health that a target of the product reports at its health endpoint.
 async fn probe_health(
     address: SocketAddr,
@@ -132,8 +157,11 @@
         Err(error) => return Err(error.into()),
     };
     stream.set_nodelay(true)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let driver = tokio::task::spawn_local(connection);
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(HEAD_LIMIT_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
+    let _driver = Task(tokio::task::spawn_local(connection));
     let request = Request::get("/healthz")
         .header("host", address.to_string())
         .body(Empty::<Bytes>::new())?;
@@ -144,7 +172,6 @@
         .collect()
         .await?
         .to_bytes();
-    driver.abort();
     if draining || body.starts_with(b"draining") {
         return Ok(Probe::Draining);
     }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -136,6 +136,9 @@
             }
             Poll::Ready(Some(Ok(frame))) => {
                 self.idle_timer = None;
+                if let Some(connection) = &self.connection {
+                    connection.record_progress();
+                }
                 let bytes = frame.data_ref().map_or(0, Bytes::len);
                 self.bytes += u64::try_from(bytes).unwrap_or(0);
                 if self.body.is_end_stream() {
--- a/crates/daemon/src/socket.rs
+++ b/crates/daemon/src/socket.rs
@@ -1,5 +1,6 @@
 //! The byte stream of a target, which can still be checked while hyper owns a handle to it.
 
+use std::cell::Cell;
 use std::io;
 use std::io::IoSlice;
 use std::mem::MaybeUninit;
@@ -35,18 +36,36 @@
 }
 
 /// A connection to a target.
+///
+/// It bounds the bytes that a target may send without a part of a body for the caller: those of heads,
+/// interim answers, the framing of chunks, and trailers.
 #[derive(Clone)]
-pub(crate) struct Socket(Rc<TcpStream>);
+pub(crate) struct Socket {
+    stream: Rc<TcpStream>,
+    bound: usize,
+    /// How many bytes may be read until [`Socket::record_progress`].
+    left: Rc<Cell<usize>>,
+}
 
 impl Socket {
-    pub(crate) fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(stream))
+    /// A connection on which at most `bound` bytes are read without progress.
+    pub(crate) fn new(stream: TcpStream, bound: usize) -> Self {
+        Self {
+            stream: Rc::new(stream),
+            bound,
+            left: Rc::new(Cell::new(bound)),
+        }
+    }
+
+    /// Records that a request was sent, or that a part of the body of its answer was taken.
+    pub(crate) fn record_progress(&self) {
+        self.left.set(self.bound);
     }
 
     /// Whether the connection is open and has no unread bytes from the target.
     pub(crate) fn is_quiet(&self) -> bool {
         // Peeks in the kernel's buffer, as the event loop may not yet know what arrived last.
-        let peeked = SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit(); 1]);
+        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit(); 1]);
         matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 }
@@ -57,13 +76,20 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.left.get() == 0 {
+            let cause = "the target sent too many bytes without a part of an answer's body";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
+        }
         loop {
-            match self.0.try_read_buf(buffer) {
-                Ok(_) => return Poll::Ready(Ok(())),
+            match self.stream.try_read_buf(buffer) {
+                Ok(read) => {
+                    self.left.set(self.left.get().saturating_sub(read));
+                    return Poll::Ready(Ok(()));
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
-            if self.0.poll_read_ready(context)?.is_pending() {
+            if self.stream.poll_read_ready(context)?.is_pending() {
                 return Poll::Pending;
             }
         }
@@ -77,11 +103,11 @@
         mut attempt: impl FnMut(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            match attempt(&self.0) {
+            match attempt(&self.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 done => return Poll::Ready(done),
             }
-            if self.0.poll_write_ready(context)?.is_pending() {
+            if self.stream.poll_write_ready(context)?.is_pending() {
                 return Poll::Pending;
             }
         }
@@ -114,6 +140,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
     }
 }
