Let answers that stream without end take turns

Cause: a task lets others run when its budget is used up, and the target's sockets, which are read directly, took nothing from it; one read may also hold thousands of small chunks.

Change: each read of a target's socket and each part of an answer takes a unit of the task's budget.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 use crate::attempt::Handle;
 use crate::node::Shared;
 use crate::pool::Connection;
+use crate::socket::poll_turn;
 use crate::stream::Tracker;
 use crate::ticketed;
 
@@ -128,6 +130,8 @@
     }
 
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        // One read may hold thousands of small parts.
+        ready!(poll_turn(context));
         match self.poll_body(context) {
             Poll::Pending => self.poll_timeouts(context).map(|fault| Some(Err(fault))),
             Poll::Ready(None) => {
--- a/crates/daemon/src/socket.rs
+++ b/crates/daemon/src/socket.rs
@@ -1,13 +1,16 @@
 //! The byte stream of a target, which can still be checked while hyper owns a handle to it.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::io;
 use std::io::IoSlice;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -35,6 +38,12 @@
     socket.set_tcp_user_timeout(Some(UNCONFIRMED))
 }
 
+/// Takes a unit of the budget of the current task; pending once it has to let other tasks run, whatever
+/// a target has sent.
+pub(crate) fn poll_turn(context: &mut Context<'_>) -> Poll<()> {
+    pin!(tokio::task::consume_budget()).poll(context)
+}
+
 /// A connection to a target.
 ///
 /// It bounds the bytes that a target may send without a part of a body for the caller: those of heads,
@@ -80,6 +89,8 @@
             let cause = "the target sent too many bytes without a part of an answer's body";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
         }
+        // The direct reads below use up nothing of the task's budget.
+        ready!(poll_turn(context));
         loop {
             match self.stream.try_read_buf(buffer) {
                 Ok(read) => {
