Bound the bytes of buffered answers over the VM

Part of the report of bytes without end: small answers are buffered whole, up to 128 KB each, so that a truncated one can be replaced, and nothing bounded their sum. With 3,900 descriptors that would be 500 MB, where a VM has 260.

Change: buffered answers take at most 32 MB together, from their stated length until the caller has got them; further ones are streamed. 32 MB are an eighth of the memory of the smallest VM in use.

Test: core limit space_is_never_overfilled. That an answer is streamed when the space is used up is not tested with processes: it takes 256 answers of 128 KB at once.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -180,6 +180,42 @@
     }
 }
 
+/// Space for bytes that are kept in memory.
+#[derive(Clone, Debug, Default)]
+pub struct Space {
+    limit: u64,
+    in_use: u64,
+}
+
+impl Space {
+    /// Space for `limit` bytes.
+    #[must_use]
+    pub const fn new(limit: u64) -> Self {
+        Self { limit, in_use: 0 }
+    }
+
+    /// Takes space for `bytes`; false if less is left.
+    #[must_use]
+    pub const fn try_take(&mut self, bytes: u64) -> bool {
+        let fits = bytes <= self.limit - self.in_use;
+        if fits {
+            self.in_use += bytes;
+        }
+        fits
+    }
+
+    /// Gives back space for `bytes` that was taken before.
+    pub const fn give_back(&mut self, bytes: u64) {
+        self.in_use = self.in_use.saturating_sub(bytes);
+    }
+
+    /// Bytes that are kept.
+    #[must_use]
+    pub const fn in_use(&self) -> u64 {
+        self.in_use
+    }
+}
+
 /// The share of a concurrency limit that one VM uses. A limit above zero leaves every VM at least
 /// one request, or else a limit below the number of VMs would refuse every call of the entry.
 #[must_use]
--- a/crates/core/tests/limit.rs
+++ b/crates/core/tests/limit.rs
@@ -4,6 +4,7 @@
 use oriolecleat_core::limit::Bucket;
 use oriolecleat_core::limit::Rate;
 use oriolecleat_core::limit::Semaphore;
+use oriolecleat_core::limit::Space;
 use oriolecleat_core::limit::share;
 use oriolecleat_core::time::Instant;
 
@@ -91,3 +92,17 @@
     assert!(semaphore.try_acquire());
     assert_eq!(semaphore.in_use(), 1);
 }
+
+/// Guards against buffers that together outgrow the memory of the process.
+#[test]
+fn space_is_never_overfilled() {
+    let mut space = Space::new(100);
+    assert!(space.try_take(60));
+    assert!(!space.try_take(41));
+    assert!(!space.try_take(u64::MAX));
+    assert!(space.try_take(40));
+    assert!(!space.try_take(1));
+    space.give_back(60);
+    assert_eq!(space.in_use(), 40);
+    assert!(space.try_take(60));
+}
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -387,10 +387,11 @@
     let dialect = Rc::clone(&exchange.node.borrow().dialect);
     exchange.log_answer(answer.status());
     let reply = match answer {
-        Answer::Whole(mut parts, bytes) => {
+        Answer::Whole(mut parts, bytes, reserved) => {
             head::rewrite_answer(&mut parts.headers, &dialect, id, outcome.as_str());
             let body = Download::Own {
                 bytes: (!bytes.is_empty()).then_some(bytes),
+                _reserved: Some(reserved),
                 _tracker: tracker,
             };
             return Response::from_parts(*parts, body);
@@ -462,6 +463,7 @@
     );
     let mut response = Response::new(Download::Own {
         bytes: Some(body),
+        _reserved: None,
         _tracker: tracker,
     });
     let hosted = node.borrow().hosted.is_some();
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -17,15 +17,43 @@
 
 use crate::exchange::Exchange;
 use crate::head;
+use crate::node::Shared;
 use crate::race::Reply;
 
 /// Largest answer that is buffered. A larger one is streamed to the caller.
 const BUFFER_MAX_BYTES: u64 = 131_072;
 
+/// Most bytes of answers that are buffered at once, over all targets and callers. Further answers are
+/// streamed, so that slow targets and callers do not make the process use ever more memory.
+pub(crate) const BUFFERED_MAX_BYTES: u64 = 32 << 20;
+
+/// Space for a buffered answer, given back when it is dropped.
+pub(crate) struct Reservation {
+    node: Shared,
+    bytes: u64,
+}
+
+impl Reservation {
+    /// Reserves `bytes`; none if too many are buffered.
+    fn new(node: &Shared, bytes: u64) -> Option<Self> {
+        let reserved = node.borrow_mut().buffered.try_take(bytes);
+        reserved.then(|| Self {
+            node: node.clone(),
+            bytes,
+        })
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.node.borrow_mut().buffered.give_back(self.bytes);
+    }
+}
+
 /// An answer for the caller.
 pub(crate) enum Answer {
     /// It was buffered whole.
-    Whole(Box<Parts>, Bytes),
+    Whole(Box<Parts>, Bytes, Reservation),
     /// Its head was read; the body is streamed.
     Stream(Box<Reply>),
 }
@@ -34,7 +62,7 @@
     /// Status of the answer.
     pub(crate) fn status(&self) -> u16 {
         match self {
-            Self::Whole(parts, _) => parts.status.as_u16(),
+            Self::Whole(parts, ..) => parts.status.as_u16(),
             Self::Stream(reply) => reply.response.status().as_u16(),
         }
     }
@@ -62,10 +90,12 @@
     /// answers are streamed.
     pub(crate) async fn buffer(&mut self, mut reply: Reply) -> Buffering {
         let length = reply.response.body().size_hint().exact();
-        let small = length.is_some_and(|length| length <= BUFFER_MAX_BYTES);
-        if self.node.borrow().dialect.own || !small {
+        let small = length.filter(|length| *length <= BUFFER_MAX_BYTES);
+        let small = small.filter(|_| !self.node.borrow().dialect.own);
+        let reserved = small.and_then(|length| Reservation::new(&self.node, length));
+        let Some(reserved) = reserved else {
             return Buffering::Answer(Answer::Stream(Box::new(reply)));
-        }
+        };
         let mut bytes = BytesMut::new();
         let mut idle = Box::pin(tokio::time::sleep(self.body_idle()));
         let progress =
@@ -109,7 +139,7 @@
         attempt.end_answered(parts.status.is_server_error());
         self.ticket.mark_ran();
         self.call.mark_finished();
-        Buffering::Answer(Answer::Whole(Box::new(parts), bytes.freeze()))
+        Buffering::Answer(Answer::Whole(Box::new(parts), bytes.freeze(), reserved))
     }
 
     fn poll_buffer(
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,6 +8,7 @@
 use oriolecleat_core::catalogue::Catalogue;
 use oriolecleat_core::gossip::Gossip;
 use oriolecleat_core::idle;
+use oriolecleat_core::limit::Space;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::member;
 use oriolecleat_core::reader::Reader;
@@ -27,6 +28,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::fleet::Links;
+use crate::gather::BUFFERED_MAX_BYTES;
 use crate::halt::Phases;
 use crate::homes::Basis;
 use crate::homes::Homes;
@@ -57,6 +59,8 @@
     pub(crate) issuer: ticket::Issuer,
     pub(crate) ledger: ticket::Ledger,
     pub(crate) pool: Pool,
+    /// Space for answers that are buffered before the caller gets their first byte.
+    pub(crate) buffered: Space,
     /// Longest idle time of a connection that may carry a request which must not run twice.
     pub(crate) idle_limit: idle::Limit,
     pub(crate) revision: u64,
@@ -135,6 +139,7 @@
             incarnation,
             routes: route::Table::default(),
             pool: Pool::default(),
+            buffered: Space::new(BUFFERED_MAX_BYTES),
             idle_limit: idle::Limit::default(),
             revision: 0,
             catalogue: Catalogue::with_opaque(foreign),
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -19,6 +19,7 @@
 
 use crate::attempt::Attempt;
 use crate::attempt::Handle;
+use crate::gather::Reservation;
 use crate::node::Shared;
 use crate::pool::Connection;
 use crate::socket::poll_turn;
@@ -33,6 +34,7 @@
     /// An answer of the balancer itself, or one of a target that was buffered whole.
     Own {
         bytes: Option<Bytes>,
+        _reserved: Option<Reservation>,
         _tracker: Tracker,
     },
     /// An answer of a target.
