Count the grace of a removal from the last complete view

Cause: the time in which a target may come back counted from when the removal was read. A VM that starts to read knows how old its view is, so how long ago a key that its first listing lacks may have vanished.

Change: the removals of that listing count from the last time at which the view was known to be complete, unless a call failed before, as the store may have been away then.

--- a/crates/core/src/site/registry.rs
+++ b/crates/core/src/site/registry.rs
@@ -114,15 +114,15 @@
         changed
     }
 
-    /// Records that the registration under `key` vanished. That of a ready target is kept until
-    /// [`Registry::expire`] removes it. Returns the services whose targets changed.
-    pub fn remove(&mut self, now: Instant, key: &str) -> Vec<Box<str>> {
+    /// Records that the registration under `key` vanished, at `at` or later. That of a ready target is
+    /// kept until [`Registry::expire`] removes it. Returns the services whose targets changed.
+    pub fn remove(&mut self, at: Instant, key: &str) -> Vec<Box<str>> {
         let Some(record) = self.records.get_mut(key) else {
             return Vec::new();
         };
         if record.registration.state == State::Ready {
             record.removal.get_or_insert(Removal {
-                at: now,
+                at,
                 back_by: self.back_by,
             });
             return Vec::new();
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -62,13 +62,14 @@
     /// Applies changed keys of the catalogue.
     pub(crate) fn apply_keys(&mut self, keys: &[Box<str>]) {
         let now = self.clock.now();
+        let removed = now - self.removal_age;
         let Some(hosted) = &mut self.hosted else {
             return self.apply();
         };
         let mut replanned = false;
         let mut services: Set<Box<str>> = Set::default();
         for key in keys {
-            match hosted.apply_key(now, &self.catalogue, key) {
+            match hosted.apply_key(now, removed, &self.catalogue, key) {
                 Effect::Plan => replanned = true,
                 Effect::Targets(changed) => services.extend(changed),
             }
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -72,38 +72,47 @@
     }
 }
 
+/// One time of reading, from its start to its end.
+#[derive(Default)]
+struct Reading {
+    session: Session,
+    connection: Option<Connection>,
+    contact: Contact,
+    /// How long ago the keys may have vanished that the first listing lacks: the age of the view at
+    /// the start. Zero if the store was away meanwhile, when they may have lapsed.
+    unseen: Span,
+}
+
 /// Reads the store until this VM is no reader any more.
 async fn read(node: &Shared, host: &dyn Host, address: SocketAddr) {
-    let mut session = Session::default();
-    let mut connection = None;
-    let mut contact = Contact::default();
+    let mut reading = Reading {
+        unseen: {
+            let node = node.borrow();
+            node.reader.age(node.clock.now()).unwrap_or_default()
+        },
+        ..Reading::default()
+    };
     loop {
-        let calling = make_call(
-            node,
-            host,
-            address,
-            &mut session,
-            &mut connection,
-            &mut contact,
-        );
-        match calling.await {
+        match make_call(node, host, address, &mut reading).await {
             Ok(changed) => {
                 if changed {
                     tokio::time::sleep(CHANGE_PAUSE).await;
                 }
             }
             Err(error) => {
-                if !contact.is_in_doubt() {
+                if !reading.contact.is_in_doubt() {
                     log::warn!(cause:% = logs::chain(&*error); "reading the store failed");
                 }
-                connection = None;
+                reading.connection = None;
+                reading.unseen = Span::ZERO;
                 let wait = {
                     let mut node = node.borrow_mut();
-                    let limit = RETRY_FIRST * 2_u32.saturating_pow(contact.failures().min(8));
+                    let limit =
+                        RETRY_FIRST * 2_u32.saturating_pow(reading.contact.failures().min(8));
                     let share = node.rng.random_range(0.5..1.0);
                     limit.min(RETRY_LAST).mul_f64(share)
                 };
-                contact.record_failure();
+                reading.contact.record_failure();
                 tokio::time::sleep(wait).await;
             }
         }
@@ -115,10 +124,14 @@
     node: &Shared,
     host: &dyn Host,
     address: SocketAddr,
-    session: &mut Session,
-    connection: &mut Option<Connection>,
-    contact: &mut Contact,
+    reading: &mut Reading,
 ) -> Result<bool, Failure> {
+    let Reading {
+        session,
+        connection,
+        contact,
+        unseen,
+    } = reading;
     let call = session.next_call();
     let waits = matches!(call, feed::Call::Wait { .. });
     let wait = if waits && !contact.is_in_doubt() {
@@ -169,7 +182,11 @@
     } else {
         node.borrow().clock.now().since(sent_at)
     };
-    node.borrow_mut().publish_update(node, news, age);
+    let mut state = node.borrow_mut();
+    state.removal_age = std::mem::take(unseen);
+    state.publish_update(node, news, age);
+    state.removal_age = Span::ZERO;
+    drop(state);
     Ok(changed && waits)
 }
 
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -133,10 +133,16 @@
         self.settings = settings;
     }
 
-    /// Applies the text of `key` in `catalogue`.
-    pub(crate) fn apply_key(&mut self, now: Instant, catalogue: &Catalogue, key: &str) -> Effect {
+    /// Applies the text of `key` in `catalogue`. If it has none, it vanished at `removed` or later.
+    pub(crate) fn apply_key(
+        &mut self,
+        now: Instant,
+        removed: Instant,
+        catalogue: &Catalogue,
+        key: &str,
+    ) -> Effect {
         let Some(text) = catalogue.text(key) else {
-            return Effect::Targets(self.registry.remove(now, key));
+            return Effect::Targets(self.registry.remove(removed, key));
         };
         match self.host.content(key, text) {
             Ok(Content::Plan(plan)) => self.set_plan(plan),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -17,6 +17,7 @@
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::ticket;
+use oriolecleat_core::time::Span;
 use oriolecleat_core::vmlist;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
@@ -59,6 +60,8 @@
     pub(crate) issuer: ticket::Issuer,
     pub(crate) ledger: ticket::Ledger,
     pub(crate) pool: Pool,
+    /// How long ago registrations may have vanished whose removal is being applied.
+    pub(crate) removal_age: Span,
     /// Space for answers that are buffered before the caller gets their first byte.
     pub(crate) buffered: Space,
     /// Longest idle time of a connection that may carry a request which must not run twice.
@@ -139,6 +142,7 @@
             incarnation,
             routes: route::Table::default(),
             pool: Pool::default(),
+            removal_age: Span::ZERO,
             buffered: Space::new(BUFFERED_MAX_BYTES),
             idle_limit: idle::Limit::default(),
             revision: 0,
