--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -31,6 +31,7 @@
 use oriolecleat_core::site::plan::Plan;
 use oriolecleat_core::stop::Arrival;
 use oriolecleat_core::stop::Phase;
+use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
@@ -168,6 +169,35 @@
     let _ = phases.wait_for(|phase| !phase.is_accepting()).await;
 }
 
+/// A request that was admitted and has no answer yet. Its caller left if it is dropped in this state.
+struct Unanswered {
+    node: Shared,
+    id: HeaderValue,
+    service: service::Key,
+    arrived: Instant,
+    deadline: Instant,
+    answered: bool,
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let node = self.node.borrow();
+        let now = node.clock.now();
+        let found = node.services.get(self.service);
+        log::info!(
+            id = self.id.to_str().unwrap_or_default(),
+            service = found.map(|found| &*found.name),
+            after_ms = now.since(self.arrived).as_millis(),
+            left_ms = self.deadline.since(now).as_millis(),
+            waiting = found.map(|found| found.balancer.waiting());
+            "caller left before the answer"
+        );
+    }
+}
+
 /// Handles one request of a caller.
 async fn handle(
     node: Shared,
@@ -216,7 +246,17 @@
         deadline_timer: Box::pin(tokio::time::sleep_until(expires_at)),
         refused_by: Vec::new(),
     };
-    let mut response = match exchange.run(admitted).await {
+    let mut unanswered = Unanswered {
+        node: node.clone(),
+        id: id.clone(),
+        service,
+        arrived: tracker.in_flight.arrived,
+        deadline,
+        answered: false,
+    };
+    let ran = exchange.run(admitted).await;
+    unanswered.answered = true;
+    let mut response = match ran {
         Ok((answer, outcome)) => deliver(exchange, tracker, answer, outcome, id).await,
         Err(failure) => {
             if failure.outcome != Outcome::NotRun {
