--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -131,6 +131,7 @@
     pub(crate) neighbours_version: Option<u64>,
     /// Neighbours without a link, and since when.
     pub(crate) unlinked: BTreeMap<Box<str>, Instant>,
+    /// Whether neighbours are heard.
     pub(crate) hearing: Hearing,
     /// When this VM recently suspected each member.
     pub(crate) suspicions: BTreeMap<Box<str>, Vec<Instant>>,
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -54,6 +54,11 @@
         self.id.to_str().unwrap_or_default()
     }
 
+    /// Header value of the id of the request.
+    pub(crate) fn id_value(&self) -> HeaderValue {
+        self.id.clone()
+    }
+
     /// Class of the request.
     pub(crate) fn class(&self) -> Class {
         self.job.class
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -28,10 +28,8 @@
 use oriolecleat_core::request::Failure;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::request::Received;
-use oriolecleat_core::site::plan::Plan;
 use oriolecleat_core::stop::Arrival;
 use oriolecleat_core::stop::Phase;
-use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
@@ -48,7 +46,6 @@
 use crate::head::Outgoing;
 use crate::inflight;
 use crate::metrics::Count;
-use crate::node::Node;
 use crate::node::Shared;
 use crate::quota;
 use crate::quota::Permit;
@@ -60,6 +57,7 @@
 use crate::stream::Stream;
 use crate::stream::Tracker;
 use crate::ticketed;
+use crate::unanswered::Unanswered;
 use crate::upload;
 
 /// Most header fields in the head of one request.
@@ -169,35 +167,6 @@
     let _ = phases.wait_for(|phase| !phase.is_accepting()).await;
 }
 
-/// A request that was admitted and has no answer yet. Its caller left if it is dropped in this state.
-struct Unanswered {
-    node: Shared,
-    id: HeaderValue,
-    service: service::Key,
-    arrived: Instant,
-    deadline: Instant,
-    answered: bool,
-}
-
-impl Drop for Unanswered {
-    fn drop(&mut self) {
-        if self.answered {
-            return;
-        }
-        let node = self.node.borrow();
-        let now = node.clock.now();
-        let found = node.services.get(self.service);
-        log::info!(
-            id = self.id.to_str().unwrap_or_default(),
-            service = found.map(|found| &*found.name),
-            after_ms = now.since(self.arrived).as_millis(),
-            left_ms = self.deadline.since(now).as_millis(),
-            waiting = found.map(|found| found.balancer.waiting());
-            "caller left before the answer"
-        );
-    }
-}
-
 /// Handles one request of a caller.
 async fn handle(
     node: Shared,
@@ -246,21 +215,14 @@
         deadline_timer: Box::pin(tokio::time::sleep_until(expires_at)),
         refused_by: Vec::new(),
     };
-    let mut unanswered = Unanswered {
-        node: node.clone(),
-        id: id.clone(),
-        service,
-        arrived: tracker.in_flight.arrived,
-        deadline,
-        answered: false,
-    };
+    let arrived = tracker.in_flight.arrived;
+    let unanswered = Unanswered::new(&exchange, arrived);
     let ran = exchange.run(admitted).await;
-    unanswered.answered = true;
+    unanswered.end();
     let mut response = match ran {
         Ok((answer, outcome)) => deliver(exchange, tracker, answer, outcome, id).await,
         Err(failure) => {
             if failure.outcome != Outcome::NotRun {
-                let arrived = tracker.in_flight.arrived;
                 node.borrow_mut().record_duration(quota, arrived);
             }
             refuse(&node, tracker, failure, id, Some(service))
@@ -329,7 +291,6 @@
     };
     let quota = node.entries.get(name).copied().unwrap_or_default();
     let found = node.quotas.get(quota);
-    let number = found.map_or(0, |quota| quota.number);
     let hosted = node.hosted.is_some();
     let mut admitted = received.admit(entry)?;
     if hosted {
@@ -353,7 +314,7 @@
         objective: destination.objective,
         urgency: destination.urgency,
         avoid: None,
-        entry: number,
+        entry: found.map_or(0, |quota| quota.number),
         hedge_percent: hedge_percent(entry),
         bytes: body.map(|body| body + head::outgoing_bytes(parts)),
     };
@@ -361,44 +322,6 @@
     Ok((key, admitted, job, quota))
 }
 
-/// Where a request goes, and how it ranks there.
-struct Destination {
-    service: Box<str>,
-    /// Name of the entry, if the rules of a plan determine it.
-    entry: Option<Box<str>>,
-    /// Latency objective: an answer within this time is of full use.
-    objective: Span,
-    /// Priority over the calls of other entries.
-    urgency: u8,
-}
-
-impl Node {
-    /// Finds the service of a request by its host or by the rules of the plan.
-    fn resolve(&mut self, facts: &Facts, parts: &Parts) -> Result<Destination, Code> {
-        let Some(hosted) = &self.hosted else {
-            return Ok(Destination {
-                service: facts.host.clone(),
-                entry: None,
-                objective: Span::ZERO,
-                urgency: 0,
-            });
-        };
-        // Without a plan, this VM cannot tell that there is no such route.
-        if hosted.plan.is_none() {
-            return Err(Code::NoTarget);
-        }
-        let rule = hosted.rules.find(&facts.host, parts.uri.path());
-        let rule = rule.ok_or(Code::UnknownService)?;
-        let part = rule.draw(&mut self.rng).ok_or(Code::NoTarget)?;
-        Ok(Destination {
-            service: part.service.clone(),
-            entry: Some(Plan::entry_name(&rule.name, &part.service)),
-            objective: rule.objective,
-            urgency: rule.urgency,
-        })
-    }
-}
-
 /// Generates an id for a request that carries none.
 fn new_id(node: &Shared) -> HeaderValue {
     let id: u128 = node.borrow_mut().rng.random();
@@ -524,8 +447,9 @@
 /// Seconds after which a refused caller may retry: the expected wait with random jitter, so that
 /// callers that were refused together do not return together.
 fn retry_after(node: &Shared, wait: Option<Span>) -> HeaderValue {
-    let wait = wait.map_or(RETRY_AFTER_MIN_S, seconds);
-    let wait = wait.clamp(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S);
+    let wait = wait
+        .map_or(0.0, seconds)
+        .clamp(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S);
     let spread: f64 = node.borrow_mut().rng.random_range(RETRY_AFTER_SPREAD);
     let text = format!("{:.3}", wait * spread);
     HeaderValue::try_from(text).expect("a decimal number forms a header value")
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod change;
 mod clock;
+mod destination;
 pub mod dialect;
 mod directory;
 mod evidence;
@@ -47,6 +48,7 @@
 mod ticketed;
 mod timer;
 mod trail;
+mod unanswered;
 mod upload;
 mod vms;
 
