Keep no registration of which it is unknown when it vanished

A VM that lost its peers in the first second of a fleet sent requests to two removed targets until the end of the observation, 3.0 s after the ack of the removal, where 2.5 s are allowed.

Cause: the time in which registrations that vanished together may come back (1.8 s) counts from the last time at which the view was complete. A view is first known to be complete a second after the first listing. If the peers are lost before that, the age of the view is unknown, which counted as zero: the 1.8 s began when the VM read of the removal. Log of the VM that is left, from the loss of its peers: reading of the store starts after 1.5 s with view_age_ms null, removals read 1 ms later, targets sent requests for as long as the test looks. Whether the view was complete by then depended on how fast the VMs of the test started, so it failed in 2 of 4 runs on x86-64 and passed elsewhere.

Change: a removal of which no earliest time is known is not kept, unless the store was away, as for a view of any great age.

Two cases in core registry.

--- a/crates/core/src/site/registry.rs
+++ b/crates/core/src/site/registry.rs
@@ -58,7 +58,8 @@
 /// How a registration vanished.
 #[derive(Clone, Copy, Debug)]
 struct Removal {
-    at: Instant,
+    /// Earliest time at which it may have vanished; none if that is not known.
+    since: Option<Instant>,
     /// Until when it may come back because the store was away.
     back_by: Instant,
 }
@@ -114,15 +115,16 @@
         changed
     }
 
-    /// Records that the registration under `key` vanished, at `at` or later. That of a ready target is
-    /// kept until [`Registry::expire`] removes it. Returns the services whose targets changed.
-    pub fn remove(&mut self, at: Instant, key: &str) -> Vec<Box<str>> {
+    /// Records that the registration under `key` vanished, at `since` or later, or at any time if none
+    /// is given. That of a ready target is kept until [`Registry::expire`] removes it. Returns the
+    /// services whose targets changed.
+    pub fn remove(&mut self, since: Option<Instant>, key: &str) -> Vec<Box<str>> {
         let Some(record) = self.records.get_mut(key) else {
             return Vec::new();
         };
         if record.registration.state == State::Ready {
             record.removal.get_or_insert(Removal {
-                at,
+                since,
                 back_by: self.back_by,
             });
             return Vec::new();
@@ -141,7 +143,10 @@
                 } else {
                     SINGLE_GRACE
                 };
-                now >= (removal.at + grace).max(removal.back_by)
+                let kept_until = removal
+                    .since
+                    .map_or(Instant::default(), |since| since + grace);
+                now >= kept_until.max(removal.back_by)
             })
         };
         let expired = self.records.extract_if(|_, record| overdue(record));
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -52,6 +52,8 @@
     Put(u16, State),
     Unusable(u16),
     Remove(u16),
+    /// It vanished at an unknown time before.
+    RemoveEarlier(u16),
     /// The store is back after an outage.
     Return,
 }
@@ -123,6 +125,26 @@
         ],
         usable: &[(5_000, 4)],
     },
+    Case {
+        name: "those that may have vanished at any time before are not kept",
+        events: &[
+            (1_000, Event::RemoveEarlier(0)),
+            (1_000, Event::RemoveEarlier(1)),
+        ],
+        usable: &[(1_000, 3)],
+    },
+    Case {
+        name: "those that may have lapsed in an outage are kept until they should be back",
+        events: &[
+            (5_000, Event::Return),
+            (5_000, Event::RemoveEarlier(0)),
+            (5_000, Event::RemoveEarlier(1)),
+        ],
+        usable: &[
+            (5_000 + RETURN_GRACE.as_millis() - 1, 5),
+            (5_000 + RETURN_GRACE.as_millis(), 3),
+        ],
+    },
     Case {
         name: "those that vanish together are kept, but not until they would have stopped serving",
         events: &[
@@ -147,7 +169,8 @@
                 match event {
                     Event::Put(id, state) => put(&mut registry, *time, *id, *state),
                     Event::Unusable(id) => drop(registry.put(at(*time), &format!("t{id}"), None)),
-                    Event::Remove(id) => drop(registry.remove(at(*time), &format!("t{id}"))),
+                    Event::Remove(id) => drop(registry.remove(Some(at(*time)), &format!("t{id}"))),
+                    Event::RemoveEarlier(id) => drop(registry.remove(None, &format!("t{id}"))),
                     Event::Return => registry.record_return(at(*time)),
                 }
             }
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -62,7 +62,7 @@
     /// Applies changed keys of the catalogue.
     pub(crate) fn apply_keys(&mut self, keys: &[Box<str>]) {
         let now = self.clock.now();
-        let removed = now - self.removal_age;
+        let removed = self.removal_age.map(|age| now - age);
         let Some(hosted) = &mut self.hosted else {
             return self.apply();
         };
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -79,8 +79,9 @@
     connection: Option<Connection>,
     contact: Contact,
     /// How long ago the keys may have vanished that the first listing lacks: the age of the view at
-    /// the start. Zero if the store was away meanwhile, when they may have lapsed.
-    unseen: Span,
+    /// the start, none if it was never complete. Zero if the store was away meanwhile, when they may
+    /// have lapsed.
+    unseen: Option<Span>,
 }
 
 /// Reads the store until this VM is no reader any more.
@@ -88,7 +89,7 @@
     let mut reading = Reading {
         unseen: {
             let node = node.borrow();
-            node.reader.age(node.clock.now()).unwrap_or_default()
+            node.reader.age(node.clock.now())
         },
         ..Reading::default()
     };
@@ -104,7 +105,7 @@
                     log::warn!(cause:% = logs::chain(&*error); "reading the store failed");
                 }
                 reading.connection = None;
-                reading.unseen = Span::ZERO;
+                reading.unseen = Some(Span::ZERO);
                 let wait = {
                     let mut node = node.borrow_mut();
                     let limit =
@@ -183,9 +184,9 @@
         node.borrow().clock.now().since(sent_at)
     };
     let mut state = node.borrow_mut();
-    state.removal_age = std::mem::take(unseen);
+    state.removal_age = unseen.replace(Span::ZERO);
     state.publish_update(node, news, age);
-    state.removal_age = Span::ZERO;
+    state.removal_age = Some(Span::ZERO);
     drop(state);
     Ok(changed && waits)
 }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -133,11 +133,12 @@
         self.settings = settings;
     }
 
-    /// Applies the text of `key` in `catalogue`. If it has none, it vanished at `removed` or later.
+    /// Applies the text of `key` in `catalogue`. If it has none, it vanished at `removed` or later, or at any
+    /// time if none is given.
     pub(crate) fn apply_key(
         &mut self,
         now: Instant,
-        removed: Instant,
+        removed: Option<Instant>,
         catalogue: &Catalogue,
         key: &str,
     ) -> Effect {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -60,8 +60,8 @@
     pub(crate) issuer: ticket::Issuer,
     pub(crate) ledger: ticket::Ledger,
     pub(crate) pool: Pool,
-    /// How long ago registrations may have vanished whose removal is being applied.
-    pub(crate) removal_age: Span,
+    /// How long ago registrations may have vanished whose removal is being applied; none if at any time.
+    pub(crate) removal_age: Option<Span>,
     /// Space for answers that are buffered before the caller gets their first byte.
     pub(crate) buffered: Space,
     /// Longest idle time of a connection that may carry a request which must not run twice.
@@ -142,7 +142,7 @@
             incarnation,
             routes: route::Table::default(),
             pool: Pool::default(),
-            removal_age: Span::ZERO,
+            removal_age: Some(Span::ZERO),
             buffered: Space::new(BUFFERED_MAX_BYTES),
             idle_limit: idle::Limit::default(),
             revision: 0,
