Put old pages in force only with the changes made since

Cause: the listing may be some seconds old and was put in force as soon as it was read. The first wait returned the removals at once, but the time in which these targets may come back then counted from the start of the VM.

Change: the first wait after such pages is answered at once, whether something has changed or not, and the pages are put in force together with its answer. Removals of this answer count like those of the listing. If the call fails, the pages are put in force alone, as before. The view is complete from this answer on and not a second later, for one more call each time that reading starts.

--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -12,6 +12,7 @@
 use hyper::StatusCode;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use oriolecleat_core::gateway::Update;
 use oriolecleat_core::site::feed;
 use oriolecleat_core::site::feed::Contact;
 use oriolecleat_core::site::feed::Session;
@@ -78,9 +79,12 @@
     session: Session,
     connection: Option<Connection>,
     contact: Contact,
-    /// How long ago the keys may have vanished that the first listing lacks: the age of the view at
-    /// the start, none if it was never complete. Zero if the store was away meanwhile, when they may
-    /// have lapsed.
+    /// Keys listed from pages that may be old. They are published together with the changes that were
+    /// made since, so that what was removed in between is not used.
+    listed: Option<Update>,
+    /// How long ago the keys may have vanished that the first listing and the changes since its pages
+    /// remove: the age of the view at the start, none if it was never complete. Zero if the store was
+    /// away meanwhile, when they may have lapsed.
     unseen: Option<Span>,
 }
 
@@ -106,6 +110,9 @@
                 }
                 reading.connection = None;
                 reading.unseen = Some(Span::ZERO);
+                if let Some(listed) = reading.listed.take() {
+                    node.borrow_mut().publish_update(node, listed, Span::ZERO);
+                }
                 let wait = {
                     let mut node = node.borrow_mut();
                     let limit =
@@ -131,11 +138,13 @@
         session,
         connection,
         contact,
+        listed,
         unseen,
     } = reading;
     let call = session.next_call();
     let waits = matches!(call, feed::Call::Wait { .. });
-    let wait = if waits && !contact.is_in_doubt() {
+    // What has changed since old pages is answered at once, and makes the view complete.
+    let wait = if waits && !contact.is_in_doubt() && listed.is_none() {
         WAIT
     } else {
         Duration::ZERO
@@ -177,6 +186,10 @@
     let Some(news) = news else {
         return Ok(false);
     };
+    if !news.confirmed {
+        *listed = Some(news);
+        return Ok(false);
+    }
     let changed = !news.changes.is_empty();
     let age = if waits {
         Span::ZERO
@@ -185,7 +198,12 @@
     };
     let mut state = node.borrow_mut();
     state.removal_age = unseen.replace(Span::ZERO);
+    // Pages that are current replace old ones, whose history is gone.
+    if let Some(listed) = listed.take().filter(|_| waits) {
+        state.publish_update(node, listed, Span::ZERO);
+    }
     state.publish_update(node, news, age);
+    state.expire_registrations();
     state.removal_age = Some(Span::ZERO);
     drop(state);
     Ok(changed && waits)
