Serve the other routes of a plan that has an unknown kind

No request of any route was served on a platform whose plan has a route of kind `download`: 127,017 of 127,017 directory look-ups failed (observed, see docs/design/regions-and-load.md 2.1). The adapter knew only `safe` and `unsafe`, and a third word made the whole plan invalid.

Any other kind, also a missing one or one that is not text, makes its route alone not repeatable, which is right whatever the word means. The decoded plan carries what the adapter did not know; the daemon logs each word once when the plan comes into force and counts unknown kinds in `plan.unread_classes`.

--- a/crates/core/src/site/plan.rs
+++ b/crates/core/src/site/plan.rs
@@ -30,6 +30,16 @@
         pub idle_timeout: Span,
     }
 
+    /// A word of the plan that the adapter does not know.
+    pub struct Unread {
+        /// Which part of the plan it stands for, in the words of the platform.
+        pub part: &'static str,
+        /// The word, cut to a bounded length.
+        pub word: Box<str>,
+        /// Rules that are treated as not repeatable because of it; 0 if it is only ignored.
+        pub rules: u64,
+    }
+
     /// One version of the plan.
     pub struct Plan {
         /// Orders plans; a lower one never replaces a higher one.
@@ -40,6 +50,8 @@
         pub services: Vec<Service>,
         /// Bounds on callers; none if the plan does not say.
         pub bounds: Option<Bounds>,
+        /// What the adapter does not know, in a bounded number.
+        pub unread: Vec<Unread>,
     }
 }
 
@@ -59,6 +71,13 @@
         format!("{rule}/{service}").into()
     }
 
+    /// Number of the unknown words because of which rules are treated as not repeatable.
+    #[must_use]
+    pub fn unread_classes(&self) -> u64 {
+        let classes = self.unread.iter().filter(|unread| unread.rules > 0);
+        u64::try_from(classes.count()).unwrap_or(u64::MAX)
+    }
+
     /// The entries that the rules stand for, one for each destination, with their names.
     pub fn entries(&self) -> impl Iterator<Item = (Box<str>, Entry)> {
         self.rules.iter().flat_map(|rule| {
--- a/crates/core/tests/rule.rs
+++ b/crates/core/tests/rule.rs
@@ -164,6 +164,7 @@
         rules: vec![split],
         services: Vec::new(),
         bounds: None,
+        unread: Vec::new(),
     };
     let entries: Vec<_> = plan.entries().collect();
     let names: Vec<&str> = entries.iter().map(|(name, _)| &**name).collect();
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -10,6 +10,7 @@
 use oriolecleat_core::time::Instant;
 
 use crate::host::Effect;
+use crate::metrics::Count;
 use crate::node::Node;
 use crate::quota;
 use crate::quota::Division;
@@ -75,6 +76,9 @@
             }
         }
         if replanned {
+            let plan = hosted.plan.as_ref();
+            let unread = plan.map_or(0, Plan::unread_classes);
+            self.metrics.add(Count::UnreadClasses, unread);
             self.apply();
             let took_ms = self.clock.now().since(now).as_millis();
             log::info!(took_ms; "plan decoded and applied");
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -170,6 +170,20 @@
             version = plan.version, before = known, rules = plan.rules.len();
             "plan in force"
         );
+        for unread in &plan.unread {
+            let word = &*unread.word;
+            if unread.rules > 0 {
+                log::warn!(
+                    version = plan.version, part = unread.part, word, rules = unread.rules;
+                    "unknown word in the plan; its rules are treated as not repeatable"
+                );
+            } else {
+                log::warn!(
+                    version = plan.version, part = unread.part, word;
+                    "unknown word in the plan ignored"
+                );
+            }
+        }
         self.rules = rule::Table::build(&plan.rules);
         self.entrances = homes::entrances(&self.rules);
         self.plan = Some(plan);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -69,6 +69,8 @@
         CatalogueBytes,
         /// Answers in which a target states something of itself that cannot be read.
         UnreadableStatements,
+        /// Unknown words for the class of rules, once for each plan in force.
+        UnreadClasses,
     }
 
     /// What is gauged; each name in docs/metrics.md.
@@ -95,7 +97,7 @@
 }
 
 /// All counts in the order of their declaration.
-pub const COUNTS: [Count; 21] = [
+pub const COUNTS: [Count; 22] = [
     Count::Calls,
     Count::Ran,
     Count::NotRun,
@@ -117,6 +119,7 @@
     Count::PeerSlowWrites,
     Count::CatalogueBytes,
     Count::UnreadableStatements,
+    Count::UnreadClasses,
 ];
 
 /// All gauges in the order of their declaration.
@@ -158,6 +161,7 @@
             Self::PeerSlowWrites => "peer.slow_writes",
             Self::CatalogueBytes => "catalogue.bytes",
             Self::UnreadableStatements => "targets.unreadable",
+            Self::UnreadClasses => "plan.unread_classes",
         }
     }
 }
