Let few VMs of a large data centre call the store while it is away

An outage of the store of 8 s cost 3,717 calls on a fleet of 182 VMs and 4,735 on one of 313 (observed on deployments; each call is billed).

Cause: from the seventh VM of a data centre on, all take over reading at the same age of the view, so 1.9 times takeover_after into an outage every VM reads, and each asks again after at most a second, and every two seconds for the 10 s after the return.

Change: eight VMs of a data centre take over as before. A VM that comes after these and hears its neighbours knows that they read, too; it takes over when the view is four times takeover_after old, in case the store refuses all those before it. One that does not hear a neighbour before it, or hears none at all, takes over as before.

--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -24,9 +24,13 @@
 pub const TAKEOVER_HOLD: Span = Span::from_millis(10_000);
 
 // The VMs of a data centre take over one after the other, at intervals of this part of
-// `takeover_after`, so that an outage does not turn all of them into readers at once. The last ones
-// take over at a view age of less than twice `takeover_after`.
+// `takeover_after`, so that an outage does not turn all of them into readers at once. As many VMs as
+// there are turns take over at a view age of less than twice `takeover_after`.
 const TAKEOVER_TURNS: u64 = 8;
+// A VM that comes after these and hears them knows that they read too, so its calls would add nothing
+// while the service is away: 182 VMs made 3,717 calls in an outage of 8 s. It takes over at this
+// multiple of `takeover_after`, for the case that the service refuses all of those before it.
+const LATE_TAKEOVER: u64 = 4;
 
 const MICROS_PER_CALL: u64 = 1_000_000;
 // Limits that are safe for any fleet: the documented rate of the service, shared by as many VMs as
@@ -279,10 +283,15 @@
     fn update_takeover(&mut self, now: Instant, fleet: &Fleet, random: &mut dyn Rng) -> bool {
         let readers = self.limits.readers_per_data_center;
         let turn = rank_in_data_center(fleet).saturating_sub(readers);
-        let turn = turn.min(TAKEOVER_TURNS - 2).saturating_sub(self.unheard);
+        let takeover_after = self.limits.takeover_after.as_micros();
+        let (base, turn) = if turn >= TAKEOVER_TURNS && self.unheard == 0 {
+            (takeover_after * LATE_TAKEOVER, turn - TAKEOVER_TURNS)
+        } else {
+            let turn = turn.min(TAKEOVER_TURNS - 2).saturating_sub(self.unheard);
+            (takeover_after, turn)
+        };
         let interval = interval(&self.limits).as_micros();
-        let wait = Span::from_micros(interval * turn) + self.jitter;
-        let limit = self.limits.takeover_after + wait;
+        let limit = Span::from_micros(base + interval * turn) + self.jitter;
         // No reader confirms a view before it has waited for its peers.
         let waited = now.since(self.started + self.limits.peer_wait);
         let age = self.view.age(now).unwrap_or(waited);
