Refuse transfer codings other than chunked

A request with `Transfer-Encoding: gzip, chunked`, with these in two headers, or with `chunked, chunked` ran on a target that got `Transfer-Encoding: chunked` alone: it takes the coded bytes for the body.

Cause: the body is read out of its outermost chunks and framed anew for the target. Any coding below these is removed with the header and not stated again.

Change: a request with a transfer coding other than one `chunked` is refused with 400 as not run. The codings cannot be kept instead: a target that does not know them could only refuse the request.

Test: path unchanged, cases "a coding that is not passed on" (in one header and in two) and "chunks twice"; before: status 200 and one run in each of the three.

--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -88,6 +88,12 @@
         return Err("the request target must be a path without scheme and host");
     }
     let headers = &head.headers;
+    // The body is read out of its chunks and sent in chunks of its own: another coding would be lost.
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = |coding: &HeaderValue| coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    if codings.next().is_some_and(|coding| !is_chunked(coding)) || codings.next().is_some() {
+        return Err("a body may have no transfer coding but chunked, once");
+    }
     let host = single(headers, &HOST)?.ok_or("there is no Host header")?;
     let host = host.to_str().map_err(|_| "the Host header is not text")?;
     let host = host.split(':').next().unwrap_or_default();
