Refuse a request target with a fragment

`GET /read/1?a#b` ran on a target as `GET /read/1?a`: another query than the caller sent. A fragment is not allowed in a request target, but the caller was answered as if nothing were wrong.

Cause: the HTTP library cuts the fragment off while it parses the request line, so the request path never sees it.

Change: the scanner of a caller's bytes, which already finds contradictory lengths that the library hides, also finds a fragment. The request is refused with 400 as not run and the connection closes, as for other malformed heads.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -40,6 +40,7 @@
 use crate::attempt::Handle;
 use crate::clock;
 use crate::exchange::Exchange;
+use crate::framing::Defect;
 use crate::gather::Answer;
 use crate::head;
 use crate::head::Facts;
@@ -247,8 +248,13 @@
         code,
         outcome: earlier_outcome(),
     };
-    if tracker.conflict {
-        return Err(refused(Code::LengthConflict));
+    match tracker.defect {
+        Some(Defect::Lengths) => return Err(refused(Code::LengthConflict)),
+        Some(Defect::Fragment) => {
+            log::info!(cause = "the request target has a fragment"; "request has a malformed head");
+            return Err(refused(Code::BadRequest));
+        }
+        None => {}
     }
     let limit = node.borrow().settings.http.head_bytes;
     if head::is_too_large(&parts.headers, limit) {
--- a/crates/daemon/src/framing.rs
+++ b/crates/daemon/src/framing.rs
@@ -1,7 +1,7 @@
-//! Scans the framing of a caller's byte stream for heads with contradictory lengths.
+//! Scans the framing of a caller's byte stream for heads that hyper reads as something else.
 //!
-//! hyper drops a Content-Length beside a Transfer-Encoding before the request path gets the
-//! request, so the contradiction shows only in the bytes.
+//! hyper drops a Content-Length beside a Transfer-Encoding, and a fragment in the request line, before
+//! the request path gets the request, so they show only in the bytes.
 
 /// Scans the bytes of a caller in order, in parts of any size.
 #[derive(Debug)]
@@ -13,6 +13,15 @@
     head: Head,
 }
 
+/// What is wrong with a head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Defect {
+    /// Its lengths contradict each other.
+    Lengths,
+    /// Its request line has a fragment, without which the path or the query is another one.
+    Fragment,
+}
+
 #[derive(Clone, Copy, Debug)]
 enum State {
     /// In the lines of a head.
@@ -39,6 +48,8 @@
     /// Value of the last one.
     content_length: u64,
     chunked: bool,
+    /// Whether the request line has a fragment.
+    has_fragment: bool,
 }
 
 impl Scanner {
@@ -52,9 +63,9 @@
         }
     }
 
-    /// Scans `bytes`. Returns the number, counted from zero, of the first head whose lengths
-    /// contradict each other.
-    pub(crate) fn scan(&mut self, mut bytes: &[u8]) -> Option<u64> {
+    /// Scans `bytes`. Returns the number, counted from zero, of the first head with a defect. Nothing is
+    /// scanned after it, since the connection ends with the refusal of its request.
+    pub(crate) fn scan(&mut self, mut bytes: &[u8]) -> Option<(u64, Defect)> {
         while !bytes.is_empty() {
             match self.state {
                 State::Body(left) => bytes = self.skip(bytes, left, State::Body, State::Head),
@@ -67,8 +78,8 @@
                     };
                     let (line, rest) = bytes.split_at(end + 1);
                     bytes = rest;
-                    if self.end_line(line) {
-                        return Some(self.head_count);
+                    if let Some(defect) = self.end_line(line) {
+                        return Some((self.head_count, defect));
                     }
                 }
                 State::Invalid => return None,
@@ -103,23 +114,25 @@
         }
     }
 
-    /// Processes a line that is complete with `end`. Returns whether it ends a head whose lengths
-    /// contradict each other.
-    fn end_line(&mut self, end: &[u8]) -> bool {
+    /// Processes a line that is complete with `end`. Returns the defect of the head that it ends.
+    fn end_line(&mut self, end: &[u8]) -> Option<Defect> {
         if self.line.is_empty() {
             return self.process_line(trim(end));
         }
         let mut line = std::mem::take(&mut self.line);
         line.extend_from_slice(end);
-        let conflict = self.process_line(trim(&line));
+        let defect = self.process_line(trim(&line));
         line.clear();
         self.line = line;
-        conflict
+        defect
     }
 
-    fn process_line(&mut self, line: &[u8]) -> bool {
+    fn process_line(&mut self, line: &[u8]) -> Option<Defect> {
         match self.state {
-            State::Head if line.is_empty() => return self.head.has_lines && self.end_of_head(),
+            State::Head if line.is_empty() => {
+                return self.head.has_lines.then(|| self.end_of_head()).flatten();
+            }
+            State::Head if !self.head.has_lines => self.head.add_request_line(line),
             State::Head => self.head.add_header(line),
             State::Size => {
                 let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
@@ -132,14 +145,18 @@
             State::Trailers if line.is_empty() => self.state = State::Head,
             State::Trailers | State::Body(_) | State::Chunk(_) | State::Invalid => {}
         }
-        false
+        None
     }
 
-    fn end_of_head(&mut self) -> bool {
+    fn end_of_head(&mut self) -> Option<Defect> {
         let head = std::mem::take(&mut self.head);
         if head.content_lengths > 1 || (head.content_lengths > 0 && head.chunked) {
             self.state = State::Invalid;
-            return true;
+            return Some(Defect::Lengths);
+        }
+        if head.has_fragment {
+            self.state = State::Invalid;
+            return Some(Defect::Fragment);
         }
         self.head_count += 1;
         if head.chunked {
@@ -147,13 +164,19 @@
         } else if head.content_length > 0 {
             self.state = State::Body(head.content_length);
         }
-        false
+        None
     }
 }
 
 impl Head {
-    fn add_header(&mut self, line: &[u8]) {
+    fn add_request_line(&mut self, line: &[u8]) {
         self.has_lines = true;
+        // A method may contain the character.
+        let mut parts = line.split(|byte| *byte == b' ').skip(1);
+        self.has_fragment = parts.any(|part| part.contains(&b'#'));
+    }
+
+    fn add_header(&mut self, line: &[u8]) {
         if !matches!(line[0], b'c' | b'C' | b't' | b'T') {
             return;
         }
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -1,5 +1,5 @@
 //! The byte stream of a caller: bounds the time of writes, detects heads with contradictory
-//! lengths, replaces hyper's own refusals and resets the connection after a truncated answer.
+//! lengths or a fragment, replaces hyper's own refusals and resets the connection after a truncated answer.
 
 use std::cell::Cell;
 use std::future::Future;
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::framing::Defect;
 use crate::framing::Scanner;
 use crate::inflight;
 use crate::quota::Permit;
@@ -37,8 +38,8 @@
     answer_pending: Cell<bool>,
     /// Requests seen.
     requests: Cell<u64>,
-    /// Number of the request whose lengths contradict each other.
-    conflict: Cell<Option<u64>>,
+    /// Number of the request that hyper reads as another one, and why.
+    defect: Cell<Option<(u64, Defect)>>,
     /// Whether an answer was truncated, so that the connection must end with a reset.
     truncated: Cell<bool>,
     /// When the caller of the newest request stops waiting.
@@ -60,8 +61,8 @@
 /// Tracks a request from its head to the last part of its answer.
 pub(crate) struct Tracker {
     pub(crate) state: Rc<State>,
-    /// Whether the lengths in the head contradict each other.
-    pub(crate) conflict: bool,
+    /// Why hyper reads the head as another one, if it does.
+    pub(crate) defect: Option<Defect>,
     pub(crate) in_flight: inflight::Guard,
     /// Set once the limits of the entry admit the request.
     pub(crate) permit: Option<Permit>,
@@ -73,9 +74,10 @@
         state.answer_pending.set(true);
         let number = state.requests.get();
         state.requests.set(number + 1);
+        let found = state.defect.get().filter(|(found, _)| *found == number);
         Self {
             state: Rc::clone(state),
-            conflict: state.conflict.get() == Some(number),
+            defect: found.map(|(_, defect)| defect),
             in_flight,
             permit: None,
         }
@@ -154,7 +156,9 @@
         let status = bytes.get(9..12).unwrap_or_default();
         let code = match status {
             b"414" | b"431" => Code::HeadTooLarge,
-            _ if self.state.conflict.get().is_some() => Code::LengthConflict,
+            _ if matches!(self.state.defect.get(), Some((_, Defect::Lengths))) => {
+                Code::LengthConflict
+            }
             _ => Code::BadRequest,
         };
         // The head was not read, so the state of the ticket that it may carry is unknown.
@@ -181,9 +185,9 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
         if polled.is_ready()
-            && let Some(number) = self.scanner.scan(&buffer.filled()[before..])
+            && let Some(defect) = self.scanner.scan(&buffer.filled()[before..])
         {
-            self.state.conflict.set(Some(number));
+            self.state.defect.set(Some(defect));
         }
         polled
     }
