Take data centres out of service by a key of the store

The store of a platform holds a key for each data centre to which nothing may be sent. The keys were unknown: they were refused by the catalogue, and targets there went on to get requests and probes. A VM that started also served before it had read what is newer than the pages of its listing, which may be some seconds old.

The adapter reads such a key as an order, whatever its value, and the registry names no target in these data centres, as for draining ones. Waiting calls, hedges, retries, probes, pooled connections and homes only know the targets that the registry names, so all of them leave at once. A VM is ready, and serves, once the state that it holds was confirmed to be complete, by the first answer to a wait, which is now asked for at once, or by a peer with the same catalogue. Log lines and the gauge data_centers.out show orders.

--- a/crates/core/src/site/feed.rs
+++ b/crates/core/src/site/feed.rs
@@ -84,6 +84,9 @@
     wait_after: Option<u64>,
     /// Whether the pages have to be current, as the store no longer has the history since old ones.
     current_only: bool,
+    /// Whether the state read so far was complete at some moment since the start. Pages that may be
+    /// old lack the newest changes, which the first wait returns.
+    caught_up: bool,
 }
 
 impl Session {
@@ -105,6 +108,13 @@
         self.wait_after.is_some()
     }
 
+    /// Whether the state read so far was complete at some moment since the start. Until then a wait
+    /// should be answered at once, since nobody may use the state before.
+    #[must_use]
+    pub fn is_caught_up(&self) -> bool {
+        self.caught_up
+    }
+
     /// Starts over with the first page. A wait that begins at an old page would miss changes again,
     /// so the pages have to be current.
     fn restart(&mut self) {
@@ -128,6 +138,7 @@
         }
         self.wait_after = Some(lowest);
         self.lowest_revision = None;
+        self.caught_up = self.current_only;
         Some(Update {
             changes: std::mem::take(&mut self.listed),
             snapshot_revision: Some(lowest),
@@ -148,6 +159,7 @@
             return None;
         }
         self.wait_after = Some(revision);
+        self.caught_up = true;
         Some(Update {
             changes,
             snapshot_revision: None,
--- a/crates/core/src/site/mod.rs
+++ b/crates/core/src/site/mod.rs
@@ -7,3 +7,4 @@
 pub mod plan;
 pub mod registry;
 pub mod rule;
+pub mod withdrawn;
--- a/crates/core/src/site/registry.rs
+++ b/crates/core/src/site/registry.rs
@@ -12,6 +12,7 @@
 use crate::estimate::number;
 use crate::map::Map;
 use crate::map::Set;
+use crate::site::withdrawn;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -81,9 +82,40 @@
     records: Map<Box<str>, Record>,
     /// Until when registrations that lapsed during an outage of the store come back.
     back_by: Instant,
+    /// Data centres out of service.
+    withdrawn: withdrawn::Orders,
 }
 
 impl Registry {
+    /// The data centres out of service.
+    #[must_use]
+    pub fn withdrawn(&self) -> &withdrawn::Orders {
+        &self.withdrawn
+    }
+
+    /// Takes the targets of `data_center` out of service until [`Registry::restore`] gets the same
+    /// key. Returns the services whose targets changed; none if it was out of service already.
+    pub fn withdraw(&mut self, key: &str, data_center: &str) -> Option<Vec<Box<str>>> {
+        let changed = self.withdrawn.put(key, data_center);
+        changed.then(|| self.services_in(data_center))
+    }
+
+    /// Removes the order under `key` that took a data centre out of service. Returns the data centre
+    /// that is back with the services whose targets changed; none if `key` holds no such order.
+    pub fn restore(&mut self, now: Instant, key: &str) -> Option<(Box<str>, Vec<Box<str>>)> {
+        let data_center = self.withdrawn.remove(now, key)?;
+        let services = self.services_in(&data_center);
+        Some((data_center, services))
+    }
+
+    /// Services with registrations in `data_center`, without duplicates.
+    fn services_in(&self, data_center: &str) -> Vec<Box<str>> {
+        let records = self.records.values().map(|record| &record.registration);
+        let there = records.filter(|found| *found.data_center == *data_center);
+        let services: Set<Box<str>> = there.map(|found| found.service.clone()).collect();
+        services.into_iter().collect()
+    }
+
     /// Records that the store is back after an outage.
     pub fn record_return(&mut self, now: Instant) {
         self.back_by = now + RETURN_GRACE;
@@ -169,14 +201,15 @@
             .collect()
     }
 
-    /// The targets of `service` that take new work, by id. `region` returns the region of a data
-    /// centre.
+    /// The targets of `service` that take new work, by id. Those of a data centre out of service take
+    /// none. `region` returns the region of a data centre.
     pub fn targets(&self, service: &str, region: impl Fn(&str) -> Box<str>) -> Vec<entry::Target> {
         let mut targets: Vec<entry::Target> = self
             .records
             .values()
             .map(|record| &record.registration)
             .filter(|found| *found.service == *service && found.state == State::Ready)
+            .filter(|found| !self.withdrawn.contains(&found.data_center))
             .map(|found| entry::Target {
                 name: found.id.clone(),
                 address: found.address,
--- a/crates/core/tests/feed.rs
+++ b/crates/core/tests/feed.rs
@@ -111,8 +111,10 @@
         .apply_page(page(&["a"], false, 10))
         .expect("one page");
     assert!(!update.confirmed, "the page may be some seconds old");
+    assert!(!session.is_caught_up(), "the newest changes are missing");
     let update = session.apply_changes(Changes::Known(Vec::new(), 10));
     assert!(update.expect("nothing changed").confirmed);
+    assert!(session.is_caught_up());
     assert_eq!(session.apply_changes(Changes::Gone), None);
     let (after, stale) = (None, false);
     assert_eq!(session.next_call(), Call::Page { after, stale });
@@ -123,6 +125,7 @@
         .apply_page(page(&["b"], false, 41))
         .expect("the last page");
     assert!(update.confirmed, "the pages were current");
+    assert!(session.is_caught_up());
 }
 
 /// Guards against a cut connection or a lost answer that is taken for an outage of the store.
--- a/crates/daemon/src/destination.rs
+++ b/crates/daemon/src/destination.rs
@@ -30,8 +30,9 @@
                 urgency: 0,
             });
         };
-        // Without a plan, this VM cannot tell that there is no such route.
-        if hosted.plan.is_none() {
+        // Without a plan, this VM cannot tell that there is no such route. Before it knows the whole
+        // state of the store, it might use a target that is out of service.
+        if hosted.plan.is_none() || self.is_catching_up() {
             return Err(Code::NoTarget);
         }
         let rule = hosted.rules.find(&facts.host, parts.uri.path());
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -134,7 +134,8 @@
     } = reading;
     let call = session.next_call();
     let waits = matches!(call, feed::Call::Wait { .. });
-    let wait = if waits && !contact.is_in_doubt() {
+    // The state may be used only once it is complete, so the first wait is answered at once.
+    let wait = if waits && session.is_caught_up() && !contact.is_in_doubt() {
         WAIT
     } else {
         Duration::ZERO
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -34,6 +34,8 @@
     Plan(Plan),
     /// The registration of a target.
     Registration(Registration),
+    /// This data centre is out of service for as long as the key exists.
+    Withdrawn(Box<str>),
 }
 
 /// Query of a caller that asks for addresses.
@@ -142,13 +144,16 @@
         key: &str,
     ) -> Effect {
         let Some(text) = catalogue.text(key) else {
-            return Effect::Targets(self.registry.remove(removed, key));
+            return Effect::Targets(self.remove_key(now, removed, key));
         };
         match self.host.content(key, text) {
             Ok(Content::Plan(plan)) => self.set_plan(plan),
             Ok(Content::Registration(registration)) => {
                 Effect::Targets(self.registry.put(now, key, Some(registration)))
             }
+            Ok(Content::Withdrawn(data_center)) => {
+                Effect::Targets(self.withdraw(key, &data_center))
+            }
             Err(fault) => {
                 log::warn!(key, cause:% = fault; "the value of a key in the store is not valid");
                 Effect::Targets(self.registry.put(now, key, None))
@@ -156,6 +161,26 @@
         }
     }
 
+    /// Takes a data centre out of service. Returns the services whose targets changed.
+    fn withdraw(&mut self, key: &str, data_center: &str) -> Vec<Box<str>> {
+        let Some(services) = self.registry.withdraw(key, data_center) else {
+            return Vec::new();
+        };
+        log::warn!(data_center, services = services.len(); "data centre out of service");
+        services
+    }
+
+    /// Applies the removal of a key that vanished at `removed` or later. Returns the services whose
+    /// targets changed.
+    fn remove_key(&mut self, now: Instant, removed: Instant, key: &str) -> Vec<Box<str>> {
+        let Some((data_center, services)) = self.registry.restore(now, key) else {
+            return self.registry.remove(removed, key);
+        };
+        let data_center = &*data_center;
+        log::warn!(data_center, services = services.len(); "data centre back in service");
+        services
+    }
+
     /// Puts `plan` in force if its version is higher.
     fn set_plan(&mut self, plan: Plan) -> Effect {
         let known = self.plan.as_ref().map(|plan| plan.version);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -85,6 +85,8 @@
         Members,
         /// Targets that may get no new work.
         TargetsLeaving,
+        /// Data centres that are out of service.
+        DataCentersOut,
         /// Median time of a call inside the process and the target, in microseconds.
         CallP50Us,
         /// 99th percentile of that time.
@@ -120,13 +122,14 @@
 ];
 
 /// All gauges in the order of their declaration.
-pub const GAUGES: [Gauge; 9] = [
+pub const GAUGES: [Gauge; 10] = [
     Gauge::InFlight,
     Gauge::Waiting,
     Gauge::ViewAgeMs,
     Gauge::Links,
     Gauge::Members,
     Gauge::TargetsLeaving,
+    Gauge::DataCentersOut,
     Gauge::CallP50Us,
     Gauge::CallP99Us,
     Gauge::CallP999Us,
@@ -173,6 +176,7 @@
             Self::Links => "peer.links",
             Self::Members => "members.alive",
             Self::TargetsLeaving => "targets.leaving",
+            Self::DataCentersOut => "data_centers.out",
             Self::CallP50Us => "call.p50_us",
             Self::CallP99Us => "call.p99_us",
             Self::CallP999Us => "call.p999_us",
--- a/crates/daemon/src/overview.rs
+++ b/crates/daemon/src/overview.rs
@@ -29,6 +29,9 @@
         if planless || self.catalogue.records().next().is_none() {
             reasons.push("no_catalogue");
         }
+        if self.is_catching_up() {
+            reasons.push("catching_up");
+        }
         // A platform's store may be unreachable for long; the last state read then stays in force.
         if self.hosted.is_none() && self.reader.is_stale(self.clock.now()) {
             reasons.push("view_stale");
@@ -39,6 +42,13 @@
         reasons
     }
 
+    /// Whether this VM has started and does not know yet what a platform's store holds: what it has
+    /// read or received so far was never confirmed to be complete. It then may lack an order that
+    /// takes a data centre out of service, as keys arrive in any order.
+    pub(crate) fn is_catching_up(&self) -> bool {
+        self.hosted.is_some() && self.view_age_ms().is_none()
+    }
+
     pub(crate) fn view_age_ms(&self) -> Option<u64> {
         let age = self.reader.age(self.clock.now());
         age.map(Span::as_millis)
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -71,6 +71,11 @@
             sum(|service| service.balancer.waiting() as u64),
         ),
     ];
+    let withdrawn = node
+        .hosted
+        .as_ref()
+        .map(|hosted| hosted.registry.withdrawn());
+    gauges.extend(withdrawn.map(|orders| (Gauge::DataCentersOut, orders.count() as u64)));
     gauges.extend(node.view_age_ms().map(|age| (Gauge::ViewAgeMs, age)));
     gauges
 }
