--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -143,8 +143,9 @@
     } = reading;
     let call = session.next_call();
     let waits = matches!(call, feed::Call::Wait { .. });
-    // What has changed since old pages is answered at once, and makes the view complete.
-    let wait = if waits && !contact.is_in_doubt() && listed.is_none() {
+    // What has changed since old pages is answered at once, and makes the state complete. Nobody may
+    // use it before.
+    let wait = if waits && session.is_caught_up() && listed.is_none() && !contact.is_in_doubt() {
         WAIT
     } else {
         Duration::ZERO
