Keep requests and callers in the regions that a route allows

A route could not be kept within regions: its requests went to any target, and the directory named VMs without regard to it.

The column `allowed_regions` becomes `Rule::regions` and `Job::regions`. A target outside the regions is no candidate for first sends, second sends, copies and probes. Without an open target in them a call is refused at once as not run, and `Retry-After` counts their targets and waiting calls alone. Calls wait for regions: the expected wait is that of the region which is free first, and the limit of the queue counts calls with the same regions, so that a full region holds back no call that another one serves. The lists of a route and its team both apply.

Right before bytes are written, of a first send or a copy, the target is checked against the plan in force, as that may have changed while the call waited. Copies were not checked at all there; they now also get the check of the target's standing.

For a host all of whose rules are restricted and none of which allows the caller's region, the directory names VMs of regions that all rules allow, by the slots of the targets there, else one in the caller's own region, never one in a third. Entries of the product's own catalogue can't name regions.

Without any target, a call is now refused as `no_target` instead of `overloaded`; the status is the same.

--- a/crates/bench/src/model/drive.rs
+++ b/crates/bench/src/model/drive.rs
@@ -9,6 +9,7 @@
 use oriolecleat_core::balance::Progress;
 use oriolecleat_core::balance::REFUSAL_BYTES;
 use oriolecleat_core::balance::REPORT_BYTES;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
@@ -49,6 +50,7 @@
             entry: details.entry,
             hedge_percent: self.plan.hedge_percent,
             bytes: Some(REQUEST_BYTES),
+            regions: Scope::ANY,
         };
         let vm = &mut self.vms[details.vm];
         if let Some(balancer) = &mut vm.balancer {
--- a/crates/bench/src/model/hosted/run.rs
+++ b/crates/bench/src/model/hosted/run.rs
@@ -10,6 +10,7 @@
 use oriolecleat_core::balance::Progress;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::estimate::Report;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::target::Key;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
@@ -310,6 +311,7 @@
             entry: u32::try_from(self.calls[call].stream).unwrap_or(u32::MAX),
             hedge_percent: 0,
             bytes: None,
+            regions: Scope::ANY,
         };
         self.with_vm(now, vm, |vm, rng| {
             let time = Instant::from_micros(now);
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -17,6 +17,7 @@
 use crate::map::Map;
 use crate::queue::Item;
 use crate::queue::Queue;
+use crate::site::region::Scope;
 use crate::target;
 use crate::target::Place;
 use crate::target::Standing;
@@ -138,6 +139,9 @@
         pub hedge_percent: u8,
         /// Bytes of the request on the wire; none if they are not known.
         pub bytes: Option<u64>,
+        /// Regions whose targets the call may reach. [`Balancer`] takes calls without a restriction
+        /// only: the entries of the product's own catalogue state none.
+        pub regions: Scope,
     }
 
     /// Limits on what the calls of a service consume.
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -35,6 +35,8 @@
         pub vm: Box<str>,
         /// Where callers connect.
         pub address: SocketAddr,
+        /// Its region.
+        pub region: Box<str>,
         /// Its data centre.
         pub data_center: Box<str>,
         /// Names of its targets.
@@ -154,6 +156,7 @@
         .map(|candidate| Home {
             vm: candidate.vm.clone(),
             address: candidate.address,
+            region: candidate.region.clone(),
             data_center: candidate.data_center.clone(),
             targets: Vec::new(),
             slots: 0,
@@ -199,7 +202,7 @@
 /// Selects at most `count` homes for one caller, the preferred one first. A random `draw` in 0..1
 /// divides the callers among the homes by slots.
 #[must_use]
-pub fn select(homes: &[Home], draw: f64, count: usize) -> Vec<&Home> {
+pub fn select<'a>(homes: &[&'a Home], draw: f64, count: usize) -> Vec<&'a Home> {
     let total: u64 = homes.iter().map(|home| home.slots.max(1)).sum();
     let mut left = draw * number(total);
     let drawn = homes.iter().position(|home| {
@@ -207,6 +210,6 @@
         left < 0.0
     });
     let first = drawn.unwrap_or(0);
-    let rotated = homes.iter().cycle().skip(first).take(homes.len());
+    let rotated = homes.iter().copied().cycle().skip(first).take(homes.len());
     rotated.take(count).collect()
 }
--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -4,6 +4,7 @@
 //! For noisy neighbours, which slow a machine fourfold for some hundred milliseconds.
 
 use crate::estimate::number;
+use crate::site::region;
 
 /// Loss of a late answer.
 const LATE_LOSS: f64 = 0.9;
@@ -61,6 +62,8 @@
     /// Seconds to the target and back.
     pub(crate) round_trip: f64,
     pub(crate) distance: Distance,
+    /// Its region.
+    pub(crate) region: region::Key,
     /// Whether the target belongs to another VM of the region.
     pub(crate) foreign: bool,
     /// Requests that the target may get at once under the limit that it states.
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -11,6 +11,7 @@
 mod placer;
 mod probe;
 mod queue;
+mod region;
 mod stated;
 mod stats;
 mod wait;
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -25,6 +25,8 @@
 use crate::place::loss::max_load;
 use crate::place::queue::Item;
 use crate::place::queue::Queue;
+use crate::place::region::is_limited;
+use crate::place::region::permitted;
 use crate::place::stats::Stats;
 use crate::place::work::Work;
 use crate::stated::Stated;
@@ -210,8 +212,8 @@
         };
         let candidates = self.candidates(now);
         item.probe_deadline = self.probe_best(now, &item, work, &candidates, out);
-        let is_limited = candidates.iter().all(|(_, target)| !target.is_allowed());
-        if self.queue.len() >= self.limits.queue
+        let is_limited = is_limited(&candidates, &item.job.regions);
+        if self.queue.len_of(&item.job.regions) >= self.limits.queue
             || self.would_wait_too_long(now, &item, work, is_limited)
         {
             let call = item.job.call;
@@ -326,6 +328,7 @@
                 failure_share: stats.failure_share(now),
                 round_trip: target.round_trip,
                 distance: self.distance(&target.spec),
+                region: target.region,
                 foreign: self.is_foreign(&target.spec),
                 allowance: self.stated.get(key).map_or(f64::INFINITY, |stated| {
                     stated.allowance(now, self.users_of(&target.spec))
@@ -365,7 +368,7 @@
     }
 
     /// Sends the waiting calls for which a target has room, and refuses those that waited too long.
-    /// Refuses all if no target takes new work.
+    /// Refuses those for which no target in their regions takes new work.
     fn assign(
         &mut self,
         now: Instant,
@@ -373,13 +376,11 @@
         rng: &mut SmallRng,
         out: &mut Vec<Action>,
     ) {
-        if candidates.is_empty() {
-            for item in self.queue.extract(|_| true) {
-                let call = item.job.call;
-                let reason = Refusal::NoTarget;
-                out.push(Action::Refuse { call, reason });
-            }
-            return;
+        let is_lost = |item: &Item| permitted(&candidates, &item.job.regions).next().is_none();
+        for item in self.queue.extract(is_lost) {
+            let call = item.job.call;
+            let reason = Refusal::NoTarget;
+            out.push(Action::Refuse { call, reason });
         }
         // Under overload many calls wait, so the candidates are derived once for all of them.
         for call in self.queue.by_priority(now, |job| self.expected_work(job)) {
@@ -466,9 +467,10 @@
         repeatable: item.job.class != Class::Once,
         urgency: item.job.urgency,
     };
-    let open = candidates
-        .iter()
-        .filter(|(key, candidate)| !skip.contains(key) && candidate.is_allowed());
+    let regions = item.job.regions.clone();
+    let open = candidates.iter().filter(move |(key, candidate)| {
+        !skip.contains(key) && candidate.is_allowed() && regions.includes(candidate.region)
+    });
     open.map(move |(target, candidate)| Choice {
         target: *target,
         candidate: *candidate,
--- a/crates/core/src/place/probe.rs
+++ b/crates/core/src/place/probe.rs
@@ -8,6 +8,7 @@
 use crate::place::placer::rank;
 use crate::place::placer::score;
 use crate::place::queue::Item;
+use crate::place::region::permitted;
 use crate::target;
 use crate::time::Instant;
 use crate::time::Span;
@@ -38,9 +39,8 @@
     ) -> Option<Instant> {
         // If all targets count as full, no call is sent, and without a probe no report would tell
         // that one is not.
-        let full = candidates
-            .iter()
-            .all(|(_, candidate)| !candidate.is_below_max_load());
+        let full = permitted(candidates, &item.job.regions)
+            .all(|candidate| !candidate.is_below_max_load());
         // A call that is in time even beside a noisy neighbour needs no probe, nor does a late one.
         let needless = work * NOISY_SLOWDOWN < item.remaining(now) || !item.is_timely(now, work);
         if needless && !full {
--- a/crates/core/src/place/queue.rs
+++ b/crates/core/src/place/queue.rs
@@ -9,6 +9,7 @@
 use crate::balance::Call;
 use crate::balance::Job;
 use crate::estimate::seconds;
+use crate::site::region::Scope;
 use crate::target;
 use crate::time::Instant;
 
@@ -65,6 +66,13 @@
         self.items.len()
     }
 
+    /// Number of calls that may reach the same regions as a call with `scope`. The calls for other
+    /// regions leave the queue at another rate, so they do not count against its limit.
+    pub(crate) fn len_of(&self, scope: &Scope) -> usize {
+        let same = self.items.iter().filter(|item| item.job.regions == *scope);
+        same.count()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.items.is_empty()
     }
@@ -95,12 +103,16 @@
         items.into_iter().map(|item| item.job.call).collect()
     }
 
-    /// Number of calls that get a target before a new call of `urgency` that can be answered in
-    /// time.
-    pub(crate) fn ahead(&self, now: Instant, urgency: u8, work: impl Fn(&Job) -> f64) -> usize {
+    /// The calls that get a target before a new call of `urgency` that can be answered in time.
+    pub(crate) fn ahead(
+        &self,
+        now: Instant,
+        urgency: u8,
+        work: impl Fn(&Job) -> f64,
+    ) -> impl Iterator<Item = &Item> {
         let before =
-            |item: &&Item| item.job.urgency <= urgency && item.is_timely(now, work(&item.job));
-        self.items.iter().filter(before).count()
+            move |item: &&Item| item.job.urgency <= urgency && item.is_timely(now, work(&item.job));
+        self.items.iter().filter(before)
     }
 
     /// Removes and returns every call for which `matches` holds.
--- a/crates/core/src/site/mod.rs
+++ b/crates/core/src/site/mod.rs
@@ -3,7 +3,9 @@
 //!
 //! An adapter decodes the platform's texts into these types; nothing here knows their format.
 
+pub mod directory;
 pub mod feed;
 pub mod plan;
+pub mod region;
 pub mod registry;
 pub mod rule;
--- a/crates/core/src/site/plan.rs
+++ b/crates/core/src/site/plan.rs
@@ -78,6 +78,13 @@
         u64::try_from(classes.count()).unwrap_or(u64::MAX)
     }
 
+    /// Number of the rules that allow some regions only.
+    #[must_use]
+    pub fn restricted_rules(&self) -> usize {
+        let rules = self.rules.iter();
+        rules.filter(|rule| rule.regions.is_restricted()).count()
+    }
+
     /// The entries that the rules stand for, one for each destination, with their names.
     pub fn entries(&self) -> impl Iterator<Item = (Box<str>, Entry)> {
         self.rules.iter().flat_map(|rule| {
--- a/crates/core/src/site/rule.rs
+++ b/crates/core/src/site/rule.rs
@@ -6,6 +6,7 @@
 
 use crate::entry::Class;
 use crate::map::Map;
+use crate::site::region::Scope;
 use crate::time::Span;
 
 data! {
@@ -37,6 +38,8 @@
         pub attempts: u64,
         /// Where its requests go; never empty.
         pub destinations: Vec<Destination>,
+        /// Regions whose targets its requests may reach.
+        pub regions: Scope,
     }
 }
 
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -6,6 +6,7 @@
 use crate::estimate::Estimate;
 use crate::estimate::seconds;
 use crate::estimate::span;
+use crate::site::region;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -50,6 +51,8 @@
     pub(crate) round_trip: f64,
     /// Whether the target is in another region.
     pub(crate) remote: bool,
+    /// Key of its region.
+    pub(crate) region: region::Key,
     /// Set while the target is ejected: it gets only trials.
     pub(crate) ejected: Option<Trial>,
     /// When the last probe was sent.
@@ -164,6 +167,7 @@
             estimate: Estimate::new(now),
             round_trip,
             remote,
+            region: region::Key::of(&spec.region),
             ejected: None,
             last_probe: None,
             ended_probes: 0,
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -11,6 +11,7 @@
 use oriolecleat_core::budget::Total;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::entry::Target;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::target::Standing;
 use oriolecleat_core::time::Instant;
@@ -49,6 +50,7 @@
         entry: 0,
         hedge_percent: 0,
         bytes: Some(REQUEST_BYTES),
+        regions: Scope::ANY,
     }
 }
 
--- a/crates/core/tests/balance_machine.rs
+++ b/crates/core/tests/balance_machine.rs
@@ -13,6 +13,7 @@
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::entry::Target;
 use oriolecleat_core::estimate::Report;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::target::Standing;
@@ -307,6 +308,7 @@
             entry,
             hedge_percent,
             bytes: Some(REQUEST_BYTES),
+            regions: Scope::ANY,
         };
         let mut out = Vec::new();
         self.balancer.arrive(self.now, job, &mut self.rng, &mut out);
--- a/crates/core/tests/home.rs
+++ b/crates/core/tests/home.rs
@@ -193,6 +193,7 @@
         &[("desk", targets(&[("cai-a", 12), ("cai-b", 6)]))],
         "desk",
     );
+    let homes: Vec<&Home> = homes.iter().collect();
     let named = |draw: f64| home::select(&homes, draw, 1)[0].vm.clone();
     let drawn: Set<Box<str>> = [0.0, 0.4, 0.99].into_iter().map(named).collect();
     assert_eq!(drawn.len(), 3);
--- a/crates/core/tests/measuring.rs
+++ b/crates/core/tests/measuring.rs
@@ -14,6 +14,7 @@
 use oriolecleat_core::budget::Total;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::entry::Target;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::target::Standing;
@@ -150,6 +151,7 @@
             entry: 0,
             hedge_percent: 0,
             bytes: Some(REQUEST_BYTES),
+            regions: Scope::ANY,
         };
         let now = Instant::from_micros(self.now);
         self.balancer.arrive(now, job, &mut self.rng, out);
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -14,6 +14,7 @@
 use oriolecleat_core::map::Map;
 use oriolecleat_core::place::Limits;
 use oriolecleat_core::place::Placer;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::target::Standing;
@@ -356,6 +357,7 @@
             entry: 1,
             hedge_percent: 0,
             bytes: None,
+            regions: Scope::ANY,
         };
         let vm = self.vm_of(call);
         self.with_placer(vm, |placer, _, rng, out| placer.arrive(now, job, rng, out));
--- a/crates/core/tests/placer.rs
+++ b/crates/core/tests/placer.rs
@@ -9,6 +9,7 @@
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::place::Limits;
 use oriolecleat_core::place::Placer;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::target::Standing;
@@ -74,6 +75,7 @@
             entry: 1,
             hedge_percent: 0,
             bytes: None,
+            regions: Scope::ANY,
         };
         let mut out = Vec::new();
         self.placer.arrive(now, job, &mut self.rng, &mut out);
--- a/crates/core/tests/rule.rs
+++ b/crates/core/tests/rule.rs
@@ -4,6 +4,7 @@
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::site::plan::Plan;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::site::rule::Destination;
 use oriolecleat_core::site::rule::Rule;
 use oriolecleat_core::site::rule::Table;
@@ -25,6 +26,7 @@
             service: "desk".into(),
             weight: 1,
         }],
+        regions: Scope::ANY,
     }
 }
 
--- a/crates/core/tests/stated.rs
+++ b/crates/core/tests/stated.rs
@@ -11,6 +11,7 @@
 use oriolecleat_core::home::USERS_MAX;
 use oriolecleat_core::place::Limits;
 use oriolecleat_core::place::Placer;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::stated::Change;
 use oriolecleat_core::stated::Stated;
 use oriolecleat_core::stated::Statement;
@@ -232,6 +233,7 @@
             entry: 1,
             hedge_percent: 0,
             bytes: None,
+            regions: Scope::ANY,
         };
         let mut out = Vec::new();
         self.placer.arrive(now, job, &mut self.rng, &mut out);
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -13,6 +13,7 @@
 use oriolecleat_core::balance::Progress;
 use oriolecleat_core::balance::Refusal;
 use oriolecleat_core::entry::Class;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::stated::Statement;
 use oriolecleat_core::target;
 use oriolecleat_core::time::Instant;
@@ -74,6 +75,11 @@
         self.open = false;
     }
 
+    /// Replaces the regions that the request may reach when it is submitted again.
+    pub(crate) fn set_regions(&mut self, regions: Scope) {
+        self.job.regions = regions;
+    }
+
     /// Submits the request as a new call that avoids the target of the newest attempt.
     pub(crate) fn resubmit(&mut self) {
         self.withdraw();
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -28,6 +28,7 @@
 use oriolecleat_core::request::Failure;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::request::Received;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::stop::Arrival;
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::time::Span;
@@ -50,6 +51,7 @@
 use crate::quota;
 use crate::quota::Permit;
 use crate::refusal;
+use crate::region::Origin;
 use crate::relay::Delivery;
 use crate::relay::Download;
 use crate::service;
@@ -203,12 +205,20 @@
     tracker.state.set_deadline(expires_at);
     let idle = clock::duration(node.borrow().settings.http.body_idle);
     let body = upload::Shared::new(body, &parts.headers, idle);
+    let outgoing = Outgoing::new(parts, depth, id.clone(), dialect);
+    let origin = Origin {
+        host: outgoing.host().into(),
+        path: outgoing.path().into(),
+        plan: node.borrow().plan_version(),
+        regions: job.regions.clone(),
+    };
     let mut exchange = Exchange {
         node: node.clone(),
         service,
         quota,
         call: Handle::new(&node, service, job, id.clone()),
-        outgoing: Outgoing::new(parts, depth, id.clone(), dialect),
+        outgoing,
+        origin,
         body,
         ticket,
         deadline,
@@ -225,7 +235,8 @@
             if failure.outcome != Outcome::NotRun {
                 node.borrow_mut().record_duration(quota, arrived);
             }
-            refuse(&node, tracker, failure, id, Some(service))
+            let wanted = (service, &exchange.origin.regions);
+            refuse(&node, tracker, failure, id, Some(wanted))
         }
     };
     if !node.borrow().phase().is_advertised() {
@@ -317,6 +328,7 @@
         entry: found.map_or(0, |quota| quota.number),
         hedge_percent: hedge_percent(entry),
         bytes: body.map(|body| body + head::outgoing_bytes(parts)),
+        regions: destination.regions,
     };
     node.record_request(key);
     Ok((key, admitted, job, quota))
@@ -388,20 +400,25 @@
     Response::from_parts(parts, Download::Target(delivery))
 }
 
-/// Refuses a request, with the code and outcome in `failure`.
+/// Refuses a request, with the code and outcome in `failure`. `wanted` is its service and the regions
+/// that it may reach there, as far as they are known.
 fn refuse(
     node: &Shared,
     tracker: Tracker,
     failure: Failure,
     id: HeaderValue,
-    service: Option<service::Key>,
+    wanted: Option<(service::Key, &Scope)>,
 ) -> Response<Download> {
     let text = id.to_str().unwrap_or_default();
     let (waiting, wait) = {
         let state = node.borrow();
-        let found = service.and_then(|service| state.services.get(service));
-        let wait = found.and_then(|found| found.balancer.expected_wait(state.clock.now()));
-        (found.map(|found| found.balancer.waiting()), wait)
+        let now = state.clock.now();
+        let found = wanted.and_then(|(service, regions)| {
+            let balancer = &state.services.get(service)?.balancer;
+            Some((balancer.waiting(), balancer.expected_wait(now, regions)))
+        });
+        let (waiting, wait) = found.unzip();
+        (waiting, wait.flatten())
     };
     log::info!(
         id = text,
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -175,14 +175,6 @@
         }
     }
 
-    /// Whether the target may get a request now. Checked right before the first byte is written.
-    pub(crate) fn is_fit(&self, service: service::Key, target: target::Key) -> bool {
-        let now = self.clock.now();
-        self.services
-            .get(service)
-            .is_some_and(|found| found.is_fit(now, target))
-    }
-
     /// Logs that a target is leaving and notes it for the peers.
     pub(crate) fn record_leaving(
         &mut self,
--- a/crates/daemon/src/destination.rs
+++ b/crates/daemon/src/destination.rs
@@ -3,6 +3,7 @@
 use http::request::Parts;
 use oriolecleat_core::request::Code;
 use oriolecleat_core::site::plan::Plan;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::time::Span;
 
 use crate::head::Facts;
@@ -17,6 +18,8 @@
     pub(crate) objective: Span,
     /// Priority over the calls of other entries.
     pub(crate) urgency: u8,
+    /// Regions whose targets it may reach.
+    pub(crate) regions: Scope,
 }
 
 impl Node {
@@ -28,6 +31,7 @@
                 entry: None,
                 objective: Span::ZERO,
                 urgency: 0,
+                regions: Scope::ANY,
             });
         };
         // Without a plan, this VM cannot tell that there is no such route.
@@ -42,6 +46,7 @@
             entry: Some(Plan::entry_name(&rule.name, &part.service)),
             objective: rule.objective,
             urgency: rule.urgency,
+            regions: rule.regions.clone(),
         })
     }
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -34,6 +34,7 @@
 use crate::quota;
 use crate::race::Conclusion;
 use crate::race::Dispatch;
+use crate::region::Origin;
 use crate::service;
 use crate::service::Grant;
 use crate::ticketed;
@@ -51,6 +52,8 @@
     Deadline,
     /// The connection attempt failed or timed out.
     Failed(std::io::Error),
+    /// The target may not get the request any more.
+    Unfit,
 }
 
 impl fmt::Display for Unconnected {
@@ -61,6 +64,7 @@
             Self::Deadline => formatter
                 .write_str("the deadline of the request passed before the connection was open"),
             Self::Failed(error) => error.fmt(formatter),
+            Self::Unfit => formatter.write_str("the target may not get the request any more"),
         }
     }
 }
@@ -97,6 +101,7 @@
     pub(crate) quota: quota::Key,
     pub(crate) call: Handle,
     pub(crate) outgoing: Outgoing,
+    pub(crate) origin: Origin,
     pub(crate) body: upload::Shared,
     pub(crate) ticket: ticketed::Guard,
     /// When the caller stops waiting, on the clock of the node.
@@ -123,6 +128,7 @@
                     let code = match unconnected {
                         Unconnected::Full => return Err(assigned.refuse(Code::Overloaded)),
                         Unconnected::Deadline => return Err(assigned.refuse(Code::Deadline)),
+                        Unconnected::Unfit => Code::NoTarget,
                         Unconnected::Failed(error) => {
                             if error.kind() == ErrorKind::ConnectionRefused {
                                 self.node
@@ -138,8 +144,9 @@
                     continue;
                 }
             };
-            // The evidence may have become too old while the connection was opened.
-            if !self.node.borrow().is_fit(self.service, grant.target) {
+            // The evidence may have become too old, or another plan come into force, while the
+            // request waited or the connection was opened.
+            if !self.is_fit(grant.target) {
                 admitted = assigned.requeue(Code::NoTarget)?;
                 let progress = attempt.end(Ending::Cancelled);
                 self.requeue(progress);
@@ -256,7 +263,7 @@
                 let allowed = self.body.is_replayable() && written.may_retry() && self.take_retry();
                 let admitted = written.retry(code, allowed)?;
                 self.node.borrow_mut().metrics.add(Count::Retries, 1);
-                self.call.resubmit();
+                self.resubmit();
                 Ok(admitted)
             }
         }
@@ -290,10 +297,23 @@
     /// it.
     fn requeue(&mut self, progress: Progress) {
         if progress == Progress::Done {
-            self.call.resubmit();
+            self.resubmit();
         }
     }
 
+    /// Submits the request to the balancer again, for the regions of the plan in force.
+    fn resubmit(&mut self) {
+        self.node.borrow().update_origin(&mut self.origin);
+        self.call.set_regions(self.origin.regions.clone());
+        self.call.resubmit();
+    }
+
+    /// Whether the target may get the request now.
+    fn is_fit(&mut self, target: target::Key) -> bool {
+        let node = self.node.borrow();
+        node.is_fit(self.service, target, &mut self.origin)
+    }
+
     /// Takes an idle connection to a target or opens a new one.
     pub(crate) fn connect(
         &self,
--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -179,6 +179,17 @@
         }
     }
 
+    /// Host that the caller names; empty without one.
+    pub(crate) fn host(&self) -> &str {
+        let host = self.head.headers.get(HOST);
+        host.and_then(|host| host.to_str().ok()).unwrap_or_default()
+    }
+
+    /// Path of the request.
+    pub(crate) fn path(&self) -> &str {
+        self.head.uri.path()
+    }
+
     /// Builds the request of one attempt, which may take the time `left`.
     pub(crate) fn request(
         &self,
--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -5,10 +5,12 @@
 use oriolecleat_core::address::Candidate;
 use oriolecleat_core::entry;
 use oriolecleat_core::home;
-use oriolecleat_core::home::Home;
 use oriolecleat_core::home::Target;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
+use oriolecleat_core::site::directory;
+use oriolecleat_core::site::directory::Homes;
+use oriolecleat_core::site::directory::Query;
 use oriolecleat_core::site::rule;
 use rand::RngExt;
 use serde_json::json;
@@ -30,9 +32,6 @@
 /// of the first service of this host.
 pub(crate) type Entrances = Map<Box<str>, Set<Box<str>>>;
 
-/// Homes of each service, by region of the callers and then by service.
-pub(crate) type Homes = Map<Box<str>, Map<Box<str>, Vec<Home>>>;
-
 /// The entrances of the services of `rules`.
 pub(crate) fn entrances(rules: &rule::Table) -> Entrances {
     let mut entrances = Entrances::default();
@@ -155,22 +154,13 @@
         };
         let caller = hosted.host.caller(query);
         let rules = hosted.rules.rules_of(&caller.host).unwrap_or_default();
-        let part = rules.iter().flat_map(|rule| &rule.destinations).next();
-        let region = self
-            .homes
-            .get(&caller.region)
-            .or_else(|| self.homes.get(&self.settings.region));
-        let homes = region.and_then(|region| match part {
-            Some(part) => region.get(&part.service),
-            // A host without a rule has no service: any home answers its callers.
-            None => region.values().next(),
-        });
+        let query = Query {
+            region: &caller.region,
+            default_region: &self.settings.region,
+            count: hosted.settings.named,
+        };
         let draw = self.rng.random();
-        let named = home::select(
-            homes.map_or(&[], Vec::as_slice),
-            draw,
-            hosted.settings.named,
-        );
+        let named = directory::select(&self.homes, rules, query, draw);
         let addresses: Vec<SocketAddr> = named.iter().map(|home| home.address).collect();
         if addresses.is_empty() {
             return Answer::unavailable(json!({ "error": "no VM is known to serve" }));
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -167,7 +167,8 @@
             return Effect::Targets(Vec::new());
         }
         log::info!(
-            version = plan.version, before = known, rules = plan.rules.len();
+            version = plan.version, before = known, rules = plan.rules.len(),
+            restricted = plan.restricted_rules();
             "plan in force"
         );
         for unread in &plan.unread {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -36,6 +36,7 @@
 mod quota;
 mod race;
 mod refusal;
+mod region;
 mod relay;
 mod reload;
 mod report;
--- a/crates/daemon/src/policy.rs
+++ b/crates/daemon/src/policy.rs
@@ -15,6 +15,7 @@
 use oriolecleat_core::place;
 use oriolecleat_core::place::Estimate;
 use oriolecleat_core::place::Placer;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::stated::Change;
 use oriolecleat_core::stated::Statement;
 use oriolecleat_core::target;
@@ -250,11 +251,11 @@
         }
     }
 
-    /// Expected wait of a new call; none for the product's own targets.
-    pub(crate) fn expected_wait(&self, now: Instant) -> Option<Span> {
+    /// Expected wait of a new call to `regions`; none for the product's own targets.
+    pub(crate) fn expected_wait(&self, now: Instant, regions: &Scope) -> Option<Span> {
         match self {
             Self::Own(_) => None,
-            Self::Hosted(placer) => Some(placer.expected_wait(now)),
+            Self::Hosted(placer) => Some(placer.expected_wait_in(now, regions)),
         }
     }
 
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -155,8 +155,14 @@
         let left = self.remaining();
         let request = self.outgoing.request(grant, 1, left, &self.body);
         let connected = self.connect(grant);
+        let node = self.node.clone();
+        let (service, target) = (self.service, grant.target);
+        let mut origin = self.origin.clone();
         let future = async move {
             match connected.await {
+                Ok(_) if !node.borrow().is_fit(service, target, &mut origin) => {
+                    Event::Unconnected(Unconnected::Unfit)
+                }
                 Ok(connection) => exchange(connection, request).await,
                 Err(unconnected) => Event::Unconnected(unconnected),
             }
@@ -211,7 +217,12 @@
             Event::Broken(error, idle) => self.conclude_broken(attempt, &error, idle),
             Event::Unconnected(unconnected) => {
                 log::debug!(cause:% = unconnected, id = self.call.id(); "second copy not sent");
-                attempt.end(Ending::Broken { written: false });
+                attempt.end(match unconnected {
+                    Unconnected::Unfit => Ending::Cancelled,
+                    Unconnected::Full | Unconnected::Deadline | Unconnected::Failed(_) => {
+                        Ending::Broken { written: false }
+                    }
+                });
                 Conclusion::Failed(Code::TargetFailed)
             }
         }
