--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -7,6 +7,7 @@
 use crate::estimate::seconds;
 use crate::estimate::span;
 use crate::map::Set;
+use crate::site::region;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -51,6 +52,8 @@
     pub(crate) round_trip: f64,
     /// Whether the target is in another region.
     pub(crate) remote: bool,
+    /// Key of its region.
+    pub(crate) region: region::Key,
     /// Set while the target is ejected: it gets only trials.
     pub(crate) ejected: Option<Trial>,
     /// When the last probe was sent.
@@ -165,6 +168,7 @@
             estimate: Estimate::new(now),
             round_trip,
             remote,
+            region: region::Key::of(&spec.region),
             ejected: None,
             last_probe: None,
             ended_probes: 0,
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -30,6 +30,7 @@
 use oriolecleat_core::request::Failure;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::request::Received;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::stop::Arrival;
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::time::Span;
@@ -54,6 +55,7 @@
 use crate::quota;
 use crate::quota::Permit;
 use crate::refusal;
+use crate::region::Origin;
 use crate::relay::Delivery;
 use crate::relay::Download;
 use crate::relay::Reply;
@@ -278,12 +280,20 @@
     let left = clock::duration(deadline.since(node.borrow().clock.now()));
     let expires_at = tokio::time::Instant::now() + left;
     tracker.set_deadline(expires_at);
+    let outgoing = Outgoing::new(parts, depth, id.clone(), dialect);
+    let origin = Origin {
+        host: outgoing.host().into(),
+        path: outgoing.path().into(),
+        plan: node.borrow().plan_version(),
+        regions: job.regions.clone(),
+    };
     let mut exchange = Exchange {
         node: node.clone(),
         service,
         quota,
         call: Handle::new(&node, service, job, id.clone()),
-        outgoing: Outgoing::new(parts, depth, id.clone(), dialect),
+        outgoing,
+        origin,
         body,
         ticket,
         deadline,
@@ -300,7 +310,8 @@
             if failure.outcome != Outcome::NotRun {
                 node.borrow_mut().record_duration(quota, arrived);
             }
-            refuse(&node, tracker, failure, id, Some(service))
+            let wanted = (service, &exchange.origin.regions);
+            refuse(&node, tracker, failure, id, Some(wanted))
         }
     }
 }
@@ -393,6 +404,7 @@
         entry: found.map_or(0, |quota| quota.number),
         hedge_percent: hedge_percent(entry),
         bytes: body.map(|body| body + head::outgoing_bytes(parts)),
+        regions: destination.regions,
     };
     Ok(Admission {
         service: key,
@@ -468,20 +480,25 @@
     Response::from_parts(parts, Download::Target(delivery))
 }
 
-/// Refuses a request, with the code and outcome in `failure`.
+/// Refuses a request, with the code and outcome in `failure`. `wanted` is its service and the regions
+/// that it may reach there, as far as they are known.
 fn refuse(
     node: &Shared,
     tracker: Tracker,
     failure: Failure,
     id: HeaderValue,
-    service: Option<service::Key>,
+    wanted: Option<(service::Key, &Scope)>,
 ) -> Response<Download> {
     let text = id.to_str().unwrap_or_default();
     let (waiting, wait) = {
         let state = node.borrow();
-        let found = service.and_then(|service| state.services.get(service));
-        let wait = found.and_then(|found| found.balancer.expected_wait(state.clock.now()));
-        (found.map(|found| found.balancer.waiting()), wait)
+        let now = state.clock.now();
+        let found = wanted.and_then(|(service, regions)| {
+            let balancer = &state.services.get(service)?.balancer;
+            Some((balancer.waiting(), balancer.expected_wait(now, regions)))
+        });
+        let (waiting, wait) = found.unzip();
+        (waiting, wait.flatten())
     };
     log::info!(
         id = text,
