Bound the requests to targets that have just started

A target that has just started crashes well above a few requests a second from all VMs together. VMs knew that it is slow, for as long as its registration says, but sent it as much as any other.

The plan's services carry cold_start_s and cold_per_s, the settings hosting.cold the multiple and the slack. While a target is cold, up to four VMs of its region send to it, each an eighth of the bound by a token bucket; the limit meets that of the target in Candidate::allowance. A VM chooses by hash over the VMs that it remembers, and sends nothing if it knows no other or has run for less than 5 s. Cold is what the registration and the header X-Cold-Ms say, and is assumed after a start, a broken connection, silence, or the return of the data centre. Without the columns or the setting nothing changes.

The bound is divided by eight instead of four, since a VM that misses d others is one of the first 4 + d of all: it holds if each VM misses up to four, and with two halves that know nothing of each other.

--- a/crates/core/src/place/flight.rs
+++ b/crates/core/src/place/flight.rs
@@ -63,6 +63,7 @@
         if let Some(stated) = self.stated.get_mut(choice.target) {
             stated.count_request(now, users);
         }
+        self.count_cold(now, choice.target);
         Attempt {
             target: choice.target,
             sent: now,
@@ -129,6 +130,11 @@
         let entry = flight.job.entry;
         self.release(call, target);
         self.record_ending(now, entry, &attempt, ending);
+        self.change_cold(target, |cold, bound| match ending {
+            Ending::Broken { .. } => cold.record_loss(now, bound),
+            Ending::Answered { .. } | Ending::Shed { .. } => cold.record_answer(now, bound),
+            Ending::Cancelled => {}
+        });
         match ending {
             Ending::Answered { failed: false, .. } => {
                 self.cancel_flight(call, out);
--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -63,7 +63,7 @@
     pub(crate) distance: Distance,
     /// Whether the target belongs to another VM of the region.
     pub(crate) foreign: bool,
-    /// Requests that the target may get at once under the limit that it states.
+    /// Requests that the target may get at once under the limit that it states, and while it is cold.
     pub(crate) allowance: f64,
 }
 
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -5,6 +5,7 @@
 //! in as method calls of [`Placer`]; the resulting actions come out as
 //! [`Action`](crate::balance::Action)s.
 
+pub mod cold;
 mod flight;
 mod hedge;
 mod loss;
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -18,6 +18,8 @@
 use crate::estimate::seconds;
 use crate::map::Map;
 use crate::map::Set;
+use crate::place::cold;
+use crate::place::cold::Cold;
 use crate::place::flight::Flight;
 use crate::place::loss::Candidate;
 use crate::place::loss::Criteria;
@@ -95,6 +97,12 @@
     /// What targets state of themselves.
     pub(super) stated: SecondaryMap<target::Key, Stated>,
     pub(super) stats: SecondaryMap<target::Key, Stats>,
+    /// What cold targets tolerate; none for any number of requests.
+    pub(super) cold_bound: Option<cold::Bound>,
+    /// Names of the cold targets that this VM may use.
+    pub(super) cold_users: Set<Box<str>>,
+    /// Which targets are cold.
+    pub(super) cold: SecondaryMap<target::Key, Cold>,
     pub(super) queue: Queue,
     pub(super) flights: Map<Call, Flight>,
     pub(super) work: Work,
@@ -120,6 +128,9 @@
             users: None,
             stated: SecondaryMap::new(),
             stats: SecondaryMap::new(),
+            cold_bound: None,
+            cold_users: Set::default(),
+            cold: SecondaryMap::new(),
             queue: Queue::default(),
             flights: Map::default(),
             work: Work::default(),
@@ -142,15 +153,17 @@
         let targets = &self.targets;
         self.stats.retain(|key, _| targets.get(key).is_some());
         self.stated.retain(|key, _| targets.get(key).is_some());
+        self.cold.retain(|key, _| targets.get(key).is_some());
+        let mut cold = Vec::new();
         for (key, target) in self.targets.iter() {
             if !self.stats.contains_key(key) {
                 self.stats.insert(key, Stats::default());
+                self.cold.insert(key, Cold::new(now));
             }
-            if let (Some(until), Some(stats)) =
-                (cold_until(&target.spec.name), self.stats.get_mut(key))
-            {
-                stats.set_cold_until(until);
-            }
+            cold.extend(cold_until(&target.spec.name).map(|until| (key, until)));
+        }
+        for (key, until) in cold {
+            self.set_cold_until(key, until);
         }
     }
 
@@ -239,6 +252,10 @@
         out: &mut Vec<Action>,
     ) {
         self.pending_probes.remove(target);
+        self.change_cold(target, |cold, bound| match report {
+            Some(_) => cold.record_answer(now, bound),
+            None => cold.record_silence(now, bound),
+        });
         match report {
             Some(report) => self.add_report(now, target, report, 0),
             None => {
@@ -327,9 +344,13 @@
                 round_trip: target.round_trip,
                 distance: self.distance(&target.spec),
                 foreign: self.is_foreign(&target.spec),
-                allowance: self.stated.get(key).map_or(f64::INFINITY, |stated| {
-                    stated.allowance(now, self.users_of(&target.spec))
-                }),
+                allowance: self
+                    .stated
+                    .get(key)
+                    .map_or(f64::INFINITY, |stated| {
+                        stated.allowance(now, self.users_of(&target.spec))
+                    })
+                    .min(self.cold_allowance(now, key, &target.spec.name)),
             };
             Some((key, candidate))
         };
--- a/crates/core/src/place/stated.rs
+++ b/crates/core/src/place/stated.rs
@@ -49,15 +49,18 @@
         stated.is_some_and(|stated| stated.wait(now).is_none_or(|wait| wait > Span::ZERO))
     }
 
-    /// Requests a second that the limit which the target states leaves to this VM; none without one.
+    /// Requests a second that the limit which the target states, and its cold start, leave to this VM;
+    /// none without any.
     pub(super) fn limit_of(
         &self,
         now: Instant,
         key: target::Key,
         target: &target::Target,
     ) -> Option<f64> {
-        let stated = self.stated.get(key)?;
-        stated.rate(now, self.users_of(&target.spec))
+        let stated = self.stated.get(key);
+        let stated = stated.and_then(|stated| stated.rate(now, self.users_of(&target.spec)));
+        let cold = self.cold_rate(now, key, &target.spec.name);
+        stated.into_iter().chain(cold).reduce(f64::min)
     }
 
     /// Requests of other VMs that are expected at a target without reports. A target with a limit gets
--- a/crates/core/src/settings/hosting.rs
+++ b/crates/core/src/settings/hosting.rs
@@ -28,6 +28,18 @@
         pub link_kbps: u64,
         /// Regions of the data centres that targets may name.
         pub regions: Vec<Region>,
+        /// Bound on the requests to a cold target; none without one.
+        pub cold: Option<Cold>,
+    }
+
+    /// Bound on the requests to a target that has just started, over all VMs together: in any second
+    /// at most `over` times the rate that the plan states for its service, and `slack` more.
+    #[derive(Copy)]
+    pub struct Cold {
+        /// Multiple of the rate, in thousandths.
+        pub over_thousandths: u64,
+        /// Requests allowed in addition, in thousandths.
+        pub slack_thousandths: u64,
     }
 
     /// Bound on the repeated requests to a service, over all VMs together: in each window at most
@@ -70,6 +82,7 @@
     let cores = reader.thousandths("cores", 1..=1_024_000, 200);
     let link = reader.thousandths("link_mbps", 1..=4_000_000_000, 1_000_000);
     let regions = reader.named_texts("regions");
+    let cold = reader.optional("cold", cold);
     let region = |(data_center, name)| Region { data_center, name };
     Some(Hosting {
         ready: ready?,
@@ -80,6 +93,16 @@
         cores_thousandths: cores?,
         link_kbps: link?,
         regions: regions.into_iter().map(region).collect(),
+        cold: cold?,
+    })
+}
+
+fn cold(reader: &mut Reader) -> Option<Cold> {
+    let over = reader.thousandths("over", 0..=1_000_000, 1_000);
+    let slack = reader.thousandths("slack", 0..=1_000_000_000, 8_000);
+    Some(Cold {
+        over_thousandths: over?,
+        slack_thousandths: slack?,
     })
 }
 
@@ -131,6 +154,10 @@
             "cores": decimal(self.cores_thousandths),
             "link_mbps": decimal(self.link_kbps),
             "regions": regions,
+            "cold": self.cold.map(|cold| json!({
+                "over": decimal(cold.over_thousandths),
+                "slack": decimal(cold.slack_thousandths),
+            })),
         })
     }
 }
--- a/crates/core/src/site/plan.rs
+++ b/crates/core/src/site/plan.rs
@@ -15,6 +15,11 @@
         /// Connections that one target accepts from all VMs together; none if the plan does not
         /// say.
         pub connections: Option<u64>,
+        /// Time for which a target is cold after its start; zero if the plan does not say.
+        pub cold_start: Span,
+        /// Requests a second that a cold target tolerates from all VMs together, in thousandths; zero
+        /// for any number.
+        pub cold_per_s_thousandths: u64,
     }
 
     /// Bounds on the size and the time of a caller's requests.
--- a/crates/core/src/site/registry.rs
+++ b/crates/core/src/site/registry.rs
@@ -53,6 +53,8 @@
 struct Record {
     registration: Registration,
     read_at: Instant,
+    /// When this start of the target appeared; none if it was there when this VM started.
+    appeared: Option<Instant>,
     removal: Option<Removal>,
 }
 
@@ -84,9 +86,17 @@
     back_by: Instant,
     /// Data centres out of service.
     withdrawn: withdrawn::Orders,
+    /// Whether all registrations were read once, so that others are of targets that start.
+    complete: bool,
 }
 
 impl Registry {
+    /// Records that all registrations were read. Those that are put later are of targets that start, or
+    /// that were lost and are back.
+    pub fn set_complete(&mut self) {
+        self.complete = true;
+    }
+
     /// The data centres out of service.
     #[must_use]
     pub fn withdrawn(&self) -> &withdrawn::Orders {
@@ -133,9 +143,15 @@
             return self.records.remove(key).into_iter().map(service).collect();
         };
         let mut changed = vec![registration.service.clone()];
+        let known = self.records.get(key);
+        let appeared = match known.filter(|known| known.registration.born == registration.born) {
+            Some(known) => known.appeared,
+            None => self.complete.then_some(now),
+        };
         let record = Record {
             registration,
             read_at: now,
+            appeared,
             removal: None,
         };
         if let Some(old) = self.records.insert(key.into(), record)
@@ -231,13 +247,20 @@
         targets
     }
 
-    /// Ids of the targets of `service`, each with the time until which it is slow after its start.
-    pub fn cold_until(&self, service: &str) -> impl Iterator<Item = (&str, Instant)> {
+    /// Ids of the targets of `service`, each with the time until which it is slow after its start: as
+    /// it registered, and for `start` after this VM saw it start or come back, alone or with its data
+    /// centre. Nothing is assumed if `start` is zero.
+    pub fn cold_until(&self, service: &str, start: Span) -> impl Iterator<Item = (&str, Instant)> {
         let records = self.records.values();
         let own = records.filter(move |record| *record.registration.service == *service);
-        own.map(|record| {
-            let until = record.read_at + record.registration.cold_left;
-            (&*record.registration.id, until)
+        own.map(move |record| {
+            let registration = &record.registration;
+            let stated = record.read_at + registration.cold_left;
+            let returned = self.withdrawn.returned_at(&registration.data_center);
+            let starts = record.appeared.max(returned);
+            let assumed = starts.map(|at| at + start);
+            let until = assumed.filter(|_| start > Span::ZERO).unwrap_or(stated);
+            (&*registration.id, until.max(stated))
         })
     }
 }
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -190,3 +190,71 @@
     registry.put(at(10), "t0", Some(registration(0, 2, State::Ready)));
     assert_eq!(incarnation(&registry), 2);
 }
+
+/// Guards against a target that counts as warm although it has just started or come back, and against
+/// targets that count as cold because this VM has just started.
+#[test]
+fn a_target_that_appears_or_comes_back_is_taken_for_cold() {
+    const COLD: Span = Span::from_millis(3_000);
+    type Step = fn(&mut Registry);
+    let cases: [(&str, Step, u64); 7] = [
+        ("it was there when this VM started", |_| (), 500),
+        (
+            "it registers again, which the store repeats",
+            |registry| put(registry, 6_000, 0, State::Ready),
+            6_500,
+        ),
+        (
+            "it started again",
+            |registry| drop(registry.put(at(6_000), "t0", Some(registration(0, 2, State::Ready)))),
+            9_000,
+        ),
+        (
+            "it was gone and is back",
+            |registry| {
+                registry.remove(at(6_000), "t0");
+                registry.expire(at(6_500));
+                put(registry, 7_000, 0, State::Ready);
+            },
+            10_000,
+        ),
+        (
+            "its registration lapsed only",
+            |registry| {
+                registry.remove(at(6_000), "t0");
+                put(registry, 6_100, 0, State::Ready);
+            },
+            6_600,
+        ),
+        (
+            "its data centre came back",
+            |registry| {
+                registry.withdraw("k", "cai-1");
+                registry.restore(at(8_000), "k");
+            },
+            11_000,
+        ),
+        (
+            "another data centre came back",
+            |registry| {
+                registry.withdraw("k", "cai-2");
+                registry.restore(at(8_000), "k");
+            },
+            500,
+        ),
+    ];
+    for (name, step, expected) in cases {
+        let mut registry = registry();
+        registry.set_complete();
+        step(&mut registry);
+        let until = |start| {
+            let mut all = registry.cold_until("desk", start);
+            all.find(|(id, _)| *id == "t0").map(|(_, until)| until)
+        };
+        assert_eq!(until(COLD), Some(at(expected)), "{name}");
+        assert!(
+            until(Span::ZERO) <= Some(at(7_500)),
+            "{name}: nothing assumed"
+        );
+    }
+}
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -313,6 +313,14 @@
         }
     }
 
+    /// Records that a target states that it is cold for `left`.
+    pub(crate) fn record_cold(&mut self, order: probe::Order, left: Span) {
+        let now = self.clock.now();
+        if let Some(found) = self.services.get_mut(order.service) {
+            found.balancer.record_cold(now, order.target, left);
+        }
+    }
+
     /// Records the result of a load probe of a platform's target: its report, or none if the probe
     /// failed or timed out.
     pub(crate) fn record_load_probe(&mut self, order: probe::Order, report: Option<Report>) {
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -8,6 +8,7 @@
 use oriolecleat_core::route;
 use oriolecleat_core::site::plan::Plan;
 use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
 
 use crate::host::Effect;
 use crate::node::Node;
@@ -63,9 +64,13 @@
     pub(crate) fn apply_keys(&mut self, keys: &[Box<str>]) {
         let now = self.clock.now();
         let removed = now - self.removal_age;
+        let catching_up = self.is_catching_up();
         let Some(hosted) = &mut self.hosted else {
             return self.apply();
         };
+        if !catching_up {
+            hosted.registry.set_complete();
+        }
         let mut replanned = false;
         let mut services: Set<Box<str>> = Set::default();
         for key in keys {
@@ -122,7 +127,9 @@
         let Some(hosted) = &self.hosted else {
             return Map::default();
         };
-        let cold = hosted.registry.cold_until(service);
+        let bound = hosted.cold_bound(service);
+        let start = bound.map_or(Span::ZERO, |bound| bound.start);
+        let cold = hosted.registry.cold_until(service, start);
         cold.filter(|(_, until)| *until > now)
             .map(|(id, until)| (id.into(), until))
             .collect()
@@ -181,6 +188,9 @@
             named.insert(key);
             if let Some(service) = self.services.get_mut(key) {
                 service.balancer.set_limits(now, limits);
+                let hosted = self.hosted.as_ref();
+                let bound = hosted.and_then(|hosted| hosted.cold_bound(&service.name));
+                service.balancer.set_cold_bound(bound);
                 let cold = |id: &str| cold.get(id).copied();
                 service.balancer.update(now, &targets, cold);
                 service.sync_targets(bounds);
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -6,6 +6,7 @@
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::request::Outcome;
 use oriolecleat_core::stated::Statement;
+use oriolecleat_core::time::Span;
 
 use crate::report;
 
@@ -26,6 +27,8 @@
     pub open_ended: bool,
     /// Reads the load that an answer reports.
     pub load: fn(&HeaderMap) -> Option<Report>,
+    /// Reads how much longer a target is cold, as an answer of its health path states it.
+    pub cold: fn(&HeaderMap) -> Option<Span>,
     /// Reads what an answer states of its target.
     pub stated: fn(StatusCode, &HeaderMap) -> Statement,
     /// Whether an answer says that the target did not run the request.
@@ -46,6 +49,7 @@
             own: true,
             open_ended: false,
             load: report::parse,
+            cold: |_| None,
             stated: |_, _| Statement::default(),
             is_shed,
             is_misdirected: |_| false,
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -77,6 +77,7 @@
             state.step_reader();
             state.expire_registrations();
             state.update_homes();
+            state.update_cold_users();
             state.record_changes();
         }
         tokio::time::sleep(TICK).await;
--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -9,7 +9,11 @@
 use oriolecleat_core::home::Target;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
+use oriolecleat_core::member::Member;
+use oriolecleat_core::place::cold;
+use oriolecleat_core::place::cold::SETTLE_AFTER;
 use oriolecleat_core::site::rule;
+use oriolecleat_core::time::Instant;
 use rand::RngExt;
 use serde_json::json;
 
@@ -131,6 +135,52 @@
         }
     }
 
+    /// Chooses the cold targets that this VM uses, among those of its region. A VM that has just
+    /// started uses none, since it does not know yet who else does.
+    pub(crate) fn update_cold_users(&mut self) {
+        let now = self.clock.now();
+        let Some(hosted) = &mut self.hosted else {
+            return;
+        };
+        if hosted.settings.cold.is_none() || now < Instant::default() + SETTLE_AFTER {
+            return;
+        }
+        let region = &self.settings.region;
+        let cold = self.services.iter().map(|(key, service)| {
+            let targets = service.balancer.cold_targets(now).into_iter();
+            let near = targets.filter(|spec| spec.region == *region);
+            let mut names: Vec<Box<str>> = near.map(|spec| spec.name.clone()).collect();
+            names.sort_unstable();
+            (key, names)
+        });
+        let fleet = self.gossip.fleet();
+        let basis = (fleet.changes(), cold.collect());
+        if basis == hosted.cold_basis {
+            return;
+        }
+        // Members that died lately count as well: they may only be cut off.
+        let members = fleet.iter().map(Member::record);
+        let near = members.filter(|record| record.region == *region);
+        let known: Vec<&str> = near.map(|record| &*record.vm).collect();
+        for (key, names) in &basis.1 {
+            let used = |name: &&str| cold::is_user(name, &self.settings.vm, known.iter().copied());
+            let used: Set<Box<str>> = names
+                .iter()
+                .map(|name| &**name)
+                .filter(used)
+                .map(Into::into)
+                .collect();
+            if let Some(service) = self.services.get_mut(*key) {
+                if !names.is_empty() {
+                    let (service, cold) = (&*service.name, names.len());
+                    log::info!(service, cold, used = used.len(); "cold targets changed");
+                }
+                service.balancer.set_cold_users(used);
+            }
+        }
+        hosted.cold_basis = basis;
+    }
+
     /// The targets of `service`, as input of the assignment of homes.
     fn home_targets(&self, service: &str) -> Vec<Target> {
         let key = self.names.get(service);
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -10,6 +10,7 @@
 use oriolecleat_core::catalogue::Catalogue;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
+use oriolecleat_core::place::cold;
 use oriolecleat_core::repeat;
 use oriolecleat_core::settings::Hosting;
 use oriolecleat_core::site::feed;
@@ -18,11 +19,13 @@
 use oriolecleat_core::site::registry::Registry;
 use oriolecleat_core::site::rule;
 use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
 use serde_json::Value;
 
 use crate::dialect::Dialect;
 use crate::homes;
 use crate::homes::Entrances;
+use crate::service;
 
 /// Why a message of the platform is not understood.
 pub type Fault = Box<dyn Error + Send + Sync>;
@@ -103,8 +106,13 @@
     pub(crate) entrances: Entrances,
     pub(crate) registry: Registry,
     pub(crate) repeats: Map<Box<str>, repeat::Budget>,
+    /// Input of the last choice of the cold targets that this VM uses.
+    pub(crate) cold_basis: ColdBasis,
 }
 
+/// Count of the changes of members, and the cold targets by service, in order of their names.
+pub(crate) type ColdBasis = (u64, Vec<(service::Key, Vec<Box<str>>)>);
+
 /// What a change of a key means for the services.
 #[derive(Debug)]
 pub(crate) enum Effect {
@@ -124,6 +132,7 @@
             entrances: Entrances::default(),
             registry: Registry::default(),
             repeats: Map::default(),
+            cold_basis: ColdBasis::default(),
         }
     }
 
@@ -212,6 +221,19 @@
             .expect("the budget was inserted if it was missing")
     }
 
+    /// What cold targets of `service` tolerate, if the plan and the settings bound it.
+    pub(crate) fn cold_bound(&self, service: &str) -> Option<cold::Bound> {
+        let settings = self.settings.cold?;
+        let mut services = self.plan.iter().flat_map(|plan| &plan.services);
+        let found = services.find(|known| *known.name == *service)?;
+        let per_s = found.cold_per_s_thousandths * settings.over_thousandths / 1_000;
+        (per_s > 0 && found.cold_start > Span::ZERO).then_some(cold::Bound {
+            start: found.cold_start,
+            per_s_thousandths: per_s,
+            slack_thousandths: settings.slack_thousandths,
+        })
+    }
+
     /// The services of the plan.
     pub(crate) fn services(&self) -> Set<Box<str>> {
         let rules = self.rules.iter().flat_map(|rule| &rule.destinations);
--- a/crates/daemon/src/policy.rs
+++ b/crates/daemon/src/policy.rs
@@ -15,6 +15,7 @@
 use oriolecleat_core::place;
 use oriolecleat_core::place::Estimate;
 use oriolecleat_core::place::Placer;
+use oriolecleat_core::place::cold;
 use oriolecleat_core::stated::Change;
 use oriolecleat_core::stated::Statement;
 use oriolecleat_core::target;
@@ -81,6 +82,38 @@
         }
     }
 
+    /// Sets what cold targets tolerate of all VMs together, if it is bounded.
+    pub(crate) fn set_cold_bound(&mut self, bound: Option<cold::Bound>) {
+        match self {
+            Self::Own(_) => {}
+            Self::Hosted(placer) => placer.set_cold_bound(bound),
+        }
+    }
+
+    /// The targets that are cold and have a bound.
+    pub(crate) fn cold_targets(&self, now: Instant) -> Vec<&entry::Target> {
+        match self {
+            Self::Own(_) => Vec::new(),
+            Self::Hosted(placer) => placer.cold_targets(now).collect(),
+        }
+    }
+
+    /// Sets the names of the cold targets that this VM may use.
+    pub(crate) fn set_cold_users(&mut self, targets: Set<Box<str>>) {
+        match self {
+            Self::Own(_) => {}
+            Self::Hosted(placer) => placer.set_cold_users(targets),
+        }
+    }
+
+    /// Records that a target states that it is cold for `left`.
+    pub(crate) fn record_cold(&mut self, now: Instant, target: target::Key, left: Span) {
+        match self {
+            Self::Own(_) => {}
+            Self::Hosted(placer) => placer.record_cold(now, target, left),
+        }
+    }
+
     /// Takes over what an answer to a request sent at `sent` states of its target.
     pub(crate) fn record_statement(
         &mut self,
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -19,6 +19,7 @@
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::leaving::Probe;
 use oriolecleat_core::target;
+use oriolecleat_core::time::Span;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -67,25 +68,30 @@
 /// Probes the load of a target of the platform, on a connection from the pool of requests.
 async fn probe_load(node: Shared, order: Order) {
     let limit = clock::duration(node.borrow().settings.evidence.probe_timeout);
-    let report = match tokio::time::timeout(limit, fetch_load(&node, order)).await {
-        Ok(Ok(report)) => report,
+    let (report, cold) = match tokio::time::timeout(limit, fetch_load(&node, order)).await {
+        Ok(Ok(health)) => health,
         Ok(Err(error)) => {
             log::debug!(address:% = order.address, cause:% = error; "load probe failed");
-            None
+            (None, None)
         }
         Err(_) => {
             log::debug!(address:% = order.address; "load probe not answered in probe_timeout_ms");
-            None
+            (None, None)
         }
     };
-    node.borrow_mut().record_load_probe(order, report);
+    let mut node = node.borrow_mut();
+    if let Some(left) = cold {
+        node.record_cold(order, left);
+    }
+    node.record_load_probe(order, report);
 }
 
-/// The load that a target reports at its health path; none if it reports none.
+/// The load that a target reports at its health path, and how much longer it is cold; none for what it
+/// does not state.
 async fn fetch_load(
     node: &Shared,
     order: Order,
-) -> Result<Option<Report>, Box<dyn std::error::Error + Send + Sync>> {
+) -> Result<(Option<Report>, Option<Span>), Box<dyn std::error::Error + Send + Sync>> {
     let (checkout, path, dialect) = {
         let mut node = node.borrow_mut();
         let bounds = node.bounds(order.service, order.target, Class::Batch);
@@ -96,13 +102,14 @@
     let mut connection = match checkout {
         Checkout::Idle(connection) => connection,
         Checkout::New(permit) => permit.open().await?,
-        Checkout::Full => return Ok(None),
+        Checkout::Full => return Ok((None, None)),
     };
     let request = Request::get(&*path)
         .header("host", order.address.to_string())
         .body(upload::Shared::empty().upload())?;
     let response = connection.send(request).await?;
-    let report = (dialect.load)(response.headers());
+    let headers = response.headers();
+    let health = ((dialect.load)(headers), (dialect.cold)(headers));
     let mut body = response.into_body();
     let mut read = 0;
     // The body is of no use; reading it to its end only lets the connection be used again.
@@ -125,7 +132,7 @@
     .await?;
     if !ended {
         log::debug!(address:% = order.address; "the answer to a load probe has a large body");
-        return Ok(report);
+        return Ok(health);
     }
     let mut connection = Some(connection);
     poll_fn(|context| {
@@ -135,7 +142,7 @@
         Poll::Ready(())
     })
     .await;
-    Ok(report)
+    Ok(health)
 }
 
 /// A task that ends when this is dropped, also if a target goes on sending.
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -55,6 +55,7 @@
             own.grace = new.grace;
             own.named = new.named;
             own.regions.clone_from(&new.regions);
+            own.cold = new.cold;
         }
         let changed = next != self.settings;
         if next != *settings {
@@ -66,6 +67,11 @@
         if let (Some(hosted), Some(hosting)) = (&mut self.hosted, &next.hosting) {
             hosted.configure(hosting.clone());
         }
+        let cold = |settings: &Settings| settings.hosting.as_ref().and_then(|own| own.cold);
+        let is_cold_changed = cold(&self.settings) != cold(&next);
         self.settings = next;
+        if is_cold_changed {
+            self.apply();
+        }
     }
 }
