Let urgent calls displace less urgent ones from a full queue

When the queue of a service was full, the call that arrived was refused whatever its urgency, so with a data centre out of service urgent calls were refused while less urgent ones waited.

A full queue now refuses the call that arrived last among the least urgent ones, the new one included. Calls of one urgency keep their place, and a caller that retries at once displaces none of them.

--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -224,14 +224,21 @@
         let candidates = self.candidates(now);
         item.probe_deadline = self.probe_best(now, &item, work, &candidates, out);
         let is_limited = candidates.iter().all(|(_, target)| !target.is_allowed());
-        if self.queue.len() >= self.limits.queue
-            || self.would_wait_too_long(now, &item, work, is_limited)
-        {
+        let reason = Refusal::Overloaded;
+        if self.would_wait_too_long(now, &item, work, is_limited) {
             let call = item.job.call;
-            let reason = Refusal::Overloaded;
             out.push(Action::Refuse { call, reason });
             return;
         }
+        if self.queue.len() >= self.limits.queue {
+            // A full queue keeps the most urgent calls.
+            let last = self.queue.remove_last_after(item.job.urgency);
+            let call = last.as_ref().unwrap_or(&item).job.call;
+            out.push(Action::Refuse { call, reason });
+            if last.is_none() {
+                return;
+            }
+        }
         self.queue.push(item);
         self.assign(now, candidates, rng, out);
     }
--- a/crates/core/src/place/queue.rs
+++ b/crates/core/src/place/queue.rs
@@ -103,6 +103,15 @@
         self.items.iter().filter(before).count()
     }
 
+    /// Removes and returns the call that arrived last among the least urgent ones, if it is less
+    /// urgent than `urgency`.
+    pub(crate) fn remove_last_after(&mut self, urgency: u8) -> Option<Item> {
+        let order = |item: &&Item| (item.job.urgency, item.arrived, item.job.call);
+        let last = self.items.iter().max_by_key(order)?;
+        let call = (last.job.urgency > urgency).then_some(last.job.call)?;
+        self.remove(call)
+    }
+
     /// Removes and returns every call for which `matches` holds.
     pub(crate) fn extract(&mut self, matches: impl Fn(&Item) -> bool) -> Vec<Item> {
         self.items.extract_if(.., |item| matches(item)).collect()
