--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -18,6 +18,8 @@
 use crate::estimate::seconds;
 use crate::map::Map;
 use crate::map::Set;
+use crate::place::cold;
+use crate::place::cold::Cold;
 use crate::place::flight::Flight;
 use crate::place::loss::Candidate;
 use crate::place::loss::Criteria;
@@ -97,6 +99,12 @@
     /// What targets state of themselves.
     pub(super) stated: SecondaryMap<target::Key, Stated>,
     pub(super) stats: SecondaryMap<target::Key, Stats>,
+    /// What cold targets tolerate; none for any number of requests.
+    pub(super) cold_bound: Option<cold::Bound>,
+    /// Names of the cold targets that this VM may use.
+    pub(super) cold_users: Set<Box<str>>,
+    /// Which targets are cold.
+    pub(super) cold: SecondaryMap<target::Key, Cold>,
     pub(super) queue: Queue,
     pub(super) flights: Map<Call, Flight>,
     pub(super) work: Work,
@@ -122,6 +130,9 @@
             users: None,
             stated: SecondaryMap::new(),
             stats: SecondaryMap::new(),
+            cold_bound: None,
+            cold_users: Set::default(),
+            cold: SecondaryMap::new(),
             queue: Queue::default(),
             flights: Map::default(),
             work: Work::default(),
@@ -144,15 +155,17 @@
         let targets = &self.targets;
         self.stats.retain(|key, _| targets.get(key).is_some());
         self.stated.retain(|key, _| targets.get(key).is_some());
+        self.cold.retain(|key, _| targets.get(key).is_some());
+        let mut cold = Vec::new();
         for (key, target) in self.targets.iter() {
             if !self.stats.contains_key(key) {
                 self.stats.insert(key, Stats::default());
+                self.cold.insert(key, Cold::new(now));
             }
-            if let (Some(until), Some(stats)) =
-                (cold_until(&target.spec.name), self.stats.get_mut(key))
-            {
-                stats.set_cold_until(until);
-            }
+            cold.extend(cold_until(&target.spec.name).map(|until| (key, until)));
+        }
+        for (key, until) in cold {
+            self.set_cold_until(key, until);
         }
     }
 
@@ -213,14 +226,21 @@
         let candidates = self.candidates(now);
         item.probe_deadline = self.probe_best(now, &item, work, &candidates, out);
         let is_limited = is_limited(&candidates, &item.job.regions);
-        if self.queue.len_of(&item.job.regions) >= self.limits.queue
-            || self.would_wait_too_long(now, &item, work, is_limited)
-        {
+        let reason = Refusal::Overloaded;
+        if self.would_wait_too_long(now, &item, work, is_limited) {
             let call = item.job.call;
-            let reason = Refusal::Overloaded;
             out.push(Action::Refuse { call, reason });
             return;
         }
+        if self.queue.len_of(&item.job.regions) >= self.limits.queue {
+            // A full queue keeps the most urgent calls.
+            let last = self.queue.remove_last_after(&item.job);
+            let call = last.as_ref().unwrap_or(&item).job.call;
+            out.push(Action::Refuse { call, reason });
+            if last.is_none() {
+                return;
+            }
+        }
         self.queue.push(item);
         self.assign(now, candidates, rng, out);
     }
@@ -241,6 +261,10 @@
         out: &mut Vec<Action>,
     ) {
         self.pending_probes.remove(target);
+        self.change_cold(target, |cold, bound| match report {
+            Some(_) => cold.record_answer(now, bound),
+            None => cold.record_silence(now, bound),
+        });
         match report {
             Some(report) => self.add_report(now, target, report, 0),
             None => {
@@ -330,9 +354,13 @@
                 distance: self.distance(&target.spec),
                 region: target.region,
                 foreign: self.is_foreign(&target.spec),
-                allowance: self.stated.get(key).map_or(f64::INFINITY, |stated| {
-                    stated.allowance(now, self.users_of(&target.spec))
-                }),
+                allowance: self
+                    .stated
+                    .get(key)
+                    .map_or(f64::INFINITY, |stated| {
+                        stated.allowance(now, self.users_of(&target.spec))
+                    })
+                    .min(self.cold_allowance(now, key, &target.spec.name)),
             };
             Some((key, candidate))
         };
--- a/crates/core/src/place/queue.rs
+++ b/crates/core/src/place/queue.rs
@@ -115,6 +115,19 @@
         self.items.iter().filter(before)
     }
 
+    /// Removes and returns the call that arrived last among the least urgent ones that may reach the same
+    /// regions as `job`, if it is less urgent than `job`.
+    pub(crate) fn remove_last_after(&mut self, job: &Job) -> Option<Item> {
+        let order = |item: &&Item| (item.job.urgency, item.arrived, item.job.call);
+        let same = self
+            .items
+            .iter()
+            .filter(|item| item.job.regions == job.regions);
+        let last = same.max_by_key(order)?;
+        let call = (last.job.urgency > job.urgency).then_some(last.job.call)?;
+        self.remove(call)
+    }
+
     /// Removes and returns every call for which `matches` holds.
     pub(crate) fn extract(&mut self, matches: impl Fn(&Item) -> bool) -> Vec<Item> {
         self.items.extract_if(.., |item| matches(item)).collect()
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -55,6 +55,7 @@
             own.grace = new.grace;
             own.named = new.named;
             own.regions.clone_from(&new.regions);
+            own.cold = new.cold;
         }
         let changed = next != self.settings;
         if next != *settings {
@@ -67,6 +68,11 @@
             hosted.configure(hosting.clone());
             self.homes_outdated = true;
         }
+        let cold = |settings: &Settings| settings.hosting.as_ref().and_then(|own| own.cold);
+        let is_cold_changed = cold(&self.settings) != cold(&next);
         self.settings = next;
+        if is_cold_changed {
+            self.apply();
+        }
     }
 }
