Add a fleet with targets of two slots to the model

The model had no data centres within a region, no homes as the product assigns them, no delay to callers, and no wave of load, so it could not replay that fleet.

hosted::fleet builds it: three services, homes from core::home::assign, bounded processors and a wave in six phases. A kind of target may count the request that it answers in its report. A summary also states the load that sends find, and p50 and p90.

--- a/crates/bench/examples/placement.rs
+++ b/crates/bench/examples/placement.rs
@@ -1,6 +1,7 @@
 //! Plays the loads that placement answers, under the product's placer and for comparison.
 
 use bpaf::Bpaf;
+use oriolecleat_bench::model::hosted::fleet;
 use oriolecleat_bench::model::hosted::policy::Policy;
 use oriolecleat_bench::model::hosted::run::run;
 use oriolecleat_bench::model::hosted::scenario;
@@ -17,13 +18,19 @@
     repeats: u64,
     /// Only loads whose name contains this
     only: Option<String>,
+    /// Reports on answers count the request that they answer
+    counting: bool,
     /// Only the product
     product: bool,
 }
 
 fn main() {
     let options = options().run();
-    for scenario in scenario::all() {
+    let all = scenario::all().into_iter().chain(fleet::scenarios());
+    for mut scenario in all {
+        for (_, kind) in &mut scenario.site.targets {
+            kind.counts_answered = options.counting;
+        }
         let name = scenario.load.name;
         if options
             .only
--- a/crates/bench/src/model/hosted/mod.rs
+++ b/crates/bench/src/model/hosted/mod.rs
@@ -4,6 +4,7 @@
 //! A [`site::Site`] holds the VMs and the targets, a [`load::Load`] the calls and the faults, and
 //! [`run::run`] plays them under a [`policy::Policy`].
 
+pub mod fleet;
 pub mod load;
 mod perfect;
 pub mod policy;
--- a/crates/bench/src/model/hosted/run.rs
+++ b/crates/bench/src/model/hosted/run.rs
@@ -107,6 +107,8 @@
     /// Tries of each call so far, and whether it ended.
     state: Vec<(u8, bool)>,
     vms: Vec<Vm>,
+    /// The VMs that callers of each region are sent to, each with its weight.
+    senders: Vec<Vec<(usize, u64)>>,
     summary: Summary,
     /// Reports on their way from probed targets to VMs.
     probed: Vec<Vec<Option<Report>>>,
@@ -156,6 +158,9 @@
             queues: Queues::default(),
             state: vec![(0, false); calls.len()],
             vms: vms.collect(),
+            senders: (0..site.regions())
+                .map(|region| site.senders(region))
+                .collect(),
             summary: Summary::new(load),
             rng: SmallRng::seed_from_u64(seed + 13),
             events: BinaryHeap::new(),
@@ -205,9 +210,15 @@
     fn begin(&mut self, at: u64, call: usize) {
         let details = &self.calls[call];
         let stream = &self.load.streams[details.stream];
-        let near = |index: &usize| self.site.vms[*index].region == details.region;
-        let near: Vec<usize> = (0..self.site.vms.len()).filter(near).collect();
-        let vm = near[self.rng.random_range(0..near.len())];
+        let senders = &self.senders[details.region];
+        let total: u64 = senders.iter().map(|(_, weight)| *weight).sum();
+        let mut draw = self.rng.random_range(0..total);
+        let drawn = senders.iter().find(|(_, weight)| {
+            let found = draw < *weight;
+            draw = draw.saturating_sub(*weight);
+            found
+        });
+        let vm = drawn.map_or(0, |(vm, _)| *vm);
         let deadline = (at + stream.timeout_us).min(details.at + stream.patience_us);
         self.state[call].0 += 1;
         self.tries.push(Try {
@@ -219,7 +230,8 @@
             sends: 0,
             last: None,
         });
-        self.schedule(at, Event::Arrive(self.tries.len() - 1));
+        let way = self.site.caller_us / 2;
+        self.schedule(at + way, Event::Arrive(self.tries.len() - 1));
     }
 
     fn step(&mut self, now: u64, event: Event) {
@@ -409,6 +421,8 @@
             self.summary.repeats += 1;
         }
         self.summary.sends += 1;
+        let found = self.targets[target].load();
+        self.summary.record_send(self.load, now, found);
         let vm = self.tries[tried].vm;
         self.tries[tried].sends += 1;
         self.tries[tried].last = Some(target);
@@ -498,7 +512,10 @@
         let Attempt { target, parent, .. } = self.attempts[attempt];
         let told = matches!(outcome, Outcome::Good | Outcome::Shed | Outcome::Error);
         self.attempts[attempt].outcome = outcome;
-        self.attempts[attempt].report = told.then(|| self.targets[target].report(now));
+        self.attempts[attempt].report = told.then(|| match outcome {
+            Outcome::Good => self.targets[target].report_on_answer(now),
+            _ => self.targets[target].report(now),
+        });
         let way = self.site.round_trip(self.tries[parent].vm, target) / 2;
         self.schedule(now + way, Event::Reply(attempt));
     }
@@ -592,7 +609,7 @@
         if std::mem::replace(&mut self.state[call].1, true) {
             return;
         }
-        let took = now - self.calls[call].at;
+        let took = now + self.site.caller_us / 2 - self.calls[call].at;
         self.summary
             .record(self.load, &self.calls[call], End::Answered(took));
     }
--- a/crates/bench/src/model/hosted/site.rs
+++ b/crates/bench/src/model/hosted/site.rs
@@ -42,6 +42,8 @@
     pub noise: Noise,
     /// Whether its reports tell the slowdown of its machine.
     pub tells_slowdown: bool,
+    /// Whether the report on an answer counts the request that it answers.
+    pub counts_answered: bool,
 }
 
 /// An entry VM that callers are sent to.
@@ -49,10 +51,21 @@
 pub struct Vm {
     /// Region.
     pub region: usize,
+    /// Data centre, counted over all regions.
+    pub center: usize,
     /// Share of a processor core that it has; infinite if its processor is not modelled.
     pub cores: f64,
 }
 
+/// What one VM is home to.
+#[derive(Clone, Debug, Default)]
+pub struct Share {
+    /// Indices of its targets.
+    pub targets: Vec<usize>,
+    /// Their slots, by which callers are sent to it.
+    pub slots: u64,
+}
+
 /// VMs and targets of one service.
 #[derive(Clone, Debug)]
 pub struct Site {
@@ -60,8 +73,17 @@
     pub vms: Vec<Vm>,
     /// Region and kind of each target.
     pub targets: Vec<(usize, Kind)>,
-    /// Microseconds to a target in the region of the VM and back.
+    /// Data centre of each target.
+    pub centers: Vec<usize>,
+    /// Targets of each VM, and the share of its region's callers that are sent to it; none if the VMs
+    /// of a region divide its targets and callers evenly.
+    pub homes: Option<Vec<Share>>,
+    /// Microseconds to a target in the data centre of the VM and back.
     pub near_us: u64,
+    /// Microseconds to a target in another data centre of the region and back.
+    pub center_us: u64,
+    /// Microseconds from a caller to its VM and back.
+    pub caller_us: u64,
     /// Microseconds to a target in another region and back.
     pub far_us: u64,
 }
@@ -82,6 +104,7 @@
                 period_us: 300_000,
             },
             tells_slowdown: true,
+            counts_answered: false,
         }
     }
 
@@ -111,17 +134,24 @@
 impl Site {
     /// `regions` regions, each with `vms` VMs and `targets` targets of one kind.
     #[must_use]
-    pub fn new(regions: usize, vms: usize, targets: usize, kind: Kind) -> Self {
+    pub fn new(regions: usize, vms: usize, targets_each: usize, kind: Kind) -> Self {
         let cores = f64::INFINITY;
         let vms = (0..regions * vms).map(|index| Vm {
             region: index % regions,
+            center: index % regions,
             cores,
         });
-        let targets = (0..regions * targets).map(|index| (index % regions, kind));
+        let targets = (0..regions * targets_each).map(|index| (index % regions, kind));
         Self {
             vms: vms.collect(),
             targets: targets.collect(),
+            centers: (0..regions * targets_each)
+                .map(|index| index % regions)
+                .collect(),
+            homes: None,
             near_us: 600,
+            center_us: 600,
+            caller_us: 0,
             far_us: 40_000,
         }
     }
@@ -149,10 +179,13 @@
     /// Microseconds from `vm` to `target` and back.
     #[must_use]
     pub fn round_trip(&self, vm: usize, target: usize) -> u64 {
-        if self.vms[vm].region == self.targets[target].0 {
+        let vm = &self.vms[vm];
+        if vm.region != self.targets[target].0 {
+            self.far_us
+        } else if vm.center == self.centers[target] {
             self.near_us
         } else {
-            self.far_us
+            self.center_us
         }
     }
 
@@ -161,7 +194,7 @@
     pub fn place(&self, vm: usize) -> Place {
         Place {
             region: region(self.vms[vm].region),
-            data_center: center(self.vms[vm].region),
+            data_center: center(self.vms[vm].center),
         }
     }
 
@@ -175,7 +208,7 @@
                 address: ([10, 0, high, low], 80).into(),
                 vm: name(index),
                 region: region(*place),
-                data_center: center(*place),
+                data_center: center(self.centers[index]),
                 slots: u64::try_from(kind.slots).unwrap_or(u64::MAX),
                 incarnation: 0,
             }
@@ -183,9 +216,23 @@
         self.targets.iter().enumerate().map(spec).collect()
     }
 
-    /// Indices of the targets that belong to `vm`: the VMs of a region divide its targets evenly.
+    /// The VMs that callers of `region` are sent to, each with its weight.
+    #[must_use]
+    pub fn senders(&self, region: usize) -> Vec<(usize, u64)> {
+        let near = (0..self.vms.len()).filter(|vm| self.vms[*vm].region == region);
+        let weight = |vm: usize| match &self.homes {
+            Some(homes) => (vm, homes[vm].slots),
+            None => (vm, 1),
+        };
+        near.map(weight).filter(|(_, weight)| *weight > 0).collect()
+    }
+
+    /// Indices of the targets that belong to `vm`.
     #[must_use]
     pub fn own_targets(&self, vm: usize) -> Vec<usize> {
+        if let Some(homes) = &self.homes {
+            return homes[vm].targets.clone();
+        }
         let region = self.vms[vm].region;
         let peers = |index: &usize| self.vms[*index].region == region;
         let peers: Vec<usize> = (0..self.vms.len()).filter(peers).collect();
@@ -201,10 +248,10 @@
     format!("t{index}").into()
 }
 
-fn region(index: usize) -> Box<str> {
+pub(super) fn region(index: usize) -> Box<str> {
     format!("r{index}").into()
 }
 
-fn center(index: usize) -> Box<str> {
+pub(super) fn center(index: usize) -> Box<str> {
     format!("c{index}").into()
 }
--- a/crates/bench/src/model/hosted/summary.rs
+++ b/crates/bench/src/model/hosted/summary.rs
@@ -58,6 +58,10 @@
     pub probes: u64,
     /// Tries that were refused.
     pub refusals: u64,
+    /// Sends after the warm-up, and the requests that they found at their targets in all.
+    pub found: (u64, u64),
+    /// Microseconds to each answer.
+    pub times: Vec<u64>,
 }
 
 impl Count {
@@ -114,6 +118,9 @@
         if call.at < load.warm_up_us {
             return;
         }
+        if let End::Answered(took) = end {
+            self.times.push(took);
+        }
         let stream = &load.streams[call.stream];
         let window = usize::try_from(call.at / WINDOW_US).unwrap_or(usize::MAX);
         let counts = [Some(&mut self.all), self.streams.get_mut(call.stream)];
@@ -123,6 +130,30 @@
         }
     }
 
+    /// Records a send at `now` to a target that held `found` requests.
+    pub(super) fn record_send(&mut self, load: &Load, now: u64, found: usize) {
+        if now >= load.warm_up_us {
+            self.found.0 += 1;
+            self.found.1 += u64::try_from(found).unwrap_or(u64::MAX);
+        }
+    }
+
+    /// Mean requests that a send found at its target.
+    #[must_use]
+    pub fn found_load(&self) -> f64 {
+        let number = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        number(self.found.1) / number(self.found.0.max(1))
+    }
+
+    /// Microseconds within which `per_mill` of the answers came.
+    #[must_use]
+    pub fn quantile(&self, per_mill: usize) -> u64 {
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        let last = times.len().saturating_sub(1);
+        times.get(last * per_mill / 1_000).copied().unwrap_or(0)
+    }
+
     /// Mean share of the value that the two worst windows earned.
     #[must_use]
     pub fn worst_windows(&self) -> f64 {
@@ -139,7 +170,8 @@
         let per_mill = |count: u64| count * 1_000 / self.all.calls.max(1);
         format!(
             "value {:.3} worst {:.3} in time {:.3}; per mill late {} refused {} failed {}; \
-             sends {} repeats {} overfilled {} probes {} refusals {}",
+             sends {} repeats {} overfilled {} probes {} refusals {}; \
+             p50 {} ms p90 {} ms found {:.2}",
             self.all.share(),
             self.worst_windows(),
             self.all.in_time_share(),
@@ -151,6 +183,9 @@
             self.overfilled,
             self.probes,
             self.refusals,
+            self.quantile(500) / 1_000,
+            self.quantile(900) / 1_000,
+            self.found_load(),
         )
     }
 }
--- a/crates/bench/src/model/hosted/target.rs
+++ b/crates/bench/src/model/hosted/target.rs
@@ -60,12 +60,26 @@
         (1..=self.kind.slots).rev().find(below).unwrap_or(1)
     }
 
+    /// Requests that it works on or holds in its queue.
+    pub(super) fn load(&self) -> usize {
+        self.running.len() + self.queue.len()
+    }
+
     /// Slots.
     pub(super) fn slots(&self) -> usize {
         self.kind.slots
     }
 
-    /// The load report.
+    /// The load report on the answer to a request that has just ended.
+    pub(super) fn report_on_answer(&self, now: u64) -> Report {
+        let report = self.report(now);
+        Report {
+            running: report.running + u64::from(self.kind.counts_answered),
+            ..report
+        }
+    }
+
+    /// The load report on a probe.
     pub(super) fn report(&self, now: u64) -> Report {
         let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
         let percent = microseconds(self.noise(now) * 100.0);
