Learn whether a report counts the request that it answers

Where a platform counts the answered request in its report, each idle target seemed to hold one request of another VM.

place::count judges this by the reports on answers to the only call of this VM at a target: a report of zero shows that it is not counted, and a long run of reports of one that it is. Busy reports shorten the run, since under overload targets always hold requests of others.

Each rule was broken on purpose. A run that busy reports lengthen fails overload_is_not_taken_for_counted_requests.

--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -5,6 +5,7 @@
 //! in as method calls of [`Placer`]; the resulting actions come out as
 //! [`Action`](crate::balance::Action)s.
 
+mod count;
 mod flight;
 mod hedge;
 mod loss;
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -18,6 +18,7 @@
 use crate::estimate::seconds;
 use crate::map::Map;
 use crate::map::Set;
+use crate::place::count::Count;
 use crate::place::flight::Flight;
 use crate::place::loss::Candidate;
 use crate::place::loss::Criteria;
@@ -102,6 +103,8 @@
     pub(super) mean_slowdown: f64,
     /// Mean requests of other VMs at a target, for each of its slots.
     pub(super) mean_others: f64,
+    /// Whether reports on answers count the request that they answer.
+    count: Count,
     /// When the newest probe of a target was sent, until it is answered or forgotten.
     pub(super) pending_probes: SecondaryMap<target::Key, Instant>,
     /// When a target was last probed.
@@ -125,6 +128,7 @@
             work: Work::default(),
             mean_slowdown: 1.0,
             mean_others: 0.0,
+            count: Count::default(),
             pending_probes: SecondaryMap::new(),
             last_probes: SecondaryMap::new(),
         }
@@ -226,7 +230,12 @@
     /// Records the load that `target` reported on an answer; goes before the `finish` of its
     /// attempt.
     pub fn record_report(&mut self, now: Instant, target: target::Key, report: Report) {
-        self.add_report(now, target, report, 1);
+        let stats = self.stats.get(target);
+        if stats.is_some_and(|stats| stats.own_calls() == 1) {
+            self.count.record(report);
+        }
+        let ended = usize::from(!self.count.includes_answered());
+        self.add_report(now, target, report, ended);
     }
 
     /// Records the end of a probe of `target`: its report, or none if it did not answer in time.
@@ -250,7 +259,8 @@
         self.dispatch(now, rng, out);
     }
 
-    /// Adds a report of `target`, where `ended` of the attempts counted here have ended already.
+    /// Adds a report of `target`, where `ended` of the attempts counted here are not
+    /// in the report, since they have ended.
     fn add_report(&mut self, now: Instant, target: target::Key, report: Report, ended: usize) {
         if let Some(percent) = report.slowdown_percent {
             let slowdown = number(percent) / 100.0;
