Weigh no waiting calls while no target has room

Each tick weighed every target for each call that waits, with a logarithm and an exponential, although no target had room.

The assignment checks for room once and after each send.

--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -391,7 +391,12 @@
             }
             return;
         }
-        // Under overload many calls wait, so the candidates are derived once for all of them.
+        let is_open = |candidates: &[(target::Key, Candidate)]| {
+            candidates.iter().any(|(_, candidate)| candidate.has_room())
+        };
+        // Under overload many calls wait, so the candidates are derived once for all of them, and
+        // not weighed for each call once none has room.
+        let mut open = is_open(&candidates);
         for call in self.queue.by_priority(now, |job| self.expected_work(job)) {
             let Some(item) = self.queue.iter().find(|item| item.job.call == call) else {
                 continue;
@@ -401,8 +406,12 @@
             if probing && !self.is_best_probed(now, item, work, &candidates) {
                 continue;
             }
-            let choice = pick(&candidates, now, item, work, &item.tried, rng)
-                .or_else(|| pick(&candidates, now, item, work, &[], rng));
+            let choice = open
+                .then(|| {
+                    pick(&candidates, now, item, work, &item.tried, rng)
+                        .or_else(|| pick(&candidates, now, item, work, &[], rng))
+                })
+                .flatten();
             match choice {
                 Some(choice) => {
                     if let Some(item) = self.queue.remove(call) {
@@ -413,6 +422,7 @@
                         candidate.load += 1.0;
                         candidate.allowance -= 1.0;
                     }
+                    open = is_open(&candidates);
                 }
                 None if item.is_expired(now, work) => {
                     self.queue.remove(call);
