--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -6,6 +6,7 @@
 //! [`Action`](crate::balance::Action)s.
 
 pub mod cold;
+mod count;
 mod flight;
 mod hedge;
 mod loss;
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -20,6 +20,7 @@
 use crate::map::Set;
 use crate::place::cold;
 use crate::place::cold::Cold;
+use crate::place::count::Count;
 use crate::place::flight::Flight;
 use crate::place::loss::Candidate;
 use crate::place::loss::Criteria;
@@ -112,6 +113,8 @@
     pub(super) mean_slowdown: f64,
     /// Mean requests of other VMs at a target, for each of its slots.
     pub(super) mean_others: f64,
+    /// Whether reports on answers count the request that they answer.
+    count: Count,
     /// When the newest probe of a target was sent, until it is answered or forgotten.
     pub(super) pending_probes: SecondaryMap<target::Key, Instant>,
     /// When a target was last probed.
@@ -138,6 +141,7 @@
             work: Work::default(),
             mean_slowdown: 1.0,
             mean_others: 0.0,
+            count: Count::default(),
             pending_probes: SecondaryMap::new(),
             last_probes: SecondaryMap::new(),
         }
@@ -248,7 +252,12 @@
     /// Records the load that `target` reported on an answer; goes before the `finish` of its
     /// attempt.
     pub fn record_report(&mut self, now: Instant, target: target::Key, report: Report) {
-        self.add_report(now, target, report, 1);
+        let stats = self.stats.get(target);
+        if stats.is_some_and(|stats| stats.own_calls() == 1) {
+            self.count.record(report);
+        }
+        let ended = usize::from(!self.count.includes_answered());
+        self.add_report(now, target, report, ended);
     }
 
     /// Records the end of a probe of `target`: its report, or none if it did not answer in time.
@@ -276,7 +285,8 @@
         self.dispatch(now, rng, out);
     }
 
-    /// Adds a report of `target`, where `ended` of the attempts counted here have ended already.
+    /// Adds a report of `target`, where `ended` of the attempts counted here are not
+    /// in the report, since they have ended.
     fn add_report(&mut self, now: Instant, target: target::Key, report: Report, ended: usize) {
         if let Some(percent) = report.slowdown_percent {
             let slowdown = number(percent) / 100.0;
@@ -410,7 +420,12 @@
             let reason = Refusal::NoTarget;
             out.push(Action::Refuse { call, reason });
         }
-        // Under overload many calls wait, so the candidates are derived once for all of them.
+        let is_open = |candidates: &[(target::Key, Candidate)]| {
+            candidates.iter().any(|(_, candidate)| candidate.has_room())
+        };
+        // Under overload many calls wait, so the candidates are derived once for all of them, and
+        // not weighed for each call once none has room.
+        let mut open = is_open(&candidates);
         for call in self.queue.by_priority(now, |job| self.expected_work(job)) {
             let Some(item) = self.queue.iter().find(|item| item.job.call == call) else {
                 continue;
@@ -420,8 +435,12 @@
             if probing && !self.is_best_probed(now, item, work, &candidates) {
                 continue;
             }
-            let choice = pick(&candidates, now, item, work, &item.tried, rng)
-                .or_else(|| pick(&candidates, now, item, work, &[], rng));
+            let choice = open
+                .then(|| {
+                    pick(&candidates, now, item, work, &item.tried, rng)
+                        .or_else(|| pick(&candidates, now, item, work, &[], rng))
+                })
+                .flatten();
             match choice {
                 Some(choice) => {
                     if let Some(item) = self.queue.remove(call) {
@@ -432,6 +451,7 @@
                         candidate.load += 1.0;
                         candidate.allowance -= 1.0;
                     }
+                    open = is_open(&candidates);
                 }
                 None if item.is_expired(now, work) => {
                     self.queue.remove(call);
