--- a/crates/bench/examples/overhead.rs
+++ b/crates/bench/examples/overhead.rs
@@ -6,6 +6,7 @@
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -62,6 +63,10 @@
     /// Pause of a caller between two calls at paced load, in milliseconds.
     #[bpaf(fallback(2))]
     pause_ms: u64,
+    /// Setting `http.read_ahead` of the daemon; none leaves it out, as for earlier builds.
+    read_ahead: Option<u64>,
+    /// The daemon to measure, such as an earlier build; without it, this one is built.
+    binary: Option<PathBuf>,
 }
 
 /// A route from the callers to a target, with its measurements.
@@ -82,7 +87,10 @@
 
 fn main() -> Outcome<()> {
     let arguments = arguments().run();
-    let binary = process::build()?;
+    let binary = match &arguments.binary {
+        Some(binary) => binary.clone(),
+        None => process::build()?,
+    };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -174,6 +182,7 @@
 async fn start_daemon(
     binary: &Path,
     targets: &[SocketAddr],
+    read_ahead: Option<u64>,
 ) -> Outcome<(Daemon, Platform, Server)> {
     let target_specs: Vec<_> = targets
         .iter()
@@ -194,7 +203,10 @@
     platform.put("entries/s", &entry.to_string());
     let service = platform.serve(loopback::any_port()?).await?;
     let ports = Ports::free()?;
-    let settings = process::settings("vm-0", &ports, service.address(), service.address());
+    let mut settings = process::settings("vm-0", &ports, service.address(), service.address());
+    if let Some(read_ahead) = read_ahead {
+        settings["http"] = json!({ "read_ahead": read_ahead });
+    }
     let name = format!("oriolecleat-overhead-{}.log", std::process::id());
     let log = std::env::temp_dir().join(name);
     let daemon = Daemon::start(binary, ports, &settings, &log)?;
@@ -213,7 +225,8 @@
     let relay_address = on_thread(move |listener| relay(listener, first))?;
     let answerer_address = on_thread(answerer)?;
     let forwarder_address = on_thread(move |listener| forwarder(listener, first))?;
-    let (daemon, _platform, _service) = start_daemon(binary, &addresses).await?;
+    let (daemon, _platform, _service) =
+        start_daemon(binary, &addresses, arguments.read_ahead).await?;
     let pause = Duration::from_millis(arguments.pause_ms);
     let loads = [
         ("low", arguments.low, Duration::ZERO),
@@ -240,6 +253,15 @@
         report(load, callers, &routes);
     }
     print_inside_time(&daemon).await?;
+    let usage = daemon.usage()?;
+    println!(
+        "{}",
+        json!({
+            "case": "processor time and memory of the daemon",
+            "cpu_ms": usage.cpu.as_millis(),
+            "memory_kib": usage.memory_kib,
+        })
+    );
     drop(daemon);
     Ok(())
 }
