Bound the bodies that a VM keeps for slow callers by its memory

Each request may keep 64 KiB of its body for another attempt, with no bound for the VM: 2,000 slow callers take 128 MB, more than a VM with 112 MB has, and the process is killed.

hosting.memory_mb states the memory. Gauges show what is held.

--- a/crates/core/src/settings/hosting.rs
+++ b/crates/core/src/settings/hosting.rs
@@ -26,6 +26,8 @@
         pub cores_thousandths: u64,
         /// Bandwidth of the network link of this VM, in kbit/s.
         pub link_kbps: u64,
+        /// Memory that this VM may use, in megabytes; 0 if it is not known.
+        pub memory_mb: u64,
         /// Regions of the data centres that targets may name.
         pub regions: Vec<Region>,
     }
@@ -69,6 +71,7 @@
     let named = reader.integer("named", 1..=64, Some(2));
     let cores = reader.thousandths("cores", 1..=1_024_000, 200);
     let link = reader.thousandths("link_mbps", 1..=4_000_000_000, 1_000_000);
+    let memory = reader.integer("memory_mb", 0..=1_048_576, Some(0));
     let regions = reader.named_texts("regions");
     let region = |(data_center, name)| Region { data_center, name };
     Some(Hosting {
@@ -79,6 +82,7 @@
         named: usize::try_from(named?).unwrap_or(usize::MAX),
         cores_thousandths: cores?,
         link_kbps: link?,
+        memory_mb: memory?,
         regions: regions.into_iter().map(region).collect(),
     })
 }
@@ -130,6 +134,7 @@
             "named": self.named,
             "cores": decimal(self.cores_thousandths),
             "link_mbps": decimal(self.link_kbps),
+            "memory_mb": self.memory_mb,
             "regions": regions,
         })
     }
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -46,6 +46,7 @@
 use crate::head;
 use crate::head::Facts;
 use crate::head::Outgoing;
+use crate::held;
 use crate::inflight;
 use crate::metrics::Count;
 use crate::node::Shared;
@@ -261,13 +262,19 @@
             let code = Code::RateLimited;
             return Err(Failure { code, outcome });
         }
+        let Some(held) = held::Body::reserve(&node, body.kept_max()) else {
+            let outcome = ticketed::earlier_outcome(&node.borrow(), &parts.headers);
+            let code = Code::Overloaded;
+            return Err(Failure { code, outcome });
+        };
         let ticket = match job.class {
             Class::Once if dialect.own => ticketed::Guard::claim(&node, &parts.headers)?,
             Class::Once | Class::Interactive | Class::Batch => ticketed::Guard::none(&node),
         };
-        Ok((service, quota, admitted, job, ticket))
+        Ok((service, quota, admitted, job, ticket, held))
     });
-    let (service, quota, admitted, job, ticket) = match prepared {
+    // Given back once no attempt needs the body any more.
+    let (service, quota, admitted, job, ticket, _held) = match prepared {
         Ok(prepared) => prepared,
         Err(failure) => return refuse(&node, tracker, failure, id, None),
     };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod gather;
 mod halt;
 mod head;
+mod held;
 mod homes;
 pub mod host;
 mod inflight;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -85,6 +85,12 @@
         Members,
         /// Targets that may get no new work.
         TargetsLeaving,
+        /// Bytes of answers that are buffered for callers.
+        AnswersHeld,
+        /// Bytes reserved for bodies that are kept for another attempt.
+        BodiesHeld,
+        /// Bytes of requests that are read ahead.
+        ReadAhead,
         /// Median time of a call inside the process and the target, in microseconds.
         CallP50Us,
         /// 99th percentile of that time.
@@ -120,13 +126,16 @@
 ];
 
 /// All gauges in the order of their declaration.
-pub const GAUGES: [Gauge; 9] = [
+pub const GAUGES: [Gauge; 12] = [
     Gauge::InFlight,
     Gauge::Waiting,
     Gauge::ViewAgeMs,
     Gauge::Links,
     Gauge::Members,
     Gauge::TargetsLeaving,
+    Gauge::AnswersHeld,
+    Gauge::BodiesHeld,
+    Gauge::ReadAhead,
     Gauge::CallP50Us,
     Gauge::CallP99Us,
     Gauge::CallP999Us,
@@ -173,6 +182,9 @@
             Self::Links => "peer.links",
             Self::Members => "members.alive",
             Self::TargetsLeaving => "targets.leaving",
+            Self::AnswersHeld => "held.answers_bytes",
+            Self::BodiesHeld => "held.bodies_bytes",
+            Self::ReadAhead => "held.read_ahead_bytes",
             Self::CallP50Us => "call.p50_us",
             Self::CallP99Us => "call.p99_us",
             Self::CallP999Us => "call.p999_us",
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -29,8 +29,8 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::fleet::Links;
-use crate::gather::BUFFERED_MAX_BYTES;
 use crate::halt::Phases;
+use crate::held;
 use crate::homes::Basis;
 use crate::homes::Homes;
 use crate::host::Host;
@@ -65,6 +65,8 @@
     pub(crate) removal_age: Span,
     /// Space for answers that are buffered before the caller gets their first byte.
     pub(crate) buffered: Space,
+    /// Space for bodies of requests that are kept for another attempt.
+    pub(crate) bodies: Space,
     /// Space for bytes of requests that are read ahead.
     pub(crate) read_ahead: Space,
     /// Longest idle time of a connection that may carry a request which must not run twice.
@@ -146,7 +148,8 @@
             routes: route::Table::default(),
             pool: Pool::default(),
             removal_age: Span::ZERO,
-            buffered: Space::new(BUFFERED_MAX_BYTES),
+            buffered: held::answers(&settings),
+            bodies: held::bodies(&settings),
             read_ahead: Space::new(READ_AHEAD_MAX_BYTES),
             idle_limit: idle::Limit::default(),
             revision: 0,
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -64,6 +64,9 @@
     let mut gauges = vec![
         (Gauge::TargetsLeaving, leaving),
         (Gauge::InFlight, node.in_flight.count()),
+        (Gauge::AnswersHeld, node.buffered.in_use()),
+        (Gauge::BodiesHeld, node.bodies.in_use()),
+        (Gauge::ReadAhead, node.read_ahead.in_use()),
         (Gauge::Links, node.gossip.linked().count() as u64),
         (Gauge::Members, node.members_alive),
         (
--- a/crates/daemon/src/upload.rs
+++ b/crates/daemon/src/upload.rs
@@ -125,6 +125,17 @@
         }
     }
 
+    /// Upper bound on the bytes that are kept for another attempt.
+    pub(crate) fn kept_max(&self) -> u64 {
+        self.source.as_ref().map_or(0, |source| {
+            let most = u64::try_from(REPLAY_BYTES).unwrap_or(u64::MAX);
+            source
+                .borrow()
+                .length
+                .map_or(most, |length| length.min(most))
+        })
+    }
+
     /// How the end of the body is marked.
     pub(crate) fn framing(&self) -> Framing {
         self.framing
