--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -89,6 +89,12 @@
         TargetsLeaving,
         /// Data centres that are out of service.
         DataCentersOut,
+        /// Bytes of answers that are buffered for callers.
+        AnswersHeld,
+        /// Bytes reserved for bodies that are kept for another attempt.
+        BodiesHeld,
+        /// Bytes of requests that are read ahead.
+        ReadAhead,
         /// Median time of a call inside the process and the target, in microseconds.
         CallP50Us,
         /// 99th percentile of that time.
@@ -125,7 +131,7 @@
 ];
 
 /// All gauges in the order of their declaration.
-pub const GAUGES: [Gauge; 10] = [
+pub const GAUGES: [Gauge; 13] = [
     Gauge::InFlight,
     Gauge::Waiting,
     Gauge::ViewAgeMs,
@@ -133,6 +139,9 @@
     Gauge::Members,
     Gauge::TargetsLeaving,
     Gauge::DataCentersOut,
+    Gauge::AnswersHeld,
+    Gauge::BodiesHeld,
+    Gauge::ReadAhead,
     Gauge::CallP50Us,
     Gauge::CallP99Us,
     Gauge::CallP999Us,
@@ -181,6 +190,9 @@
             Self::Members => "members.alive",
             Self::TargetsLeaving => "targets.leaving",
             Self::DataCentersOut => "data_centers.out",
+            Self::AnswersHeld => "held.answers_bytes",
+            Self::BodiesHeld => "held.bodies_bytes",
+            Self::ReadAhead => "held.read_ahead_bytes",
             Self::CallP50Us => "call.p50_us",
             Self::CallP99Us => "call.p99_us",
             Self::CallP999Us => "call.p999_us",
