Let the newest registration own its address also when it takes no work

Callers could be sent to the address of a draining target, or of one in a data centre out of service: targets that take no work were left out before addresses were made unique, so an older registration of the same address, which lasts until its lease ends, owned the address and its target counted as ready.

Change: an address goes to the newest registration of the service first; those that take no work are left out after that. Equal starts are ordered by id, so that the result does not depend on the order of a hash map.

Test: core withdrawn an_older_registration_does_not_own_the_address_of_a_target_out_of_service, seen to fail before (the older target is named when the newer one is in a data centre out of service). core registry is unchanged.

--- a/crates/core/src/site/registry.rs
+++ b/crates/core/src/site/registry.rs
@@ -6,6 +6,7 @@
 //! service vanish together, they are kept for a while. A target whose registration vanishes alone has
 //! left or crashed, and one that was draining does not come back.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use crate::entry;
@@ -225,12 +226,20 @@
     /// The targets of `service` that take new work, by id. Those of a data centre out of service take
     /// none. `region` returns the region of a data centre.
     pub fn targets(&self, service: &str, region: impl Fn(&str) -> Box<str>) -> Vec<entry::Target> {
-        let mut targets: Vec<entry::Target> = self
-            .records
-            .values()
-            .map(|record| &record.registration)
-            .filter(|found| *found.service == *service && found.state == State::Ready)
-            .filter(|found| !self.withdrawn.contains(&found.data_center))
+        let all = self.records.values().map(|record| &record.registration);
+        let mut found: Vec<&Registration> =
+            all.filter(|found| *found.service == *service).collect();
+        // An address belongs to the newest target that names it, also if that one takes no new work: an
+        // older registration of the address may be that of a target that is gone.
+        found.sort_by(|left, right| {
+            let order = |found: &Registration| (found.address, Reverse(found.born));
+            (order(left), &left.id).cmp(&(order(right), &right.id))
+        });
+        found.dedup_by_key(|found| found.address);
+        let usable = found.into_iter().filter(|found| {
+            found.state == State::Ready && !self.withdrawn.contains(&found.data_center)
+        });
+        let mut targets: Vec<entry::Target> = usable
             .map(|found| entry::Target {
                 name: found.id.clone(),
                 address: found.address,
@@ -241,13 +250,6 @@
                 incarnation: found.born,
             })
             .collect();
-        // An address belongs to the newest target that names it.
-        targets.sort_by(|left, right| {
-            let order =
-                |target: &entry::Target| (target.address, std::cmp::Reverse(target.incarnation));
-            order(left).cmp(&order(right))
-        });
-        targets.dedup_by_key(|target| target.address);
         targets.sort_by(|left, right| left.name.cmp(&right.name));
         targets
     }
--- a/crates/core/tests/withdrawn.rs
+++ b/crates/core/tests/withdrawn.rs
@@ -135,3 +135,63 @@
         assert_eq!(registry.withdrawn().count(), case.out, "{}", case.name);
     }
 }
+
+/// Guards against work for the address of a target that takes none, by way of an older registration of
+/// the same address in a data centre in service.
+#[test]
+fn an_older_registration_does_not_own_the_address_of_a_target_out_of_service() {
+    struct Case {
+        name: &'static str,
+        withdrawn: Option<&'static str>,
+        state: State,
+        usable: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "both in service",
+            withdrawn: None,
+            state: State::Ready,
+            usable: &["new"],
+        },
+        Case {
+            name: "the newer one is in a data centre out of service",
+            withdrawn: Some("cai-2"),
+            state: State::Ready,
+            usable: &[],
+        },
+        Case {
+            name: "the newer one is draining",
+            withdrawn: None,
+            state: State::Draining,
+            usable: &[],
+        },
+        Case {
+            name: "the older one is in a data centre out of service",
+            withdrawn: Some("cai-1"),
+            state: State::Ready,
+            usable: &["new"],
+        },
+    ];
+    let now = Instant::from_micros(1_000_000);
+    for case in cases {
+        let mut registry = Registry::default();
+        let old = Registration {
+            id: "old".into(),
+            ..registration(1, "cai-1")
+        };
+        let new = Registration {
+            id: "new".into(),
+            born: 2,
+            state: case.state,
+            ..registration(1, "cai-2")
+        };
+        registry.put(now, "old", Some(old));
+        registry.put(now, "new", Some(new));
+        if let Some(data_center) = case.withdrawn {
+            registry.withdraw("k", data_center);
+        }
+        let targets = registry.targets("desk", |_| "cai".into());
+        let names: Vec<&str> = targets.iter().map(|target| &*target.name).collect();
+        assert_eq!(names, case.usable, "{}", case.name);
+    }
+}
