Name each VM once in an answer of the directory

Callers of a host with several allowed regions could be told one VM twice, and so had fewer addresses to choose from: a region that has lost its VMs has those of other regions for homes, and the lists of the regions are joined.

Change: a VM that stands in the list twice is drawn for the slots of both and named once.

Test: core directory an_answer_names_each_vm_once, seen to fail before (2 homes, both a-0). The shares of the other cases are unchanged.

--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -216,7 +216,8 @@
 }
 
 /// Selects at most `count` homes for one caller, the preferred one first. A random `draw` in 0..1
-/// divides the callers among the homes by slots.
+/// divides the callers among the homes by slots. A VM that is given twice, as it has targets of two
+/// regions, is drawn for the slots of both and named once.
 #[must_use]
 pub fn select<'a>(homes: &[&'a Home], draw: f64, count: usize) -> Vec<&'a Home> {
     let total: u64 = homes.iter().map(|home| home.slots.max(1)).sum();
@@ -227,5 +228,14 @@
     });
     let first = drawn.unwrap_or(0);
     let rotated = homes.iter().copied().cycle().skip(first).take(homes.len());
-    rotated.take(count).collect()
+    let mut named: Vec<&Home> = Vec::new();
+    for home in rotated {
+        if named.len() >= count {
+            break;
+        }
+        if named.iter().all(|known| known.vm != home.vm) {
+            named.push(home);
+        }
+    }
+    named
 }
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -232,3 +232,22 @@
         }
     }
 }
+
+/// Guards against an answer that names one VM twice and so has fewer addresses to choose from: a region
+/// that has lost its VMs has those of other regions for homes.
+#[test]
+fn an_answer_names_each_vm_once() {
+    let homes = homes(&["a", "c"], &[("a", 6), ("b", 3), ("c", 9)]);
+    let rules = [rule(&["a", "b"])];
+    let query = Query {
+        region: "x",
+        default_region: "a",
+        count: 9,
+    };
+    let found = directory::select(&homes, &rules, query, 0.0);
+    let mut names: Vec<&str> = found.iter().map(|home| &*home.vm).collect();
+    let all = names.len();
+    names.sort_unstable();
+    names.dedup();
+    assert!(all > 0 && names.len() == all, "{all} homes of {names:?}");
+}
