Let a route of an unknown team allow no region

A route whose team is not in the table `teams`, or whose table is missing or cannot be read, was not restricted by its team at all, so its requests could run in regions that the team excludes.

Change: such a route allows no region: its requests are refused as not run. Unread words state what becomes of their rules, so that the counter of words for a class that are not known counts only these.

--- a/crates/core/src/site/plan.rs
+++ b/crates/core/src/site/plan.rs
@@ -35,14 +35,27 @@
         pub idle_timeout: Span,
     }
 
+    /// What becomes of rules with a word that the adapter does not know.
+    #[derive(Copy)]
+    pub enum Effect {
+        /// Nothing: the word is ignored.
+        None,
+        /// Their requests are treated as not repeatable.
+        NotRepeatable,
+        /// They allow no region, so their requests are refused.
+        NoRegion,
+    }
+
     /// A word of the plan that the adapter does not know.
     pub struct Unread {
         /// Which part of the plan it stands for, in the words of the platform.
         pub part: &'static str,
         /// The word, cut to a bounded length.
         pub word: Box<str>,
-        /// Rules that are treated as not repeatable because of it; 0 if it is only ignored.
+        /// Rules that it concerns; 0 if it is ignored.
         pub rules: u64,
+        /// What becomes of these rules.
+        pub effect: Effect,
     }
 
     /// One version of the plan.
@@ -79,7 +92,8 @@
     /// Number of the unknown words because of which rules are treated as not repeatable.
     #[must_use]
     pub fn unread_classes(&self) -> u64 {
-        let classes = self.unread.iter().filter(|unread| unread.rules > 0);
+        let unread = self.unread.iter();
+        let classes = unread.filter(|unread| unread.effect == Effect::NotRepeatable);
         u64::try_from(classes.count()).unwrap_or(u64::MAX)
     }
 
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -14,6 +14,7 @@
 use oriolecleat_core::repeat;
 use oriolecleat_core::settings::Hosting;
 use oriolecleat_core::site::feed;
+use oriolecleat_core::site::plan;
 use oriolecleat_core::site::plan::Plan;
 use oriolecleat_core::site::registry::Registration;
 use oriolecleat_core::site::registry::Registry;
@@ -208,16 +209,20 @@
         );
         for unread in &plan.unread {
             let word = &*unread.word;
-            if unread.rules > 0 {
-                log::warn!(
-                    version = plan.version, part = unread.part, word, rules = unread.rules;
-                    "unknown word in the plan; its rules are treated as not repeatable"
-                );
-            } else {
-                log::warn!(
-                    version = plan.version, part = unread.part, word;
+            let (part, rules) = (unread.part, unread.rules);
+            match unread.effect {
+                plan::Effect::None => log::warn!(
+                    version = plan.version, part, word;
                     "unknown word in the plan ignored"
-                );
+                ),
+                plan::Effect::NotRepeatable => log::warn!(
+                    version = plan.version, part, word, rules;
+                    "unknown word in the plan; its rules are treated as not repeatable"
+                ),
+                plan::Effect::NoRegion => log::warn!(
+                    version = plan.version, part, word, rules;
+                    "unknown word in the plan; its rules allow no region and refuse all requests"
+                ),
             }
         }
         self.rules = rule::Table::build(&plan.rules);
