Notice the return of the store also on a VM that made no call

After an outage of the store, a VM that learned from a peer that a registration lapsed gave the target up after 0.3 s, although living targets register again within 2 s of the return: only an answer to a VM's own call began the grace for them. So the grace depends on whether the VM happened to read.

Change: a VM whose view is more than twice takeover_after old counts the store as away, at each tick, so the grace ends 2 s after its view is confirmed again. The price: a VM that was only cut off keeps registrations that vanish for up to 2 s longer.

Test: path removals a_registration_that_lapsed_in_an_outage_is_kept_by_a_vm_that_learns_of_it_from_a_peer, fails with the condition put to false (no request reaches the target). The bounds on removals, among them the one after an outage and the one of a peer, hold as before (path removals).

--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -236,6 +236,14 @@
         self.age_or_uptime(now) > self.limits.stale_after
     }
 
+    /// Whether the view is older than it gets when a reader is lost: more than twice `takeover_after`.
+    /// The service is then away, or this VM is cut off from it.
+    #[must_use]
+    pub fn is_view_old(&self, now: Instant) -> bool {
+        let limit = self.limits.takeover_after + self.limits.takeover_after;
+        self.view.age(now).is_some_and(|age| age > limit)
+    }
+
     /// Starts or stops reading if this VM is, or is no longer, a reader. Call it at every tick.
     pub fn step(&mut self, now: Instant, fleet: &Fleet, random: &mut dyn Rng) -> Option<Step> {
         let readers = self.limits.readers_per_data_center;
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -337,6 +337,11 @@
 
     fn step_reader(&mut self) {
         let now = self.clock.now();
+        // A VM that makes no call while the store is away notices it by the age of its view. What lapsed
+        // meanwhile then counts as lapsed in an outage, whoever reports it.
+        if self.reader.is_view_old(now) {
+            self.record_return();
+        }
         let Some(step) = self.reader.step(now, self.gossip.fleet(), &mut self.rng) else {
             return;
         };
