Bound calls to the store in a long outage, whatever the size of a data centre

In an outage of more than about 6 s, all VMs of a data centre still became readers: from a view age of 4 x takeover_after on, the later ones took over one after the other, renewed the takeover for as long as the store was away, and each asked again every 0.5 s to 1 s. After the return all of them waited at the store for the rest of their 10 s. And where the store refused the first nine VMs of a data centre without a link to another one, the tenth read only after 6 s, too late for a plan.

Change: from the ninth VM after the designated readers on, VMs take single turns, one VM in an interval of takeover_after / 8 (187.5 ms): it makes one call and reads on only after an answer. The first of these turns is at takeover_after + 5 to 6 intervals, so it ends before twice takeover_after. A VM whose calls failed before its first answer stops takeover_after later in place of 10 s. A VM that is cut off reads on.

--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -27,10 +27,10 @@
 // `takeover_after`, so that an outage does not turn all of them into readers at once. As many VMs as
 // there are turns take over at a view age of less than twice `takeover_after`.
 const TAKEOVER_TURNS: u64 = 8;
-// A VM that comes after these and hears them knows that they read too, so its calls would add nothing
-// while the service is away: 182 VMs made 3,717 calls in an outage of 8 s. It takes over at this
-// multiple of `takeover_after`, for the case that the service refuses all of those before it.
-const LATE_TAKEOVER: u64 = 4;
+// The VMs that come after these take single turns, one VM in each interval: 120 VMs that read for as
+// long as an outage lasts would make about 160 calls a second. The first of these turns is early
+// enough that it ends, with a timer that is 0.2 s late, before twice `takeover_after`.
+const FIRST_PROBE_INTERVALS: u64 = 5;
 
 const MICROS_PER_CALL: u64 = 1_000_000;
 // Limits that are safe for any fleet: the documented rate of the service, shared by as many VMs as
@@ -99,6 +99,12 @@
     jitter: Span,
     view: View,
     takeover_until: Instant,
+    /// Whether the takeover ends with the first call that fails.
+    is_probe: bool,
+    /// Number of the last single turn since the view got old.
+    round: Option<u64>,
+    /// Whether a call has failed since the last answer.
+    has_failed: bool,
     /// Neighbours that rank before this VM and that it does not hear.
     unheard: u64,
     phase: Phase,
@@ -192,6 +198,9 @@
             jitter,
             view: View::default(),
             takeover_until: Instant::default(),
+            is_probe: false,
+            round: None,
+            has_failed: false,
             unheard: 0,
             phase: Phase::Idle { next },
             backoff: Backoff::default(),
@@ -216,12 +225,33 @@
         self.unheard = unheard;
         if is_cut_off {
             self.takeover_until = now + TAKEOVER_HOLD;
+            self.is_probe = false;
         }
     }
 
-    /// Records that the configuration service responded, which resets the backoff.
-    pub fn record_response(&mut self) {
+    /// Records that a call failed. Returns whether this VM has to stop reading because it had a single
+    /// turn; the next [`Reader::step`] then closes the reading.
+    pub fn record_failure(&mut self, now: Instant) -> bool {
+        self.has_failed = true;
+        let stops = std::mem::take(&mut self.is_probe);
+        if stops {
+            self.takeover_until = now;
+        }
+        stops
+    }
+
+    /// Records that the configuration service answered, which resets the backoff.
+    ///
+    /// After an outage, the designated readers are back as soon as this VM, so it goes on reading for
+    /// `takeover_after` only. If none of them confirms the view, the next takeover lasts for
+    /// [`TAKEOVER_HOLD`].
+    pub fn record_response(&mut self, now: Instant) {
         self.backoff.reset();
+        self.is_probe = false;
+        if std::mem::take(&mut self.has_failed) {
+            let limit = now + self.limits.takeover_after;
+            self.takeover_until = self.takeover_until.min(limit);
+        }
     }
 
     /// Age of the view; none before the first confirmation.
@@ -264,6 +294,7 @@
 
     /// Records that reading ended or failed by itself. It may start again after a backoff delay.
     pub fn record_end(&mut self, now: Instant, random: &mut dyn Rng) {
+        self.record_failure(now);
         let next = now + self.backoff.next_delay(random);
         self.phase = Phase::Idle { next };
         self.budget.set_watch_pending(now, false);
@@ -292,25 +323,46 @@
         let readers = self.limits.readers_per_data_center;
         let turn = rank_in_data_center(fleet).saturating_sub(readers);
         let takeover_after = self.limits.takeover_after.as_micros();
-        let (base, turn) = if turn >= TAKEOVER_TURNS && self.unheard == 0 {
-            (takeover_after * LATE_TAKEOVER, turn - TAKEOVER_TURNS)
+        let is_late = turn >= TAKEOVER_TURNS;
+        let intervals = if is_late && self.unheard == 0 {
+            FIRST_PROBE_INTERVALS + turn - TAKEOVER_TURNS
         } else {
-            let turn = turn.min(TAKEOVER_TURNS - 2).saturating_sub(self.unheard);
-            (takeover_after, turn)
+            turn.min(TAKEOVER_TURNS - 2).saturating_sub(self.unheard)
         };
         let interval = interval(&self.limits).as_micros();
-        let limit = Span::from_micros(base + interval * turn) + self.jitter;
+        let limit = Span::from_micros(takeover_after + interval * intervals) + self.jitter;
         // No reader confirms a view before it has waited for its peers.
         let waited = now.since(self.started + self.limits.peer_wait);
         let age = self.view.age(now).unwrap_or(waited);
-        if now >= self.takeover_until && age > limit {
+        if age <= limit {
+            self.round = None;
+        } else if is_late {
+            let late = late_vms(fleet, readers).max(TAKEOVER_TURNS);
+            let overdue = age.as_micros() - limit.as_micros();
+            let round = Some(overdue / (interval * late).max(1));
+            if now >= self.takeover_until && round > self.round {
+                self.takeover_until = now + TAKEOVER_HOLD;
+                self.is_probe = true;
+            }
+            self.round = round;
+        } else if now >= self.takeover_until {
             self.takeover_until = now + TAKEOVER_HOLD;
+            self.is_probe = false;
             self.jitter = jitter(&self.limits, random);
         }
         now < self.takeover_until
     }
 }
 
+/// Number of alive members of this VM's data centre that take single turns.
+fn late_vms(fleet: &Fleet, readers: u64) -> u64 {
+    let own = &fleet.own().record().data_center;
+    let near = fleet
+        .live()
+        .filter(|member| member.record().data_center == *own);
+    (near.count() as u64).saturating_sub(readers + TAKEOVER_TURNS)
+}
+
 /// Time between the takeovers of two successive VMs of a data centre.
 fn interval(limits: &settings::View) -> Span {
     Span::from_micros(limits.takeover_after.as_micros() / TAKEOVER_TURNS)
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -115,10 +115,16 @@
                 }
                 let wait = {
                     let mut node = node.borrow_mut();
-                    let limit =
-                        RETRY_FIRST * 2_u32.saturating_pow(reading.contact.failures().min(8));
-                    let share = node.rng.random_range(0.5..1.0);
-                    limit.min(RETRY_LAST).mul_f64(share)
+                    let now = node.clock.now();
+                    if node.reader.record_failure(now) {
+                        // The next tick closes this reading, unless the VM became a reader meanwhile.
+                        RETRY_LAST
+                    } else {
+                        let limit =
+                            RETRY_FIRST * 2_u32.saturating_pow(reading.contact.failures().min(8));
+                        let share = node.rng.random_range(0.5..1.0);
+                        limit.min(RETRY_LAST).mul_f64(share)
+                    }
                 };
                 reading.contact.record_failure();
                 tokio::time::sleep(wait).await;
@@ -212,6 +218,11 @@
 
 /// Records that the store answered a call.
 fn record_answer(node: &Shared, contact: &mut Contact) {
+    {
+        let mut node = node.borrow_mut();
+        let now = node.clock.now();
+        node.reader.record_response(now);
+    }
     let failures = contact.failures();
     if contact.record_answer() {
         log::info!(failures; "the store answers again after an outage");
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -190,7 +190,7 @@
 
     /// Publishes an update of the configuration service that was complete `age` ago.
     pub(crate) fn publish_update(&mut self, node: &Shared, news: Update, age: Span) {
-        self.reader.record_response();
+        self.reader.record_response(self.clock.now());
         let content = |key: Box<str>, revision, text: Option<Box<str>>| Content {
             version: self.catalogue.version(&key, revision, text.as_deref()),
             key,
