--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -95,8 +95,8 @@
         if !admission.is_idempotent() {
             return None;
         }
-        let lane = Rc::new(Lane::default());
-        tracker.lane = Some(Rc::clone(&lane));
+        let early_deadline = Rc::new(Deadline::default());
+        tracker.early_deadline = Some(Rc::clone(&early_deadline));
         let head = parts.clone();
         let body = upload::Shared::empty();
         let node = self.node.clone();
@@ -104,7 +104,7 @@
         Some(Early {
             head,
             state: Rc::clone(&self.state),
-            lane,
+            deadline: early_deadline,
             task: tokio::task::spawn_local(handled),
         })
     }
@@ -130,7 +130,7 @@
 pub(crate) struct Early {
     head: Parts,
     state: Rc<State>,
-    lane: Rc<Lane>,
+    deadline: Rc<Deadline>,
     task: JoinHandle<Response<Download>>,
 }
 
@@ -138,7 +138,7 @@
     /// Waits for the answer, now that it is the turn of the request.
     pub(crate) async fn answer(mut self) -> Response<Download> {
         self.state.set_parallel(!closes(&self.head));
-        self.lane.begin_turn(&self.state);
+        self.deadline.begin_turn(&self.state);
         match (&mut self.task).await {
             Ok(response) => response,
             // The task is only cancelled when this future is dropped.
@@ -156,14 +156,14 @@
 /// The deadline of a request that is processed before its turn. It bounds the writing of answers
 /// from the turn of the request on.
 #[derive(Default)]
-pub(crate) struct Lane {
+pub(crate) struct Deadline {
     in_turn: Cell<bool>,
-    deadline: Cell<Option<Instant>>,
+    at: Cell<Option<Instant>>,
 }
 
-impl Lane {
-    pub(crate) fn set_deadline(&self, state: &State, deadline: Instant) {
-        self.deadline.set(Some(deadline));
+impl Deadline {
+    pub(crate) fn set(&self, state: &State, deadline: Instant) {
+        self.at.set(Some(deadline));
         if self.in_turn.get() {
             state.set_deadline(deadline);
         }
@@ -171,7 +171,7 @@
 
     fn begin_turn(&self, state: &State) {
         self.in_turn.set(true);
-        if let Some(deadline) = self.deadline.get() {
+        if let Some(deadline) = self.at.get() {
             state.set_deadline(deadline);
         }
     }
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -27,7 +27,6 @@
 use crate::framing::Scanner;
 use crate::inflight;
 use crate::pipeline;
-use crate::pipeline::Lane;
 use crate::quota::Permit;
 use crate::refusal;
 
@@ -127,7 +126,7 @@
     /// Set once the limits of the entry admit the request.
     pub(crate) permit: Option<Permit>,
     /// Set if the request was read ahead of its turn.
-    pub(crate) lane: Option<Rc<Lane>>,
+    pub(crate) early_deadline: Option<Rc<pipeline::Deadline>>,
 }
 
 impl Tracker {
@@ -141,14 +140,14 @@
             defect,
             in_flight,
             permit: None,
-            lane: None,
+            early_deadline: None,
         }
     }
 
     /// Sets the time by which the answer has to be written.
     pub(crate) fn set_deadline(&self, deadline: Instant) {
-        match &self.lane {
-            Some(lane) => lane.set_deadline(&self.state, deadline),
+        match &self.early_deadline {
+            Some(early) => early.set(&self.state, deadline),
             None => self.state.set_deadline(deadline),
         }
     }
