Deliver answers whose turn on the connection comes late

Callers that send requests ahead lost answers in three ways:

- An answer that was ready, but whose deadline had passed at its turn, bounded its writes by that time: the first blocked write reset the connection, and what the kernel held of the answers before was lost.
Such a deadline is now ignored; body_idle_ms alone bounds the write.
- A streamed answer whose deadline had passed at its turn began with 200 and was cut off at the first pause of its target.
It is now replaced by a 504 with the outcome "ran", without a reset.
- A caller that closed its writing side lost the last answer, since hyper ends the connection at the end of the stream.
The end is now withheld while the answer to the newest request is ready or its request was sent before its turn; the socket is checked for a reset meanwhile.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -150,6 +150,9 @@
         let ahead = ahead.clone();
         service_fn(move |request| {
             let turn = Turn::new(&connection_state);
+            // hyper may read the end of the stream before it first polls the future below.
+            let early = ahead.as_ref().is_some_and(|ahead| ahead.has_early());
+            connection_state.set_owed(early);
             take_turn(node.clone(), ahead.clone(), turn, request)
         })
     };
@@ -206,6 +209,7 @@
     let mut response = if let Some(early) = early {
         early.answer().await
     } else {
+        turn.state.set_owed(false);
         let in_flight = inflight::Guard::new(&node);
         let tracker = Tracker::new(&turn.state, turn.defect(), in_flight);
         let admitted = admit(&node, &tracker, &parts, body.size_hint().exact());
@@ -217,6 +221,7 @@
         let body = upload::Shared::new(body, &parts.headers, idle);
         handle(node.clone(), tracker, parts, body, admitted).await
     };
+    turn.state.set_owed(true);
     // Those read ahead may have been sent, so the last of them closes the connection.
     let early = ahead.is_some_and(|ahead| ahead.has_early());
     if !early && !node.borrow().phase().is_advertised() {
@@ -522,7 +527,41 @@
     };
     node.borrow_mut().metrics.add(count, 1);
     tracker.count(failure.outcome);
-    let body = refusal::body(failure, Some(text));
+    refusal(node, tracker, failure, id, wait)
+}
+
+/// Replaces an answer that is streamed and whose deadline passed before its turn by a refusal. The
+/// request is already counted as one that ran.
+pub(crate) fn refuse_late(mut delivery: Box<Delivery>) -> Response<Download> {
+    delivery.cancel();
+    let Delivery {
+        node,
+        tracker,
+        call,
+        ..
+    } = *delivery;
+    let failure = Failure {
+        code: Code::Deadline,
+        outcome: Outcome::Ran,
+    };
+    log::info!(
+        id = call.id(),
+        code = failure.code.as_str(),
+        outcome = failure.outcome.as_str();
+        "answer replaced: its deadline passed before its turn on the connection"
+    );
+    refusal(&node, tracker, failure, call.id_value(), None)
+}
+
+/// The response that refuses a request after an expected wait of `wait`.
+fn refusal(
+    node: &Shared,
+    tracker: Tracker,
+    failure: Failure,
+    id: HeaderValue,
+    wait: Option<Span>,
+) -> Response<Download> {
+    let body = refusal::body(failure, id.to_str().ok());
     // After a malformed head, the framing of what follows cannot be trusted.
     let close = matches!(
         failure.code,
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -139,10 +139,16 @@
     pub(crate) async fn answer(mut self) -> Response<Download> {
         self.state.set_parallel(!closes(&self.head));
         self.deadline.begin_turn(&self.state);
-        match (&mut self.task).await {
+        let response = match (&mut self.task).await {
             Ok(response) => response,
             // The task is only cancelled when this future is dropped.
             Err(error) => std::panic::resume_unwind(error.into_panic()),
+        };
+        let (parts, body) = response.into_parts();
+        match body {
+            // Its body would be cut off at the first pause of the target.
+            Download::Target(delivery) if delivery.is_late() => caller::refuse_late(delivery),
+            body => Response::from_parts(parts, body),
         }
     }
 }
@@ -171,8 +177,11 @@
 
     fn begin_turn(&self, state: &State) {
         self.in_turn.set(true);
-        if let Some(deadline) = self.at.get() {
-            state.set_deadline(deadline);
-        }
+        let now = Instant::now();
+        // An answer that is ready is delivered also when late: only the pauses of its writing are
+        // bounded. A limit in the past would reset the connection at the first blocked write, and
+        // destroy what the kernel still holds of the answers before.
+        let ahead = self.at.get().filter(|deadline| *deadline > now);
+        state.replace_deadline(ahead);
     }
 }
--- a/crates/daemon/src/pipeline/buffer.rs
+++ b/crates/daemon/src/pipeline/buffer.rs
@@ -56,11 +56,7 @@
 
     /// Bytes that may still be read ahead.
     pub(crate) fn room(&self) -> usize {
-        let inner = self.0.borrow();
-        if inner.ended && !inner.bytes.is_empty() {
-            return 0;
-        }
-        CONNECTION_MAX_BYTES.saturating_sub(inner.bytes.len())
+        CONNECTION_MAX_BYTES.saturating_sub(self.0.borrow().bytes.len())
     }
 
     /// Reserves space for `bytes` further ones; false if the VM has no more.
@@ -76,6 +72,11 @@
         inner.give_back(reserved - bytes.len());
     }
 
+    /// Whether the caller closed its side.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.0.borrow().ended
+    }
+
     /// Records that the caller closed its side.
     pub(crate) fn set_ended(&self) {
         self.0.borrow_mut().ended = true;
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -123,14 +123,28 @@
         }
     }
 
-    /// Aborts the answer so that the caller cannot take it for a whole one.
-    fn abort(&mut self, ending: Ending, cause: Fault) -> Fault {
-        log::info!(cause:% = cause, id = self.call.id(); "answer to the caller aborted");
+    /// Whether the deadline passed before anything of the body was read.
+    pub(crate) fn is_late(&self) -> bool {
+        self.attempt.is_some() && self.deadline_timer.deadline() <= Instant::now()
+    }
+
+    /// Ends the exchange before anything of the answer was written to the caller.
+    pub(crate) fn cancel(&mut self) {
+        self.end(Ending::Cancelled);
+    }
+
+    fn end(&mut self, ending: Ending) {
         self.connection = None;
         if let Some(attempt) = self.attempt.take() {
             attempt.record_bytes(self.bytes);
             attempt.end(ending);
         }
+    }
+
+    /// Aborts the answer so that the caller cannot take it for a whole one.
+    fn abort(&mut self, ending: Ending, cause: Fault) -> Fault {
+        log::info!(cause:% = cause, id = self.call.id(); "answer to the caller aborted");
+        self.end(ending);
         self.tracker.state.mark_truncated();
         cause
     }
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -48,6 +48,9 @@
     /// Whether the newest request is idempotent and has no body, so that those behind it may be
     /// processed beside it.
     parallel: Cell<bool>,
+    /// Whether the answer to the newest request is written also if the caller closed its side: it is
+    /// ready, or its request was sent before its turn.
+    owed: Cell<bool>,
     /// Number of heads that hyper was given up to the end, if nothing was given beyond the last one
     /// and that one has no body.
     given: Cell<Option<u64>>,
@@ -64,6 +67,16 @@
         self.deadline.set(Some(deadline));
     }
 
+    /// Replaces the time by which the answer has to be written; none if only pauses are bounded.
+    pub(crate) fn replace_deadline(&self, deadline: Option<Instant>) {
+        self.deadline.set(deadline);
+    }
+
+    /// Sets whether the answer to the newest request is written also if the caller closed its side.
+    pub(crate) fn set_owed(&self, owed: bool) {
+        self.owed.set(owed);
+    }
+
     /// Sets whether requests behind the newest one may be processed beside it.
     pub(crate) fn set_parallel(&self, parallel: bool) {
         self.parallel.set(parallel);
@@ -201,7 +214,7 @@
     }
 
     /// Reads requests ahead while hyper is busy. Ready with the end of the stream or its error, of
-    /// which hyper has to know at once.
+    /// which hyper has to know at once; the end waits for an answer that the caller still gets.
     fn poll_ahead(
         &mut self,
         context: &mut Context<'_>,
@@ -209,15 +222,20 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
+            let held = ahead.has_ended() && (!ahead.is_empty() || self.state.owed.get());
             let room = ahead.room().min(buffer.remaining());
-            if room > 0 && ahead.reserve(room) {
+            if !held && room > 0 && ahead.reserve(room) {
                 let mut part = buffer.take(room);
                 let polled = Pin::new(&mut self.inner).poll_read(context, &mut part);
                 let read = part.filled();
                 ahead.append(read, room);
                 match polled {
-                    Poll::Ready(Ok(())) if read.is_empty() && ahead.is_empty() => return polled,
-                    Poll::Ready(Ok(())) if read.is_empty() => ahead.set_ended(),
+                    Poll::Ready(Ok(())) if read.is_empty() => {
+                        ahead.set_ended();
+                        if ahead.is_empty() && !self.state.owed.get() {
+                            return polled;
+                        }
+                    }
                     Poll::Ready(Ok(())) => {}
                     Poll::Ready(Err(_)) | Poll::Pending => return polled,
                 }
