Bound the early requests of all connections

Only the bytes read ahead were bounded for the VM: 2 MiB of short heads are 26,000 requests, each with a task and two copies of its head, and their answers could take the space of all buffered ones. At most 64 requests of the VM are now processed before their turn; above that, requests wait for it.

No test covers the bound yet: the targets of the test deployment do not run that many requests.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -37,6 +37,7 @@
 use crate::host::Hosted;
 use crate::inflight;
 use crate::metrics::Metrics;
+use crate::pipeline::EARLY_MAX;
 use crate::pipeline::READ_AHEAD_MAX_BYTES;
 use crate::pool::Pool;
 use crate::probe;
@@ -67,6 +68,8 @@
     pub(crate) buffered: Space,
     /// Space for bodies of requests that are kept for another attempt.
     pub(crate) bodies: Space,
+    /// Requests that may be processed before their turn.
+    pub(crate) early: Space,
     /// Space for bytes of requests that are read ahead.
     pub(crate) read_ahead: Space,
     /// Longest idle time of a connection that may carry a request which must not run twice.
@@ -153,6 +156,7 @@
             removal_age: Some(Span::ZERO),
             buffered: held::answers(&settings),
             bodies: held::bodies(&settings),
+            early: Space::new(EARLY_MAX),
             read_ahead: Space::new(READ_AHEAD_MAX_BYTES),
             idle_limit: idle::Limit::default(),
             revision: 0,
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -34,6 +34,11 @@
 /// resets its connection have to end within 500 ms.
 pub(crate) const WATCH: Duration = Duration::from_millis(100);
 
+/// Most requests of all connections that are processed before their turn. Their answers take up to
+/// 8 MiB, less than a third of the 28 MiB that a VM with 112 MB has for buffered answers, and with work
+/// of 160 ms they are 400 requests a second. Above it, requests wait for their turn.
+pub(crate) const EARLY_MAX: u64 = 64;
+
 /// The requests of one connection behind the one that hyper processes.
 pub(crate) struct Ahead {
     node: Shared,
@@ -73,11 +78,14 @@
             && self.state.is_parallel()
             && self.node.borrow().phase().is_advertised()
         {
+            let Some(slot) = Slot::take(&self.node) else {
+                return;
+            };
             let Some(parts) = self.buffer.next() else {
                 return;
             };
             let closes = closes(&parts);
-            let Some(early) = self.process(parts) else {
+            let Some(early) = self.process(parts, slot) else {
                 return self.buffer.block();
             };
             self.early.borrow_mut().push_back(early);
@@ -88,7 +96,7 @@
     }
 
     /// Processes the request with the head `parts`; none if it has to wait for its turn.
-    fn process(&self, parts: Parts) -> Option<Early> {
+    fn process(&self, parts: Parts, slot: Slot) -> Option<Early> {
         let in_flight = inflight::Guard::new(&self.node);
         let mut tracker = Tracker::new(&self.state, None, in_flight);
         let admission = caller::admit(&self.node, &tracker, &parts, Some(0)).ok()?;
@@ -106,6 +114,7 @@
             state: Rc::clone(&self.state),
             deadline: early_deadline,
             task: tokio::task::spawn_local(handled),
+            _slot: slot,
         })
     }
 
@@ -132,6 +141,24 @@
     state: Rc<State>,
     deadline: Rc<Deadline>,
     task: JoinHandle<Response<Download>>,
+    _slot: Slot,
+}
+
+/// One of the requests that the VM may process before their turn. Dropping it admits another one.
+struct Slot(Shared);
+
+impl Slot {
+    /// Takes a slot; none if `EARLY_MAX` requests have one.
+    fn take(node: &Shared) -> Option<Self> {
+        let taken = node.borrow_mut().early.try_take(1);
+        taken.then(|| Self(node.clone()))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.borrow_mut().early.give_back(1);
+    }
 }
 
 impl Early {
