Poll a caller's connection again if bytes of the next request wait

If hyper has finished all requests while bytes that were read ahead are left, nothing wakes it. The connection is now polled once more in that case. No fault was observed that this mends, and no test covers it.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -167,6 +167,7 @@
     let mut refusing = std::pin::pin!(wait_until_refusing(phases));
     let (mut is_refusing, mut is_closing) = (false, false);
     let served = poll_fn(|context| {
+        let mut repeated = false;
         loop {
             if let Poll::Ready(served) = serving.as_mut().poll(context) {
                 return Poll::Ready(served);
@@ -181,6 +182,12 @@
             }
             if let Some(ahead) = &ahead {
                 ahead.start();
+                // hyper is not woken by bytes that are already read. Once is enough: if it takes
+                // none now, it waits for the caller to accept an answer.
+                if !repeated && ahead.is_waiting() {
+                    repeated = true;
+                    continue;
+                }
             }
             return Poll::Pending;
         }
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -71,6 +71,11 @@
         !self.early.borrow().is_empty()
     }
 
+    /// Whether hyper has finished all requests that it has, while bytes of the next one are here.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.state.is_idle() && !self.buffer.is_empty()
+    }
+
     /// Starts the requests that were read and may be processed before their turn.
     pub(crate) fn start(&self) {
         while !self.buffer.is_examined()
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -88,6 +88,11 @@
         has_one && self.parallel.get() && self.given.get() == Some(self.requests.get())
     }
 
+    /// Whether hyper has read the answers to all requests to their end.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.unfinished.get() == 0
+    }
+
     /// Requests that hyper has read and whose answer it has read to its end.
     fn finished(&self) -> u64 {
         self.requests.get() - self.unfinished.get()
