Cancel a request read ahead whose caller closed its side before the answer was ready

A caller that leaves closes its connection, which looks like a closed writing side. The request that was sent before its turn then ran to its end, though no target may work for a caller that has left. Only an answer that is ready is still written.

Test: path pipelining::late, whose case of a request sent ahead now expects the two ready answers only; before, the third request ran for its 1,600 ms.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -151,8 +151,8 @@
         service_fn(move |request| {
             let turn = Turn::new(&connection_state);
             // hyper may read the end of the stream before it first polls the future below.
-            let early = ahead.as_ref().is_some_and(|ahead| ahead.has_early());
-            connection_state.set_owed(early);
+            let ready = ahead.as_ref().is_some_and(|ahead| ahead.is_next_ready());
+            connection_state.set_owed(ready);
             take_turn(node.clone(), ahead.clone(), turn, request)
         })
     };
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -66,6 +66,12 @@
         self.buffer.clone()
     }
 
+    /// Whether the answer to the next request that is processed before its turn is ready.
+    pub(crate) fn is_next_ready(&self) -> bool {
+        let early = self.early.borrow();
+        early.front().is_some_and(|next| next.task.is_finished())
+    }
+
     /// Whether a request is processed before its turn.
     pub(crate) fn has_early(&self) -> bool {
         !self.early.borrow().is_empty()
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -48,8 +48,8 @@
     /// Whether the newest request is idempotent and has no body, so that those behind it may be
     /// processed beside it.
     parallel: Cell<bool>,
-    /// Whether the answer to the newest request is written also if the caller closed its side: it is
-    /// ready, or its request was sent before its turn.
+    /// Whether the answer to the newest request is ready, so that it is written also if the caller closed
+    /// its side. Until then, a caller that closes its side counts as gone, and its request is cancelled.
     owed: Cell<bool>,
     /// Number of heads that hyper was given up to the end, if nothing was given beyond the last one
     /// and that one has no body.
