Let the cost of bytes decide which calls leave a data centre

Callers in a full or slow data centre were kept there while others had room: the losses of distance were constants of one deployment (0.12, and 0.25 to 0.7 between regions), far above what bytes cost, the same for every size of an answer, and not bounded when all data centres were full.

A call now pays for its learned bytes at prices of the operator (hosting.data_center_gb, hosting.region_gb, hosting.worths), for its time, and for the missing knowledge of another region. What a VM may send to another data centre is its share of the free slots reported there, or a trial where no report tells them. Targets assigned to the VM are exempt, as the homes divide them. Calls and bytes that leave are counted by reason.

The test urgent_calls_leave_a_slow_region asserted the constants; it now states prices that give a plain call the same loss of 0.7, with the same outcomes.

--- a/crates/core/src/place/flight.rs
+++ b/crates/core/src/place/flight.rs
@@ -11,6 +11,8 @@
 use crate::place::placer::Choice;
 use crate::place::placer::Placer;
 use crate::place::queue::Item;
+use crate::place::spill::Reason;
+use crate::place::spill::Scope;
 use crate::target;
 use crate::time::Instant;
 
@@ -27,6 +29,8 @@
     pub(super) congestion: f64,
     /// Slowdown of the target's machine when it was sent.
     pub(super) machine_slowdown: f64,
+    /// How far and why it left the data centre, if it did.
+    pub(super) leaving: Option<(Scope, Reason)>,
 }
 
 /// A call in flight.
@@ -74,6 +78,7 @@
                 1.0
             },
             machine_slowdown,
+            leaving: None,
         }
     }
 
@@ -142,6 +147,7 @@
                 let mut tried = flight.tried;
                 tried.push(target);
                 self.queue.push(Item {
+                    fare: self.fare(&flight.job),
                     job: flight.job,
                     arrived: flight.arrived,
                     probe_deadline: None,
--- a/crates/core/src/place/hedge.rs
+++ b/crates/core/src/place/hedge.rs
@@ -60,9 +60,11 @@
             arrived: flight.arrived,
             probe_deadline: None,
             tried: flight.tried.clone(),
+            fare: self.fare(&flight.job),
         };
         let work = self.expected_work(&flight.job);
-        let candidates = self.candidates(now);
+        let mut candidates = self.candidates(now);
+        self.bound_leaving(now, &mut candidates, rng);
         let Some(choice) = pick(&candidates, now, &item, work, &[first.target], rng) else {
             return;
         };
@@ -82,6 +84,8 @@
             flight.attempts.push(attempt);
             flight.hedged = true;
         }
+        let remaining = item.remaining(now);
+        self.record_leaving(now, call, remaining, &choice, &mut candidates);
         out.push(Action::Hedge {
             call,
             target: choice.target,
--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -4,6 +4,7 @@
 //! For noisy neighbours, which slow a machine fourfold for some hundred milliseconds.
 
 use crate::estimate::number;
+use crate::place::spill::Fare;
 
 /// Loss of a late answer.
 const LATE_LOSS: f64 = 0.9;
@@ -12,12 +13,6 @@
 /// Loss of a failed call; one that may be repeated loses less.
 const FAILURE_LOSS: f64 = 1.0;
 const FAILURE_LOSS_REPEATABLE: f64 = 0.6;
-/// Cost of the bytes sent to another data centre and to another region.
-const DATA_CENTER_LOSS: f64 = 0.12;
-const REGION_LOSS: f64 = 0.7;
-/// Cost of the bytes sent to another region for calls of urgency 0 and 1, which are worth more than
-/// these bytes.
-const REGION_LOSS_URGENT: [f64; 2] = [0.25, 0.35];
 /// Loss at a target that belongs to another VM of the region, which knows the target's load better.
 const FOREIGN_LOSS: f64 = 0.1;
 /// Loss for an expected time equal to the objective. It grows in proportion to the time, so that of
@@ -65,6 +60,14 @@
     pub(crate) foreign: bool,
     /// Requests that the target may get at once under the limit that it states.
     pub(crate) allowance: f64,
+    /// Index of the data centre if the calls that leave for it are bounded.
+    pub(crate) leave: Option<usize>,
+    /// Whether this VM may send one more call to that data centre.
+    pub(crate) may_leave: bool,
+    /// Whether no recent report tells the load of that data centre.
+    pub(crate) unreported: bool,
+    /// Congestion price of the data centre.
+    pub(crate) price: f64,
 }
 
 /// Properties of a call on which its loss depends.
@@ -78,8 +81,8 @@
     pub(crate) remaining: f64,
     /// Whether the call may run twice.
     pub(crate) repeatable: bool,
-    /// Rank against other calls, 0 for the most urgent ones.
-    pub(crate) urgency: u8,
+    /// Loss by the way to the target and back.
+    pub(crate) fare: Fare,
 }
 
 impl Candidate {
@@ -100,7 +103,7 @@
 
     /// Whether the target may get the call.
     pub(crate) fn has_room(&self) -> bool {
-        self.is_below_max_load() && self.is_allowed()
+        self.is_below_max_load() && self.is_allowed() && self.may_leave
     }
 
     /// Expected seconds until the answer.
@@ -123,14 +126,7 @@
         } else {
             FAILURE_LOSS
         };
-        let distance = match self.distance {
-            Distance::Local => 0.0,
-            Distance::DataCenter => DATA_CENTER_LOSS,
-            Distance::Region => REGION_LOSS_URGENT
-                .get(usize::from(criteria.urgency))
-                .copied()
-                .unwrap_or(REGION_LOSS),
-        };
+        let distance = criteria.fare.loss(self.distance) + self.price;
         let foreign = if self.foreign { FOREIGN_LOSS } else { 0.0 };
         let congestion = if self.is_congested() {
             CONGESTION_LOSS
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -11,6 +11,7 @@
 mod placer;
 mod probe;
 mod queue;
+pub mod spill;
 mod stated;
 mod stats;
 mod wait;
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -25,6 +25,7 @@
 use crate::place::loss::max_load;
 use crate::place::queue::Item;
 use crate::place::queue::Queue;
+use crate::place::spill::Spill;
 use crate::place::stats::Stats;
 use crate::place::work::Work;
 use crate::stated::Stated;
@@ -98,6 +99,7 @@
     pub(super) queue: Queue,
     pub(super) flights: Map<Call, Flight>,
     pub(super) work: Work,
+    pub(super) spill: Spill,
     /// Mean slowdown of the machines, 1 for as usual.
     pub(super) mean_slowdown: f64,
     /// Mean requests of other VMs at a target, for each of its slots.
@@ -123,6 +125,7 @@
             queue: Queue::default(),
             flights: Map::default(),
             work: Work::default(),
+            spill: Spill::default(),
             mean_slowdown: 1.0,
             mean_others: 0.0,
             pending_probes: SecondaryMap::new(),
@@ -139,6 +142,7 @@
         cold_until: impl Fn(&str) -> Option<Instant>,
     ) {
         self.targets.update(now, &self.place, specs);
+        self.spill.update(&self.targets);
         let targets = &self.targets;
         self.stats.retain(|key, _| targets.get(key).is_some());
         self.stated.retain(|key, _| targets.get(key).is_some());
@@ -206,9 +210,11 @@
             arrived: job.arrived,
             tried: job.avoid.into_iter().collect(),
             probe_deadline: None,
+            fare: self.fare(&job),
             job,
         };
-        let candidates = self.candidates(now);
+        let mut candidates = self.candidates(now);
+        self.bound_leaving(now, &mut candidates, rng);
         item.probe_deadline = self.probe_best(now, &item, work, &candidates, out);
         let is_limited = candidates.iter().all(|(_, target)| !target.is_allowed());
         if self.queue.len() >= self.limits.queue
@@ -330,6 +336,10 @@
                 allowance: self.stated.get(key).map_or(f64::INFINITY, |stated| {
                     stated.allowance(now, self.users_of(&target.spec))
                 }),
+                leave: None,
+                may_leave: true,
+                unreported: false,
+                price: 0.0,
             };
             Some((key, candidate))
         };
@@ -359,7 +369,8 @@
     /// Assigns calls that wait to the targets as they are known now, if any call waits.
     fn dispatch(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
         if !self.queue.is_empty() {
-            let candidates = self.candidates(now);
+            let mut candidates = self.candidates(now);
+            self.bound_leaving(now, &mut candidates, rng);
             self.assign(now, candidates, rng, out);
         }
     }
@@ -382,35 +393,66 @@
             return;
         }
         // Under overload many calls wait, so the candidates are derived once for all of them.
-        for call in self.queue.by_priority(now, |job| self.expected_work(job)) {
-            let Some(item) = self.queue.iter().find(|item| item.job.call == call) else {
-                continue;
-            };
-            let probing = item.probe_deadline.is_some_and(|deadline| now < deadline);
-            let work = self.expected_work(&item.job);
-            if probing && !self.is_best_probed(now, item, work, &candidates) {
-                continue;
+        let order = self.queue.by_priority(now, |job| self.expected_work(job));
+        for group in order.chunk_by(|left, right| left.0 == right.0) {
+            // Of the calls of the same rank that leave the data centre, those that gain most for
+            // their bytes go first.
+            let mut leaving = Vec::new();
+            for (_, call) in group {
+                let later = (group.len() > 1).then_some(&mut leaving);
+                self.assign_call(now, *call, &mut candidates, later, rng, out);
+            }
+            leaving.sort_by(|left: &(f64, Call), right| right.0.total_cmp(&left.0));
+            for (_, call) in leaving {
+                self.assign_call(now, call, &mut candidates, None, rng, out);
             }
-            let choice = pick(&candidates, now, item, work, &item.tried, rng)
-                .or_else(|| pick(&candidates, now, item, work, &[], rng));
-            match choice {
-                Some(choice) => {
-                    if let Some(item) = self.queue.remove(call) {
-                        self.send(now, item, &choice, work, out);
-                    }
-                    let mut chosen = candidates.iter_mut();
-                    if let Some((_, candidate)) = chosen.find(|(key, _)| *key == choice.target) {
-                        candidate.load += 1.0;
-                        candidate.allowance -= 1.0;
-                    }
+        }
+    }
+
+    /// Sends a call that waits if a target has room, or refuses it if it waited too long. A call
+    /// that would leave the data centre is added to `leaving` instead, with its gain by byte.
+    fn assign_call(
+        &mut self,
+        now: Instant,
+        call: Call,
+        candidates: &mut [(target::Key, Candidate)],
+        leaving: Option<&mut Vec<(f64, Call)>>,
+        rng: &mut SmallRng,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(item) = self.queue.iter().find(|item| item.job.call == call) else {
+            return;
+        };
+        let probing = item.probe_deadline.is_some_and(|deadline| now < deadline);
+        let work = self.expected_work(&item.job);
+        if probing && !self.is_best_probed(now, item, work, candidates) {
+            return;
+        }
+        let choice = pick(candidates, now, item, work, &item.tried, rng)
+            .or_else(|| pick(candidates, now, item, work, &[], rng));
+        match choice {
+            Some(choice) => {
+                if let Some(leaving) = leaving.filter(|_| choice.candidate.leave.is_some()) {
+                    leaving.push((item.gain_by_byte(choice.loss), call));
+                    return;
                 }
-                None if item.is_expired(now, work) => {
-                    self.queue.remove(call);
-                    let reason = Refusal::Overloaded;
-                    out.push(Action::Refuse { call, reason });
+                if let Some(item) = self.queue.remove(call) {
+                    let remaining = item.remaining(now);
+                    self.send(now, item, &choice, work, out);
+                    self.record_leaving(now, call, remaining, &choice, candidates);
                 }
-                None => {}
+                let mut chosen = candidates.iter_mut();
+                if let Some((_, candidate)) = chosen.find(|(key, _)| *key == choice.target) {
+                    candidate.load += 1.0;
+                    candidate.allowance -= 1.0;
+                }
+            }
+            None if item.is_expired(now, work) => {
+                self.queue.remove(call);
+                let reason = Refusal::Overloaded;
+                out.push(Action::Refuse { call, reason });
             }
+            None => {}
         }
     }
 }
@@ -455,7 +497,7 @@
 pub(super) fn score<'a>(
     candidates: &'a [(target::Key, Candidate)],
     now: Instant,
-    item: &Item,
+    item: &'a Item,
     work: f64,
     skip: &'a [target::Key],
 ) -> impl Iterator<Item = Choice> + 'a {
@@ -464,11 +506,11 @@
         objective: seconds(item.job.objective),
         remaining: item.remaining(now),
         repeatable: item.job.class != Class::Once,
-        urgency: item.job.urgency,
+        fare: item.fare,
     };
-    let open = candidates
-        .iter()
-        .filter(|(key, candidate)| !skip.contains(key) && candidate.is_allowed());
+    let open = candidates.iter().filter(|(key, candidate)| {
+        !skip.contains(key) && candidate.is_allowed() && item.fare.pays(candidate.distance)
+    });
     open.map(move |(target, candidate)| Choice {
         target: *target,
         candidate: *candidate,
--- a/crates/core/src/place/probe.rs
+++ b/crates/core/src/place/probe.rs
@@ -43,10 +43,18 @@
             .all(|(_, candidate)| !candidate.is_below_max_load());
         // A call that is in time even beside a noisy neighbour needs no probe, nor does a late one.
         let needless = work * NOISY_SLOWDOWN < item.remaining(now) || !item.is_timely(now, work);
-        if needless && !full {
+        // The same holds where calls may not leave for a data centre because no report tells its
+        // load.
+        let kept = candidates
+            .iter()
+            .all(|(_, candidate)| !candidate.has_room());
+        if needless && !full && !kept {
             return None;
         }
         let mut choices = rank(candidates, now, item, work, &[]);
+        if needless && !full {
+            choices.retain(|choice| choice.candidate.unreported);
+        }
         choices.truncate(PROBES_PER_CALL);
         let mut wait: Option<f64> = None;
         for (index, choice) in choices.iter().enumerate() {
--- a/crates/core/src/place/queue.rs
+++ b/crates/core/src/place/queue.rs
@@ -9,6 +9,7 @@
 use crate::balance::Call;
 use crate::balance::Job;
 use crate::estimate::seconds;
+use crate::place::spill::Fare;
 use crate::target;
 use crate::time::Instant;
 
@@ -24,6 +25,8 @@
     pub(crate) probe_deadline: Option<Instant>,
     /// Targets that failed or shed the call.
     pub(crate) tried: Vec<target::Key>,
+    /// What the call loses by the way to another data centre.
+    pub(crate) fare: Fare,
 }
 
 impl Item {
@@ -32,6 +35,11 @@
         seconds(self.job.objective) - seconds(now.since(self.arrived))
     }
 
+    /// What an answer at an expected `loss` gains for each byte, in the worth of the answer.
+    pub(crate) fn gain_by_byte(&self, loss: f64) -> f64 {
+        (1.0 - loss).max(0.0) / self.fare.bytes.max(1.0)
+    }
+
     /// Whether `work` seconds of work can still end within the objective.
     pub(crate) fn is_timely(&self, now: Instant, work: f64) -> bool {
         self.remaining(now) > work
@@ -82,17 +90,24 @@
         self.items.iter()
     }
 
-    /// The calls in the order in which they get targets; `work` returns the expected seconds of
-    /// work of a call.
-    pub(crate) fn by_priority(&self, now: Instant, work: impl Fn(&Job) -> f64) -> Vec<Call> {
+    /// The calls in the order in which they get targets, each with its rank by time and urgency;
+    /// `work` returns the expected seconds of work of a call.
+    pub(crate) fn by_priority(
+        &self,
+        now: Instant,
+        work: impl Fn(&Job) -> f64,
+    ) -> Vec<((bool, u8), Call)> {
         let rank = |item: &&Item| {
             let timely = item.is_timely(now, work(&item.job));
             let end = item.arrived + item.job.objective;
-            (!timely, item.job.urgency, end, item.job.call)
+            ((!timely, item.job.urgency), end, item.job.call)
         };
-        let mut items: Vec<&Item> = self.items.iter().collect();
-        items.sort_by_cached_key(rank);
-        items.into_iter().map(|item| item.job.call).collect()
+        let mut ranks: Vec<_> = self.items.iter().map(|item| rank(&item)).collect();
+        ranks.sort_unstable();
+        ranks
+            .into_iter()
+            .map(|(rank, _, call)| (rank, call))
+            .collect()
     }
 
     /// Number of calls that get a target before a new call of `urgency` that can be answered in
--- /dev/null
+++ b/crates/core/src/place/spill/state.rs
@@ -0,0 +1,228 @@
+//! State of a placer on which spillover depends, and its place in a decision.
+
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use slotmap::SecondaryMap;
+
+use super::Change;
+use super::Fare;
+use super::Reason;
+use super::Scope;
+use super::Tally;
+use super::Terms;
+use super::Way;
+use super::room::Reported;
+use super::room::Rooms;
+use super::size::Sizes;
+use crate::balance::Call;
+use crate::balance::Job;
+use crate::estimate::number;
+use crate::map::Map;
+use crate::place::loss::Candidate;
+use crate::place::loss::Distance;
+use crate::place::placer::ASSUMED_WORK_S;
+use crate::place::placer::Choice;
+use crate::place::placer::Placer;
+use crate::target;
+use crate::target::Table;
+use crate::time::Instant;
+
+/// What a placer knows for spillover.
+#[derive(Debug, Default)]
+pub(crate) struct Spill {
+    pub(crate) terms: Terms,
+    pub(crate) sizes: Sizes,
+    pub(crate) tally: Tally,
+    rooms: Rooms,
+    /// Names of the data centres, by index.
+    centers: Vec<Box<str>>,
+    /// Index of the data centre of each target.
+    places: SecondaryMap<target::Key, usize>,
+    /// VMs by data centre.
+    vms: Map<Box<str>, usize>,
+}
+
+impl Spill {
+    /// Numbers the data centres of `targets`.
+    pub(crate) fn update(&mut self, targets: &Table) {
+        self.places.clear();
+        for (key, target) in targets.iter() {
+            let name = &target.spec.data_center;
+            let known = self.centers.iter().position(|center| center == name);
+            let index = known.unwrap_or_else(|| {
+                self.centers.push(name.clone());
+                self.centers.len() - 1
+            });
+            self.places.insert(key, index);
+        }
+    }
+
+    /// Number of VMs that may send calls to `center` from elsewhere.
+    fn senders(&self, center: usize) -> usize {
+        let name = self.centers.get(center);
+        let vms = self.vms.iter().filter(|(other, _)| name != Some(*other));
+        vms.map(|(_, count)| *count).sum()
+    }
+}
+
+impl Placer {
+    /// Sets how calls leave their data centre.
+    pub fn set_spill(&mut self, terms: Terms) {
+        self.spill.terms = terms;
+    }
+
+    /// Sets the number of VMs in each data centre, which divide the room in the others.
+    pub fn set_vms(&mut self, vms: Map<Box<str>, usize>) {
+        self.spill.vms = vms;
+    }
+
+    /// What left the data centre of this VM.
+    #[must_use]
+    pub fn spilled(&self) -> &Tally {
+        &self.spill.tally
+    }
+
+    /// Removes and returns where leaving began and ended since the last time.
+    pub fn take_spill_changes(&mut self, now: Instant) -> Vec<Change> {
+        self.spill.tally.take_changes(now)
+    }
+
+    /// Records the bytes that the exchange of `call` with `target` carried in both directions.
+    pub fn record_bytes(&mut self, call: Call, target: target::Key, bytes: u64) {
+        let Some(flight) = self.flights.get(&call) else {
+            return;
+        };
+        self.spill.sizes.add(flight.job.entry, number(bytes));
+        let mut attempts = flight.attempts.iter();
+        let attempt = attempts.find(|attempt| attempt.target == target);
+        if let Some((scope, reason)) = attempt.and_then(|attempt| attempt.leaving) {
+            self.spill.tally.add_bytes(scope, reason, bytes);
+        }
+    }
+
+    /// What `job` loses by its way to another data centre.
+    pub(in crate::place) fn fare(&self, job: &Job) -> Fare {
+        let bytes = self.spill.sizes.expected(job.entry, job.bytes.map(number));
+        self.spill.terms.fare(bytes, job.urgency)
+    }
+
+    /// Limits `candidates` in other data centres to what this VM may send there.
+    pub(in crate::place) fn bound_leaving(
+        &mut self,
+        now: Instant,
+        candidates: &mut [(target::Key, Candidate)],
+        rng: &mut SmallRng,
+    ) {
+        let way = self.spill.terms.way;
+        let bounded = matches!(way, Way::Shares | Way::Congestion);
+        if !bounded || self.spill.centers.len() < 2 {
+            return;
+        }
+        let (stats, places) = (&self.stats, &self.spill.places);
+        let away = |(key, candidate): &(target::Key, Candidate)| {
+            let center = *places.get(*key)?;
+            let stats = stats.get(*key)?;
+            let own = u64::try_from(stats.own_calls()).unwrap_or(u64::MAX);
+            let reported = Reported {
+                max_load: candidate.max_load,
+                load: candidate.load - 1.0,
+                own: number(own),
+                round_trip: candidate.round_trip,
+                age: stats.report_age(now),
+            };
+            (candidate.distance != Distance::Local).then_some((center, reported))
+        };
+        let away: Vec<(usize, Reported)> = candidates.iter().filter_map(away).collect();
+        let work = self.work.typical().unwrap_or(ASSUMED_WORK_S) * self.mean_slowdown;
+        let spill = &self.spill;
+        let mut rooms = spill.rooms.clone();
+        let phase = rng.random::<f64>();
+        rooms.update(
+            now,
+            away.into_iter(),
+            |center| spill.senders(center),
+            work,
+            phase,
+        );
+        self.spill.rooms = rooms;
+        for (key, candidate) in candidates {
+            let Some(center) = self.spill.places.get(*key) else {
+                continue;
+            };
+            if candidate.distance == Distance::Local {
+                continue;
+            }
+            if way == Way::Congestion {
+                candidate.price = self.spill.rooms.price(*center);
+            } else if !self.is_own(*key) {
+                candidate.leave = Some(*center);
+                candidate.may_leave = self.spill.rooms.credit(*center) >= 1.0;
+                candidate.unreported = self.spill.rooms.is_blind(*center);
+            }
+        }
+    }
+
+    /// Whether the target is assigned to this VM.
+    fn is_own(&self, key: target::Key) -> bool {
+        let own = self.own_targets.as_ref();
+        let target = self.targets.get(key);
+        target.is_some_and(|target| own.is_some_and(|own| own.contains(&target.spec.name)))
+    }
+
+    /// Records that `call` was sent to `choice`, and takes it from what this VM may send there.
+    pub(in crate::place) fn record_leaving(
+        &mut self,
+        now: Instant,
+        call: Call,
+        remaining: f64,
+        choice: &Choice,
+        candidates: &mut [(target::Key, Candidate)],
+    ) {
+        let scope = match choice.candidate.distance {
+            Distance::Local => return,
+            Distance::DataCenter => Scope::DataCenter,
+            Distance::Region => Scope::Region,
+        };
+        let flight = self.flights.get_mut(&call);
+        let mut attempts = flight.into_iter().flat_map(|flight| &mut flight.attempts);
+        let Some(attempt) = attempts.find(|attempt| attempt.target == choice.target) else {
+            return;
+        };
+        let reason = reason(remaining, attempt.work, candidates);
+        attempt.leaving = Some((scope, reason));
+        if let Some(center) = choice.candidate.leave {
+            self.spill.rooms.take(now, center);
+            let may_leave = self.spill.rooms.credit(center) >= 1.0;
+            let same = candidates.iter_mut();
+            for (_, candidate) in same.filter(|(_, other)| other.leave == Some(center)) {
+                candidate.may_leave = may_leave;
+            }
+        }
+        if let Some(target) = self.targets.get(choice.target) {
+            let name = &target.spec.data_center;
+            self.spill.tally.add_call(now, name, scope, reason);
+        }
+    }
+}
+
+/// Why a call leaves, by the local ones of `candidates`.
+fn reason(remaining: f64, work: f64, candidates: &[(target::Key, Candidate)]) -> Reason {
+    let local = |(_, candidate): &&(target::Key, Candidate)| candidate.distance == Distance::Local;
+    let mut open = candidates.iter().filter(local).peekable();
+    if open.peek().is_none() {
+        return Reason::NoneOpen;
+    }
+    let mut with_room = open
+        .filter(|(_, candidate)| candidate.has_room())
+        .peekable();
+    if with_room.peek().is_none() {
+        return Reason::Full;
+    }
+    let timely =
+        |(_, candidate): &(target::Key, Candidate)| candidate.expected_time(work) <= remaining;
+    if with_room.any(timely) {
+        Reason::Cheaper
+    } else {
+        Reason::Slow
+    }
+}
--- a/crates/core/src/read.rs
+++ b/crates/core/src/read.rs
@@ -215,9 +215,18 @@
         range: RangeInclusive<u32>,
         default: u64,
     ) -> Option<u64> {
-        let Some(value) = self.fields.remove(name) else {
-            return Some(default);
-        };
+        match self.fields.remove(name) {
+            Some(value) => self.thousandths_of(name, &value, &range),
+            None => Some(default),
+        }
+    }
+
+    fn thousandths_of(
+        &self,
+        name: &str,
+        value: &Value,
+        range: &RangeInclusive<u32>,
+    ) -> Option<u64> {
         let decimal = |thousandths: &u32| f64::from(*thousandths) / 1_000.0;
         let (first, last) = (decimal(range.start()), decimal(range.end()));
         match value.as_f64() {
@@ -231,6 +240,33 @@
         }
     }
 
+    /// Reads an object whose names are ranks from 0 to 255 and whose values are numbers in `range`,
+    /// which counts thousandths. A missing field is an empty object.
+    pub fn ranked_thousandths(&mut self, name: &str, range: RangeInclusive<u32>) -> Vec<(u8, u64)> {
+        let mut numbers = Vec::new();
+        match self.fields.remove(name) {
+            Some(Value::Object(fields)) => {
+                for (key, value) in fields {
+                    let path = format!("{name}.{key}");
+                    match key
+                        .parse::<u8>()
+                        .ok()
+                        .filter(|rank| rank.to_string() == key)
+                    {
+                        Some(rank) => {
+                            let number = self.thousandths_of(&path, &value, &range);
+                            numbers.extend(number.map(|number| (rank, number)));
+                        }
+                        None => self.add_fault(&path, "must be named by an integer from 0 to 255"),
+                    }
+                }
+            }
+            Some(_) => self.add_fault(name, "must be a JSON object"),
+            None => {}
+        }
+        numbers
+    }
+
     /// Reads an object whose values are texts, in the order of its names. A missing field is an
     /// empty object.
     pub fn named_texts(&mut self, name: &str) -> Vec<(Box<str>, Box<str>)> {
--- a/crates/core/src/settings/hosting.rs
+++ b/crates/core/src/settings/hosting.rs
@@ -1,11 +1,13 @@
 //! The `hosting` section of the settings, for a fleet that a platform hosts.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use serde_json::Map;
 use serde_json::Value;
 use serde_json::json;
 
+use crate::place::spill::Prices;
 use crate::read::Reader;
 use crate::time::Span;
 
@@ -28,6 +30,8 @@
         pub link_kbps: u64,
         /// Regions of the data centres that targets may name.
         pub regions: Vec<Region>,
+        /// Costs of bytes between data centres and regions, and the worths of answers.
+        pub prices: Prices,
     }
 
     /// Bound on the repeated requests to a service, over all VMs together: in each window at most
@@ -60,6 +64,12 @@
 /// slot transfers about half a Mbit/s.
 const SLOTS_PER_MBPS: u64 = 2;
 
+/// Cost of a gigabyte in thousandths of the worth of an answer; at the upper end a byte costs a
+/// thousandth of an answer.
+const GB_RANGE: RangeInclusive<u32> = 0..=1_000_000_000;
+/// Worth of an answer in thousandths of a plain one. An answer without a worth would not be sent.
+const WORTH_RANGE: RangeInclusive<u32> = 1..=1_000_000;
+
 /// Reads the fields of the section.
 pub(super) fn read(reader: &mut Reader) -> Option<Hosting> {
     let ready = reader.listen_address("ready");
@@ -70,6 +80,7 @@
     let cores = reader.thousandths("cores", 1..=1_024_000, 200);
     let link = reader.thousandths("link_mbps", 1..=4_000_000_000, 1_000_000);
     let regions = reader.named_texts("regions");
+    let prices = prices(reader);
     let region = |(data_center, name)| Region { data_center, name };
     Some(Hosting {
         ready: ready?,
@@ -80,6 +91,19 @@
         cores_thousandths: cores?,
         link_kbps: link?,
         regions: regions.into_iter().map(region).collect(),
+        prices: prices?,
+    })
+}
+
+fn prices(reader: &mut Reader) -> Option<Prices> {
+    let default = Prices::default();
+    let data_center_gb = reader.thousandths("data_center_gb", GB_RANGE, default.data_center_gb);
+    let region_gb = reader.thousandths("region_gb", GB_RANGE, default.region_gb);
+    let worths = reader.ranked_thousandths("worths", WORTH_RANGE);
+    Some(Prices {
+        data_center_gb: data_center_gb?,
+        region_gb: region_gb?,
+        worths,
     })
 }
 
@@ -116,6 +140,8 @@
 
     pub(super) fn to_json(&self) -> Value {
         let region = |region: &Region| (String::from(&*region.data_center), json!(region.name));
+        let worth = |(rank, worth): &(u8, u64)| (rank.to_string(), json!(decimal(*worth)));
+        let worths: Map<String, Value> = self.prices.worths.iter().map(worth).collect();
         let regions: Map<String, Value> = self.regions.iter().map(region).collect();
         json!({
             "ready": self.ready.to_string(),
@@ -131,6 +157,9 @@
             "cores": decimal(self.cores_thousandths),
             "link_mbps": decimal(self.link_kbps),
             "regions": regions,
+            "data_center_gb": decimal(self.prices.data_center_gb),
+            "region_gb": decimal(self.prices.region_gb),
+            "worths": worths,
         })
     }
 }
--- a/crates/core/tests/placer.rs
+++ b/crates/core/tests/placer.rs
@@ -9,6 +9,8 @@
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::place::Limits;
 use oriolecleat_core::place::Placer;
+use oriolecleat_core::place::spill::Prices;
+use oriolecleat_core::place::spill::Terms;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::target::Standing;
@@ -179,6 +181,16 @@
 fn urgent_calls_leave_a_slow_region() {
     for case in CASES {
         let mut bench = Bench::new(&["r", "far"]);
+        // A call of 4 kB costs 0.7 of a plain answer there, and 0.07 of an urgent one.
+        let prices = Prices {
+            region_gb: 175_000_000,
+            worths: vec![(0, 10_000), (1, 10_000)],
+            ..Prices::default()
+        };
+        bench.placer.set_spill(Terms {
+            prices,
+            ..Terms::default()
+        });
         let now = Instant::from_micros(1_000_000);
         bench.report(now, 0, 0, case.slowdown_percent);
         bench.report(now, 1, 0, 100);
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -21,7 +21,8 @@
         "platform": {"configuration": "192.0.2.9:1", "vm_list": "192.0.2.9:2"},
         "seeds": ["192.0.2.1:3"],
         "view": {}, "stop": {}, "http": {}, "evidence": {},
-        "hosting": {"ready": "192.0.2.1:5", "repeats": {}, "regions": {"cai-1": "cai"}},
+        "hosting": {"ready": "192.0.2.1:5", "repeats": {}, "regions": {"cai-1": "cai"},
+                    "worths": {"0": 2}},
     })
 }
 
