Model data centres within regions and the loads of spillover

The model knew regions only, so no run showed what a full, slow or lost data centre beside a free one does to callers.

--- a/crates/bench/src/model/hosted/load.rs
+++ b/crates/bench/src/model/hosted/load.rs
@@ -28,6 +28,8 @@
     pub share: f64,
     /// Further tries after a refusal, and after a failure if the calls may run twice.
     pub retries: u8,
+    /// Bytes of a request and its answer.
+    pub bytes: u64,
 }
 
 /// What goes wrong with a target.
@@ -56,6 +58,19 @@
     pub every: usize,
     /// The defect.
     pub defect: Defect,
+    /// Indices of the targets that have it; all if none.
+    pub only: Option<(usize, usize)>,
+}
+
+/// Trouble on the way between data centres.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Link {
+    /// Share of the messages that are sent again after `resend_us`.
+    pub loss: f64,
+    /// Microseconds until a lost message is sent again.
+    pub resend_us: u64,
+    /// Reports from another data centre are this old at most, and not renewed before.
+    pub stale_us: u64,
 }
 
 /// Calls above or below the usual rate for some time.
@@ -82,6 +97,10 @@
     pub bursts: Vec<Burst>,
     /// Faults of targets.
     pub faults: Vec<Fault>,
+    /// Share of the calls from each region; equal ones if empty.
+    pub weights: Vec<f64>,
+    /// The way between data centres.
+    pub link: Link,
     /// Calls that arrive earlier do not count, in microseconds.
     pub warm_up_us: u64,
     /// Length in microseconds.
@@ -101,6 +120,14 @@
     pub work_us: f64,
 }
 
+impl Fault {
+    /// Whether `target` has the defect.
+    pub(super) fn hits(&self, target: usize) -> bool {
+        let within = |(first, end): (usize, usize)| (first..end).contains(&target);
+        target.is_multiple_of(self.every) && self.only.is_none_or(within)
+    }
+}
+
 impl Stream {
     /// Calls that must not run twice, with `work_ms` of work, an objective of two and a half times
     /// and a patience of twenty-five times the work.
@@ -117,6 +144,7 @@
             value: 1.0,
             share: 1.0,
             retries: 0,
+            bytes: 5_000,
         }
     }
 }
@@ -131,6 +159,8 @@
             streams: vec![Stream::new(60)],
             bursts: Vec::new(),
             faults: Vec::new(),
+            weights: Vec::new(),
+            link: Link::default(),
             warm_up_us: 2_000_000,
             end_us: 22_000_000,
         }
@@ -155,10 +185,51 @@
             to_us,
             every,
             defect,
+            only: None,
         });
         self
     }
 
+    /// The same load while the targets with an index from `only.0` to below `only.1` have a defect.
+    #[must_use]
+    pub fn with_center_fault(
+        mut self,
+        from_us: u64,
+        to_us: u64,
+        only: (usize, usize),
+        defect: Defect,
+    ) -> Self {
+        self.faults.push(Fault {
+            from_us,
+            to_us,
+            every: 1,
+            defect,
+            only: Some(only),
+        });
+        self
+    }
+
+    /// The same load with shares of the calls from each region.
+    #[must_use]
+    pub fn with_weights(mut self, weights: &[f64]) -> Self {
+        self.weights = weights.to_vec();
+        self
+    }
+
+    /// Draws the region of a caller.
+    fn region(&self, site: &Site, rng: &mut SmallRng) -> usize {
+        if self.weights.is_empty() {
+            return rng.random_range(0..site.regions());
+        }
+        let mut draw = rng.random::<f64>() * self.weights.iter().sum::<f64>();
+        let below = |weight: &f64| {
+            draw -= weight;
+            draw < 0.0
+        };
+        let found = self.weights.iter().position(below);
+        found.unwrap_or(self.weights.len() - 1)
+    }
+
     /// The same load with other streams.
     #[must_use]
     pub fn with_streams(mut self, streams: Vec<Stream>) -> Self {
@@ -175,9 +246,8 @@
 
     /// Defects of `target` at `now`.
     pub(super) fn defects(&self, now: u64, target: usize) -> impl Iterator<Item = Defect> {
-        let active = move |fault: &&Fault| {
-            (fault.from_us..fault.to_us).contains(&now) && target.is_multiple_of(fault.every)
-        };
+        let active =
+            move |fault: &&Fault| (fault.from_us..fault.to_us).contains(&now) && fault.hits(target);
         self.faults.iter().filter(active).map(|fault| fault.defect)
     }
 
@@ -200,7 +270,7 @@
                 calls.push(Call {
                     at: microseconds(at),
                     stream,
-                    region: rng.random_range(0..site.regions()),
+                    region: self.region(site, &mut rng),
                     work_us: properties.work_us * spread(&mut rng),
                 });
             }
--- a/crates/bench/src/model/hosted/mod.rs
+++ b/crates/bench/src/model/hosted/mod.rs
@@ -10,6 +10,7 @@
 pub mod run;
 pub mod scenario;
 pub mod site;
+pub mod spillover;
 pub mod summary;
 mod target;
 mod vm;
--- a/crates/bench/src/model/hosted/perfect.rs
+++ b/crates/bench/src/model/hosted/perfect.rs
@@ -6,6 +6,7 @@
 
 use super::load::Defect;
 use super::load::float;
+use super::policy::Policy;
 use super::run::Model;
 
 /// Tries that wait.
@@ -77,11 +78,18 @@
             } else {
                 1.0
             };
-            work_us * found.noise(now) * slow.product::<f64>() * congestion
+            let way_us = match self.policy {
+                Policy::Global => self.site.round_trip(self.tries[tried].vm, target),
+                _ => 0,
+            };
+            let way_us = seconds(Span::from_micros(way_us)) * 1e6;
+            way_us
+                + work_us * found.noise(now) * slow.product::<f64>() * congestion
                 + float(counts[target]) * 1e-3
         };
         let open = |target: &usize| {
-            self.site.targets[*target].0 == region
+            let near = self.site.targets[*target].0 == region;
+            (near || self.policy == Policy::Global)
                 && counts[*target] < self.targets[*target].slots()
         };
         let open = (0..self.targets.len()).filter(open);
--- a/crates/bench/src/model/hosted/policy.rs
+++ b/crates/bench/src/model/hosted/policy.rs
@@ -10,6 +10,8 @@
     /// A central queue in each region that knows the state of every target at this moment, which no
     /// VM can.
     Perfect,
+    /// The same over the targets of all regions.
+    Global,
 }
 
 impl Policy {
@@ -20,6 +22,7 @@
             Self::Product => "product",
             Self::Fewest => "fewest",
             Self::Perfect => "perfect",
+            Self::Global => "global",
         }
     }
 }
--- a/crates/bench/src/model/hosted/run.rs
+++ b/crates/bench/src/model/hosted/run.rs
@@ -11,6 +11,7 @@
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::estimate::Report;
 use oriolecleat_core::target::Key;
+use oriolecleat_core::target::Standing;
 use oriolecleat_core::time::Instant;
 use oriolecleat_core::time::Span;
 use rand::RngExt;
@@ -58,6 +59,8 @@
     Tick(usize),
     /// A target goes down.
     Down(usize),
+    /// A target that was lost is known to be back.
+    Back(usize),
 }
 
 /// Result of an attempt.
@@ -110,6 +113,8 @@
     summary: Summary,
     /// Reports on their way from probed targets to VMs.
     probed: Vec<Vec<Option<Report>>>,
+    /// Reports that other data centres see, with their time.
+    old_reports: Vec<Option<(u64, Report)>>,
     rng: SmallRng,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     next: u64,
@@ -150,6 +155,7 @@
             policy,
             calls,
             probed: vec![vec![None; targets.len()]; site.vms.len()],
+            old_reports: vec![None; targets.len()],
             targets,
             tries: Vec::new(),
             attempts: Vec::new(),
@@ -174,7 +180,10 @@
             let Defect::Flaps(period) = fault.defect else {
                 continue;
             };
-            for target in (0..self.targets.len()).step_by(fault.every) {
+            for target in (0..self.targets.len()).filter(|target| fault.hits(*target)) {
+                if fault.only.is_some() {
+                    self.schedule(fault.to_us, Event::Back(target));
+                }
                 let mut at = fault.from_us;
                 while at < fault.to_us {
                     self.schedule(at, Event::Down(target));
@@ -191,7 +200,7 @@
             let Defect::Flaps(period) = fault.defect else {
                 return false;
             };
-            target.is_multiple_of(fault.every)
+            fault.hits(target)
                 && (fault.from_us..fault.to_us).contains(&now)
                 && ((now - fault.from_us) / period).is_multiple_of(2)
         })
@@ -241,8 +250,8 @@
             Event::Close(attempt) => self.release(now, attempt),
             Event::Probe(vm, target) => {
                 let up = !self.is_down(now, target);
-                self.probed[vm][target] = up.then(|| self.targets[target].report(now));
-                let back = self.site.round_trip(vm, target) / 2;
+                self.probed[vm][target] = up.then(|| self.report(now, vm, target));
+                let back = self.one_way(vm, target);
                 self.schedule(now + back, Event::Probed(vm, target));
             }
             Event::Probed(vm, target) => {
@@ -258,6 +267,12 @@
             Event::Leave(tried) => self.leave(now, tried),
             Event::Tick(vm) => self.tick(now, vm),
             Event::Down(target) => self.take_down(now, target),
+            Event::Back(target) => {
+                for vm in &mut self.vms {
+                    let key = vm.keys[target];
+                    vm.placer.set_standing(key, Standing::Open);
+                }
+            }
         }
     }
 
@@ -282,7 +297,7 @@
                     .min_by_key(|index| (self.vms[vm].in_flight[*index], (*index * 7 + call) % 13));
                 self.send(now, tried, fewest.unwrap_or(0));
             }
-            Policy::Perfect => {
+            Policy::Perfect | Policy::Global => {
                 self.queues.push(tried);
                 self.dispatch_perfect(now);
             }
@@ -387,7 +402,7 @@
             Action::Probe { target } => {
                 let target = index(target);
                 self.summary.probes += 1;
-                let way = self.site.round_trip(vm, target) / 2;
+                let way = self.one_way(vm, target);
                 self.schedule(now + way, Event::Probe(vm, target));
             }
             Action::Refuse { call, .. } => {
@@ -421,10 +436,37 @@
             outcome: Outcome::Pending,
             report: None,
         });
-        let way = self.site.round_trip(vm, target) / 2;
+        self.summary
+            .count_way(self.site, vm, target, self.stream(tried).bytes);
+        let way = self.one_way(vm, target);
         self.schedule(now + way, Event::Reach(self.attempts.len() - 1));
     }
 
+    /// Microseconds of a message between `vm` and `target`.
+    fn one_way(&mut self, vm: usize, target: usize) -> u64 {
+        let way = self.site.round_trip(vm, target) / 2;
+        let link = self.load.link;
+        let between = self.site.vm_center(vm) != self.site.target_center(target);
+        let lost = between && link.loss > 0.0 && self.rng.random::<f64>() < link.loss;
+        way + if lost { link.resend_us } else { 0 }
+    }
+
+    /// The report of `target` that reaches `vm`.
+    fn report(&mut self, now: u64, vm: usize, target: usize) -> Report {
+        let between = self.site.vm_center(vm) != self.site.target_center(target);
+        if !between || self.load.link.stale_us == 0 {
+            return self.targets[target].report(now);
+        }
+        match self.old_reports[target] {
+            Some((at, report)) if now - at < self.load.link.stale_us => report,
+            _ => {
+                let report = self.targets[target].report(now);
+                self.old_reports[target] = Some((now, report));
+                report
+            }
+        }
+    }
+
     fn reach(&mut self, now: u64, attempt: usize) {
         let Attempt { target, open, .. } = self.attempts[attempt];
         if !open {
@@ -483,7 +525,7 @@
         if let Some(next) = self.targets[target].release(attempt) {
             self.start(now, next);
         }
-        if self.policy == Policy::Perfect {
+        if matches!(self.policy, Policy::Perfect | Policy::Global) {
             self.dispatch_perfect(now);
         }
     }
@@ -498,8 +540,9 @@
         let Attempt { target, parent, .. } = self.attempts[attempt];
         let told = matches!(outcome, Outcome::Good | Outcome::Shed | Outcome::Error);
         self.attempts[attempt].outcome = outcome;
-        self.attempts[attempt].report = told.then(|| self.targets[target].report(now));
-        let way = self.site.round_trip(self.tries[parent].vm, target) / 2;
+        let vm = self.tries[parent].vm;
+        self.attempts[attempt].report = told.then(|| self.report(now, vm, target));
+        let way = self.one_way(vm, target);
         self.schedule(now + way, Event::Reply(attempt));
     }
 
@@ -540,14 +583,17 @@
             let may = !shed || self.vms[vm].budget.take(time);
             let call = CallId(u64::try_from(parent).unwrap_or(u64::MAX));
             let is_down = outcome == Outcome::Refused;
+            let bytes = (outcome == Outcome::Good).then_some(self.stream(parent).bytes);
             self.with_vm(now, vm, |vm, rng| {
                 let key = vm.keys[target];
                 if let Some(report) = report {
                     vm.placer.record_report(time, key, report);
                 }
                 if is_down {
-                    vm.placer
-                        .set_standing(key, oriolecleat_core::target::Standing::Leaving);
+                    vm.placer.set_standing(key, Standing::Leaving);
+                }
+                if let Some(bytes) = bytes {
+                    vm.placer.record_bytes(call, key, bytes);
                 }
                 let out = &mut vm.actions;
                 progress = vm.placer.finish(time, call, key, ending, rng, out);
--- a/crates/bench/src/model/hosted/site.rs
+++ b/crates/bench/src/model/hosted/site.rs
@@ -1,6 +1,9 @@
 //! VMs, targets and the delays between them.
 
 use oriolecleat_core::entry;
+use oriolecleat_core::map::Map;
+use oriolecleat_core::place::spill::Terms;
+use oriolecleat_core::place::spill::Way;
 use oriolecleat_core::target::Place;
 
 /// What a target does with a request for which it has neither a slot nor a place in its queue.
@@ -64,6 +67,32 @@
     pub near_us: u64,
     /// Microseconds to a target in another region and back.
     pub far_us: u64,
+    /// Data centres, if regions have several; else each region is one.
+    pub centers: Option<Centers>,
+    /// How calls leave their data centre.
+    pub terms: Terms,
+}
+
+/// The data centres of VMs and targets.
+#[derive(Clone, Debug)]
+pub struct Centers {
+    /// Data centre of each VM.
+    pub vms: Vec<usize>,
+    /// Data centre of each target.
+    pub targets: Vec<usize>,
+    /// Microseconds to a target in another data centre of the region and back.
+    pub between_us: u64,
+}
+
+/// Size of a data centre.
+#[derive(Clone, Copy, Debug)]
+pub struct Center {
+    /// Region.
+    pub region: usize,
+    /// VMs.
+    pub vms: usize,
+    /// Targets.
+    pub targets: usize,
 }
 
 impl Kind {
@@ -123,7 +152,67 @@
             targets: targets.collect(),
             near_us: 600,
             far_us: 40_000,
+            centers: None,
+            terms: Terms::default(),
+        }
+    }
+
+    /// Data centres with targets of one kind. The targets of a data centre have consecutive indices.
+    #[must_use]
+    pub fn with_centers(centers: &[Center], kind: Kind) -> Self {
+        let mut site = Self::new(0, 0, 0, kind);
+        let mut places = Centers {
+            vms: Vec::new(),
+            targets: Vec::new(),
+            between_us: 1_800,
+        };
+        for (index, center) in centers.iter().enumerate() {
+            let vm = Vm {
+                region: center.region,
+                cores: f64::INFINITY,
+            };
+            site.vms.extend(std::iter::repeat_n(vm, center.vms));
+            let target = (center.region, kind);
+            site.targets
+                .extend(std::iter::repeat_n(target, center.targets));
+            places.vms.extend(std::iter::repeat_n(index, center.vms));
+            places
+                .targets
+                .extend(std::iter::repeat_n(index, center.targets));
+        }
+        site.centers = Some(places);
+        site
+    }
+
+    /// The same site where calls leave their data centre by `way`.
+    #[must_use]
+    pub fn with_way(mut self, way: Way) -> Self {
+        self.terms.way = way;
+        self
+    }
+
+    /// Data centre of a VM.
+    #[must_use]
+    pub fn vm_center(&self, vm: usize) -> usize {
+        let centers = self.centers.as_ref();
+        centers.map_or(self.vms[vm].region, |centers| centers.vms[vm])
+    }
+
+    /// Data centre of a target.
+    #[must_use]
+    pub fn target_center(&self, target: usize) -> usize {
+        let centers = self.centers.as_ref();
+        centers.map_or(self.targets[target].0, |centers| centers.targets[target])
+    }
+
+    /// VMs by data centre.
+    #[must_use]
+    pub fn vm_counts(&self) -> Map<Box<str>, usize> {
+        let mut counts = Map::default();
+        for vm in 0..self.vms.len() {
+            *counts.entry(center(self.vm_center(vm))).or_default() += 1;
         }
+        counts
     }
 
     /// The same site with VMs that have `cores` of a processor core each.
@@ -149,10 +238,12 @@
     /// Microseconds from `vm` to `target` and back.
     #[must_use]
     pub fn round_trip(&self, vm: usize, target: usize) -> u64 {
-        if self.vms[vm].region == self.targets[target].0 {
-            self.near_us
-        } else {
-            self.far_us
+        if self.vms[vm].region != self.targets[target].0 {
+            return self.far_us;
+        }
+        match &self.centers {
+            Some(centers) if centers.vms[vm] != centers.targets[target] => centers.between_us,
+            _ => self.near_us,
         }
     }
 
@@ -161,7 +252,7 @@
     pub fn place(&self, vm: usize) -> Place {
         Place {
             region: region(self.vms[vm].region),
-            data_center: center(self.vms[vm].region),
+            data_center: center(self.vm_center(vm)),
         }
     }
 
@@ -175,7 +266,7 @@
                 address: ([10, 0, high, low], 80).into(),
                 vm: name(index),
                 region: region(*place),
-                data_center: center(*place),
+                data_center: center(self.target_center(index)),
                 slots: u64::try_from(kind.slots).unwrap_or(u64::MAX),
                 incarnation: 0,
             }
--- a/crates/bench/src/model/hosted/summary.rs
+++ b/crates/bench/src/model/hosted/summary.rs
@@ -1,8 +1,11 @@
 //! Results of a run.
 
+use oriolecleat_core::place::spill::Prices;
+
 use super::load::Call;
 use super::load::Load;
 use super::load::float;
+use super::site::Site;
 
 /// Length of a window in microseconds.
 const WINDOW_US: u64 = 2_000_000;
@@ -58,6 +61,10 @@
     pub probes: u64,
     /// Tries that were refused.
     pub refusals: u64,
+    /// Requests to another data centre of the region, and their bytes with the answers.
+    pub to_center: (u64, u64),
+    /// Requests to another region, and their bytes with the answers.
+    pub to_region: (u64, u64),
 }
 
 impl Count {
@@ -123,6 +130,32 @@
         }
     }
 
+    /// Counts a request from `vm` to `target`.
+    pub(super) fn count_way(&mut self, site: &Site, vm: usize, target: usize, bytes: u64) {
+        let count = if site.vms[vm].region != site.targets[target].0 {
+            &mut self.to_region
+        } else if site.vm_center(vm) != site.target_center(target) {
+            &mut self.to_center
+        } else {
+            return;
+        };
+        count.0 += 1;
+        count.1 += bytes;
+    }
+
+    /// Value of the answers less the cost of the bytes that left a data centre, as a share of what
+    /// was owed. The cost counts all sends, those of the warm-up included.
+    #[must_use]
+    pub fn net(&self, prices: &Prices) -> f64 {
+        let cost = |per_gb: u64, bytes: u64| {
+            let number = |value: u64| f64::from(u32::try_from(value).unwrap_or(u32::MAX));
+            number(per_gb) * number(bytes / 1_000) / 1e9
+        };
+        let cost = cost(prices.data_center_gb, self.to_center.1)
+            + cost(prices.region_gb, self.to_region.1);
+        (self.all.earned - cost) / self.all.owed.max(f64::MIN_POSITIVE)
+    }
+
     /// Mean share of the value that the two worst windows earned.
     #[must_use]
     pub fn worst_windows(&self) -> f64 {
--- a/crates/bench/src/model/hosted/vm.rs
+++ b/crates/bench/src/model/hosted/vm.rs
@@ -61,6 +61,8 @@
         }
         let own = site.own_targets(index).into_iter().map(name);
         placer.set_own_targets(Some(own.collect()));
+        placer.set_spill(site.terms.clone());
+        placer.set_vms(site.vm_counts());
         let ceiling = u64::try_from(site.vms.len()).unwrap_or(1);
         let bound = Repeats {
             ratio_thousandths: 200,
