Show operators which calls leave their data centre, and why

Operators could not see spillover. The calls and bytes that left are counted by distance and reason (spill.*), and one line tells when leaving for a data centre begins and when no call left for 10 s. Prices are reloaded, and the VMs known divide the room.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -180,7 +180,9 @@
         let mut node = self.node.borrow_mut();
         let now = node.clock.now();
         if let Some(found) = node.services.get_mut(self.service) {
-            found.balancer.record_bytes(now, self.target, bytes);
+            found
+                .balancer
+                .record_bytes(now, self.call, self.target, bytes);
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -42,6 +42,7 @@
 mod service;
 mod signals;
 mod socket;
+mod spill;
 mod start;
 mod stated;
 mod stream;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -69,6 +69,38 @@
         CatalogueBytes,
         /// Answers in which a target states something of itself that cannot be read.
         UnreadableStatements,
+        /// Calls sent to another data centre of the region because no local target had room.
+        SpillDataCenterFullCalls,
+        /// Bytes sent to another data centre of the region because no local target had room.
+        SpillDataCenterFullBytes,
+        /// Calls sent to another data centre of the region because local targets were too slow.
+        SpillDataCenterSlowCalls,
+        /// Bytes sent to another data centre of the region because local targets were too slow.
+        SpillDataCenterSlowBytes,
+        /// Calls sent to another data centre of the region because no local target took new work.
+        SpillDataCenterNoneOpenCalls,
+        /// Bytes sent to another data centre of the region because no local target took new work.
+        SpillDataCenterNoneOpenBytes,
+        /// Calls sent to another data centre of the region because the loss was smaller there.
+        SpillDataCenterCheaperCalls,
+        /// Bytes sent to another data centre of the region because the loss was smaller there.
+        SpillDataCenterCheaperBytes,
+        /// Calls sent to another region because no local target had room.
+        SpillRegionFullCalls,
+        /// Bytes sent to another region because no local target had room.
+        SpillRegionFullBytes,
+        /// Calls sent to another region because local targets were too slow.
+        SpillRegionSlowCalls,
+        /// Bytes sent to another region because local targets were too slow.
+        SpillRegionSlowBytes,
+        /// Calls sent to another region because no local target took new work.
+        SpillRegionNoneOpenCalls,
+        /// Bytes sent to another region because no local target took new work.
+        SpillRegionNoneOpenBytes,
+        /// Calls sent to another region because the loss was smaller there.
+        SpillRegionCheaperCalls,
+        /// Bytes sent to another region because the loss was smaller there.
+        SpillRegionCheaperBytes,
     }
 
     /// What is gauged; each name in docs/metrics.md.
@@ -95,7 +127,7 @@
 }
 
 /// All counts in the order of their declaration.
-pub const COUNTS: [Count; 21] = [
+pub const COUNTS: [Count; 37] = [
     Count::Calls,
     Count::Ran,
     Count::NotRun,
@@ -117,6 +149,22 @@
     Count::PeerSlowWrites,
     Count::CatalogueBytes,
     Count::UnreadableStatements,
+    Count::SpillDataCenterFullCalls,
+    Count::SpillDataCenterFullBytes,
+    Count::SpillDataCenterSlowCalls,
+    Count::SpillDataCenterSlowBytes,
+    Count::SpillDataCenterNoneOpenCalls,
+    Count::SpillDataCenterNoneOpenBytes,
+    Count::SpillDataCenterCheaperCalls,
+    Count::SpillDataCenterCheaperBytes,
+    Count::SpillRegionFullCalls,
+    Count::SpillRegionFullBytes,
+    Count::SpillRegionSlowCalls,
+    Count::SpillRegionSlowBytes,
+    Count::SpillRegionNoneOpenCalls,
+    Count::SpillRegionNoneOpenBytes,
+    Count::SpillRegionCheaperCalls,
+    Count::SpillRegionCheaperBytes,
 ];
 
 /// All gauges in the order of their declaration.
@@ -158,6 +206,22 @@
             Self::PeerSlowWrites => "peer.slow_writes",
             Self::CatalogueBytes => "catalogue.bytes",
             Self::UnreadableStatements => "targets.unreadable",
+            Self::SpillDataCenterFullCalls => "spill.data_center.full.calls",
+            Self::SpillDataCenterFullBytes => "spill.data_center.full.bytes",
+            Self::SpillDataCenterSlowCalls => "spill.data_center.slow.calls",
+            Self::SpillDataCenterSlowBytes => "spill.data_center.slow.bytes",
+            Self::SpillDataCenterNoneOpenCalls => "spill.data_center.none_open.calls",
+            Self::SpillDataCenterNoneOpenBytes => "spill.data_center.none_open.bytes",
+            Self::SpillDataCenterCheaperCalls => "spill.data_center.cheaper.calls",
+            Self::SpillDataCenterCheaperBytes => "spill.data_center.cheaper.bytes",
+            Self::SpillRegionFullCalls => "spill.region.full.calls",
+            Self::SpillRegionFullBytes => "spill.region.full.bytes",
+            Self::SpillRegionSlowCalls => "spill.region.slow.calls",
+            Self::SpillRegionSlowBytes => "spill.region.slow.bytes",
+            Self::SpillRegionNoneOpenCalls => "spill.region.none_open.calls",
+            Self::SpillRegionNoneOpenBytes => "spill.region.none_open.bytes",
+            Self::SpillRegionCheaperCalls => "spill.region.cheaper.calls",
+            Self::SpillRegionCheaperBytes => "spill.region.cheaper.bytes",
         }
     }
 }
--- a/crates/daemon/src/policy.rs
+++ b/crates/daemon/src/policy.rs
@@ -15,6 +15,9 @@
 use oriolecleat_core::place;
 use oriolecleat_core::place::Estimate;
 use oriolecleat_core::place::Placer;
+use oriolecleat_core::place::spill;
+use oriolecleat_core::place::spill::Tally;
+use oriolecleat_core::place::spill::Terms;
 use oriolecleat_core::stated::Change;
 use oriolecleat_core::stated::Statement;
 use oriolecleat_core::target;
@@ -103,6 +106,33 @@
         }
     }
 
+    /// Sets how calls leave their data centre, and the VMs by data centre.
+    pub(crate) fn set_spill(&mut self, terms: Terms, vms: Map<Box<str>, usize>) {
+        match self {
+            Self::Own(_) => {}
+            Self::Hosted(placer) => {
+                placer.set_spill(terms);
+                placer.set_vms(vms);
+            }
+        }
+    }
+
+    /// Removes and returns where leaving the data centre began and ended.
+    pub(crate) fn take_spill_changes(&mut self, now: Instant) -> Vec<spill::Change> {
+        match self {
+            Self::Own(_) => Vec::new(),
+            Self::Hosted(placer) => placer.take_spill_changes(now),
+        }
+    }
+
+    /// What left the data centre; none for the product's own targets.
+    pub(crate) fn spilled(&self) -> Option<&Tally> {
+        match self {
+            Self::Own(_) => None,
+            Self::Hosted(placer) => Some(placer.spilled()),
+        }
+    }
+
     pub(crate) fn targets(&self) -> &Table {
         match self {
             Self::Own(balancer) => balancer.targets(),
@@ -227,11 +257,17 @@
         }
     }
 
-    /// Counts the bytes that an exchange with `target` carried.
-    pub(crate) fn record_bytes(&mut self, now: Instant, target: target::Key, bytes: u64) {
+    /// Counts the bytes that the exchange of `call` with `target` carried.
+    pub(crate) fn record_bytes(
+        &mut self,
+        now: Instant,
+        call: Call,
+        target: target::Key,
+        bytes: u64,
+    ) {
         match self {
             Self::Own(balancer) => balancer.charge_exchange(now, target, bytes),
-            Self::Hosted(_) => {}
+            Self::Hosted(placer) => placer.record_bytes(call, target, bytes),
         }
     }
 
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -55,6 +55,7 @@
             own.grace = new.grace;
             own.named = new.named;
             own.regions.clone_from(&new.regions);
+            own.prices.clone_from(&new.prices);
         }
         let changed = next != self.settings;
         if next != *settings {
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -33,6 +33,7 @@
             let mut node = node.borrow_mut();
             let gauges = gauges(&node);
             count_bytes(&mut node);
+            node.update_spill();
             node.metrics.report(&gauges);
         }
         tokio::select! {
