--- a/crates/bench/src/model/hosted/run.rs
+++ b/crates/bench/src/model/hosted/run.rs
@@ -10,6 +10,7 @@
 use oriolecleat_core::balance::Progress;
 use oriolecleat_core::entry::Class;
 use oriolecleat_core::estimate::Report;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::target::Key;
 use oriolecleat_core::target::Standing;
 use oriolecleat_core::time::Instant;
@@ -110,6 +111,8 @@
     /// Tries of each call so far, and whether it ended.
     state: Vec<(u8, bool)>,
     vms: Vec<Vm>,
+    /// The VMs that callers of each region are sent to, each with its weight.
+    senders: Vec<Vec<(usize, u64)>>,
     summary: Summary,
     /// Reports on their way from probed targets to VMs.
     probed: Vec<Vec<Option<Report>>>,
@@ -162,6 +165,9 @@
             queues: Queues::default(),
             state: vec![(0, false); calls.len()],
             vms: vms.collect(),
+            senders: (0..site.regions())
+                .map(|region| site.senders(region))
+                .collect(),
             summary: Summary::new(load),
             rng: SmallRng::seed_from_u64(seed + 13),
             events: BinaryHeap::new(),
@@ -214,9 +220,15 @@
     fn begin(&mut self, at: u64, call: usize) {
         let details = &self.calls[call];
         let stream = &self.load.streams[details.stream];
-        let near = |index: &usize| self.site.vms[*index].region == details.region;
-        let near: Vec<usize> = (0..self.site.vms.len()).filter(near).collect();
-        let vm = near[self.rng.random_range(0..near.len())];
+        let senders = &self.senders[details.region];
+        let total: u64 = senders.iter().map(|(_, weight)| *weight).sum();
+        let mut draw = self.rng.random_range(0..total);
+        let drawn = senders.iter().find(|(_, weight)| {
+            let found = draw < *weight;
+            draw = draw.saturating_sub(*weight);
+            found
+        });
+        let vm = drawn.map_or(0, |(vm, _)| *vm);
         let deadline = (at + stream.timeout_us).min(details.at + stream.patience_us);
         self.state[call].0 += 1;
         self.tries.push(Try {
@@ -228,7 +240,8 @@
             sends: 0,
             last: None,
         });
-        self.schedule(at, Event::Arrive(self.tries.len() - 1));
+        let way = self.site.caller_us / 2;
+        self.schedule(at + way, Event::Arrive(self.tries.len() - 1));
     }
 
     fn step(&mut self, now: u64, event: Event) {
@@ -325,6 +338,7 @@
             entry: u32::try_from(self.calls[call].stream).unwrap_or(u32::MAX),
             hedge_percent: 0,
             bytes: None,
+            regions: Scope::ANY,
         };
         self.with_vm(now, vm, |vm, rng| {
             let time = Instant::from_micros(now);
@@ -424,6 +438,8 @@
             self.summary.repeats += 1;
         }
         self.summary.sends += 1;
+        let found = self.targets[target].load();
+        self.summary.record_send(self.load, now, found);
         let vm = self.tries[tried].vm;
         self.tries[tried].sends += 1;
         self.tries[tried].last = Some(target);
@@ -446,14 +462,14 @@
     fn one_way(&mut self, vm: usize, target: usize) -> u64 {
         let way = self.site.round_trip(vm, target) / 2;
         let link = self.load.link;
-        let between = self.site.vm_center(vm) != self.site.target_center(target);
+        let between = self.site.vms[vm].center != self.site.centers[target];
         let lost = between && link.loss > 0.0 && self.rng.random::<f64>() < link.loss;
         way + if lost { link.resend_us } else { 0 }
     }
 
     /// The report of `target` that reaches `vm`.
     fn report(&mut self, now: u64, vm: usize, target: usize) -> Report {
-        let between = self.site.vm_center(vm) != self.site.target_center(target);
+        let between = self.site.vms[vm].center != self.site.centers[target];
         if !between || self.load.link.stale_us == 0 {
             return self.targets[target].report(now);
         }
@@ -541,7 +557,13 @@
         let told = matches!(outcome, Outcome::Good | Outcome::Shed | Outcome::Error);
         self.attempts[attempt].outcome = outcome;
         let vm = self.tries[parent].vm;
-        self.attempts[attempt].report = told.then(|| self.report(now, vm, target));
+        self.attempts[attempt].report = told.then(|| {
+            let report = self.report(now, vm, target);
+            match outcome {
+                Outcome::Good => self.targets[target].count_answered(report),
+                _ => report,
+            }
+        });
         let way = self.one_way(vm, target);
         self.schedule(now + way, Event::Reply(attempt));
     }
@@ -638,7 +660,7 @@
         if std::mem::replace(&mut self.state[call].1, true) {
             return;
         }
-        let took = now - self.calls[call].at;
+        let took = now + self.site.caller_us / 2 - self.calls[call].at;
         self.summary
             .record(self.load, &self.calls[call], End::Answered(took));
     }
--- a/crates/core/src/place/flight.rs
+++ b/crates/core/src/place/flight.rs
@@ -67,6 +67,7 @@
         if let Some(stated) = self.stated.get_mut(choice.target) {
             stated.count_request(now, users);
         }
+        self.count_cold(now, choice.target);
         Attempt {
             target: choice.target,
             sent: now,
@@ -134,6 +135,13 @@
         let entry = flight.job.entry;
         self.release(call, target);
         self.record_ending(now, entry, &attempt, ending);
+        self.change_cold(target, |cold, bound| match ending {
+            // A target that runs refuses no connection. One that breaks is often reset on the way, and
+            // those of a target that died are refused next.
+            Ending::Broken { written: false } => cold.record_loss(now, bound),
+            Ending::Answered { .. } | Ending::Shed { .. } => cold.record_answer(now, bound),
+            Ending::Broken { written: true } | Ending::Cancelled => {}
+        });
         match ending {
             Ending::Answered { failed: false, .. } => {
                 self.cancel_flight(call, out);
--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -5,6 +5,7 @@
 
 use crate::estimate::number;
 use crate::place::spill::Fare;
+use crate::site::region;
 
 /// Loss of a late answer.
 const LATE_LOSS: f64 = 0.9;
@@ -56,9 +57,11 @@
     /// Seconds to the target and back.
     pub(crate) round_trip: f64,
     pub(crate) distance: Distance,
+    /// Its region.
+    pub(crate) region: region::Key,
     /// Whether the target belongs to another VM of the region.
     pub(crate) foreign: bool,
-    /// Requests that the target may get at once under the limit that it states.
+    /// Requests that the target may get at once under the limit that it states, and while it is cold.
     pub(crate) allowance: f64,
     /// Index of the data centre if the calls that leave for it are bounded.
     pub(crate) leave: Option<usize>,
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -5,12 +5,15 @@
 //! in as method calls of [`Placer`]; the resulting actions come out as
 //! [`Action`](crate::balance::Action)s.
 
+pub mod cold;
+mod count;
 mod flight;
 mod hedge;
 mod loss;
 mod placer;
 mod probe;
 mod queue;
+mod region;
 pub mod spill;
 mod stated;
 mod stats;
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -18,6 +18,9 @@
 use crate::estimate::seconds;
 use crate::map::Map;
 use crate::map::Set;
+use crate::place::cold;
+use crate::place::cold::Cold;
+use crate::place::count::Count;
 use crate::place::flight::Flight;
 use crate::place::loss::Candidate;
 use crate::place::loss::Criteria;
@@ -25,6 +28,8 @@
 use crate::place::loss::max_load;
 use crate::place::queue::Item;
 use crate::place::queue::Queue;
+use crate::place::region::is_limited;
+use crate::place::region::permitted;
 use crate::place::spill::Spill;
 use crate::place::stats::Stats;
 use crate::place::work::Work;
@@ -68,6 +73,30 @@
     pub(super) loss: f64,
 }
 
+/// The targets among which calls that wait are assigned.
+struct Offer {
+    candidates: Vec<(target::Key, Candidate)>,
+    /// Whether any of them has room.
+    open: bool,
+}
+
+impl Offer {
+    fn new(candidates: Vec<(target::Key, Candidate)>) -> Self {
+        let open = candidates.iter().any(|(_, target)| target.has_room());
+        Self { candidates, open }
+    }
+
+    /// Takes room for one call at `target`.
+    fn take(&mut self, target: target::Key) {
+        let mut chosen = self.candidates.iter_mut();
+        if let Some((_, candidate)) = chosen.find(|(key, _)| *key == target) {
+            candidate.load += 1.0;
+            candidate.allowance -= 1.0;
+        }
+        self.open = self.candidates.iter().any(|(_, target)| target.has_room());
+    }
+}
+
 /// Weight of a new report in the mean slowdown of the machines.
 const SLOWDOWN_WEIGHT: f64 = 1.0 / 64.0;
 /// Weight of a new report in the mean load of other VMs.
@@ -96,6 +125,12 @@
     /// What targets state of themselves.
     pub(super) stated: SecondaryMap<target::Key, Stated>,
     pub(super) stats: SecondaryMap<target::Key, Stats>,
+    /// What cold targets tolerate; none for any number of requests.
+    pub(super) cold_bound: Option<cold::Bound>,
+    /// Names of the cold targets that this VM may use.
+    pub(super) cold_users: Set<Box<str>>,
+    /// Which targets are cold.
+    pub(super) cold: SecondaryMap<target::Key, Cold>,
     pub(super) queue: Queue,
     pub(super) flights: Map<Call, Flight>,
     pub(super) work: Work,
@@ -104,6 +139,8 @@
     pub(super) mean_slowdown: f64,
     /// Mean requests of other VMs at a target, for each of its slots.
     pub(super) mean_others: f64,
+    /// Whether reports on answers count the request that they answer.
+    count: Count,
     /// When the newest probe of a target was sent, until it is answered or forgotten.
     pub(super) pending_probes: SecondaryMap<target::Key, Instant>,
     /// When a target was last probed.
@@ -122,12 +159,16 @@
             users: None,
             stated: SecondaryMap::new(),
             stats: SecondaryMap::new(),
+            cold_bound: None,
+            cold_users: Set::default(),
+            cold: SecondaryMap::new(),
             queue: Queue::default(),
             flights: Map::default(),
             work: Work::default(),
             spill: Spill::default(),
             mean_slowdown: 1.0,
             mean_others: 0.0,
+            count: Count::default(),
             pending_probes: SecondaryMap::new(),
             last_probes: SecondaryMap::new(),
         }
@@ -146,15 +187,17 @@
         let targets = &self.targets;
         self.stats.retain(|key, _| targets.get(key).is_some());
         self.stated.retain(|key, _| targets.get(key).is_some());
+        self.cold.retain(|key, _| targets.get(key).is_some());
+        let mut cold = Vec::new();
         for (key, target) in self.targets.iter() {
             if !self.stats.contains_key(key) {
                 self.stats.insert(key, Stats::default());
+                self.cold.insert(key, Cold::new(now));
             }
-            if let (Some(until), Some(stats)) =
-                (cold_until(&target.spec.name), self.stats.get_mut(key))
-            {
-                stats.set_cold_until(until);
-            }
+            cold.extend(cold_until(&target.spec.name).map(|until| (key, until)));
+        }
+        for (key, until) in cold {
+            self.set_cold_until(key, until);
         }
     }
 
@@ -216,15 +259,22 @@
         let mut candidates = self.candidates(now);
         self.bound_leaving(now, &mut candidates, rng);
         item.probe_deadline = self.probe_best(now, &item, work, &candidates, out);
-        let is_limited = candidates.iter().all(|(_, target)| !target.is_allowed());
-        if self.queue.len() >= self.limits.queue
-            || self.would_wait_too_long(now, &item, work, is_limited)
-        {
+        let is_limited = is_limited(&candidates, &item.job.regions);
+        let reason = Refusal::Overloaded;
+        if self.would_wait_too_long(now, &item, work, is_limited) {
             let call = item.job.call;
-            let reason = Refusal::Overloaded;
             out.push(Action::Refuse { call, reason });
             return;
         }
+        if self.queue.len_of(&item.job.regions) >= self.limits.queue {
+            // A full queue keeps the most urgent calls.
+            let last = self.queue.remove_last_after(&item.job);
+            let call = last.as_ref().unwrap_or(&item).job.call;
+            out.push(Action::Refuse { call, reason });
+            if last.is_none() {
+                return;
+            }
+        }
         self.queue.push(item);
         self.assign(now, candidates, rng, out);
     }
@@ -232,7 +282,12 @@
     /// Records the load that `target` reported on an answer; goes before the `finish` of its
     /// attempt.
     pub fn record_report(&mut self, now: Instant, target: target::Key, report: Report) {
-        self.add_report(now, target, report, 1);
+        let stats = self.stats.get(target);
+        if stats.is_some_and(|stats| stats.own_calls() == 1) {
+            self.count.record(report);
+        }
+        let ended = usize::from(!self.count.includes_answered());
+        self.add_report(now, target, report, ended);
     }
 
     /// Records the end of a probe of `target`: its report, or none if it did not answer in time.
@@ -245,6 +300,10 @@
         out: &mut Vec<Action>,
     ) {
         self.pending_probes.remove(target);
+        self.change_cold(target, |cold, bound| match report {
+            Some(_) => cold.record_answer(now, bound),
+            None => cold.record_silence(now, bound),
+        });
         match report {
             Some(report) => self.add_report(now, target, report, 0),
             None => {
@@ -256,7 +315,8 @@
         self.dispatch(now, rng, out);
     }
 
-    /// Adds a report of `target`, where `ended` of the attempts counted here have ended already.
+    /// Adds a report of `target`, where `ended` of the attempts counted here are not
+    /// in the report, since they have ended.
     fn add_report(&mut self, now: Instant, target: target::Key, report: Report, ended: usize) {
         if let Some(percent) = report.slowdown_percent {
             let slowdown = number(percent) / 100.0;
@@ -332,10 +392,15 @@
                 failure_share: stats.failure_share(now),
                 round_trip: target.round_trip,
                 distance: self.distance(&target.spec),
+                region: target.region,
                 foreign: self.is_foreign(&target.spec),
-                allowance: self.stated.get(key).map_or(f64::INFINITY, |stated| {
-                    stated.allowance(now, self.users_of(&target.spec))
-                }),
+                allowance: self
+                    .stated
+                    .get(key)
+                    .map_or(f64::INFINITY, |stated| {
+                        stated.allowance(now, self.users_of(&target.spec))
+                    })
+                    .min(self.cold_allowance(now, key, &target.spec.name)),
                 leave: None,
                 may_leave: true,
                 unreported: false,
@@ -376,23 +441,23 @@
     }
 
     /// Sends the waiting calls for which a target has room, and refuses those that waited too long.
-    /// Refuses all if no target takes new work.
+    /// Refuses those for which no target in their regions takes new work.
     fn assign(
         &mut self,
         now: Instant,
-        mut candidates: Vec<(target::Key, Candidate)>,
+        candidates: Vec<(target::Key, Candidate)>,
         rng: &mut SmallRng,
         out: &mut Vec<Action>,
     ) {
-        if candidates.is_empty() {
-            for item in self.queue.extract(|_| true) {
-                let call = item.job.call;
-                let reason = Refusal::NoTarget;
-                out.push(Action::Refuse { call, reason });
-            }
-            return;
+        let is_lost = |item: &Item| permitted(&candidates, &item.job.regions).next().is_none();
+        for item in self.queue.extract(is_lost) {
+            let call = item.job.call;
+            let reason = Refusal::NoTarget;
+            out.push(Action::Refuse { call, reason });
         }
-        // Under overload many calls wait, so the candidates are derived once for all of them.
+        // Under overload many calls wait, so the candidates are derived once for all of them, and
+        // not weighed for each call once none has room.
+        let mut offer = Offer::new(candidates);
         let order = self.queue.by_priority(now, |job| self.expected_work(job));
         for group in order.chunk_by(|left, right| left.0 == right.0) {
             // Of the calls of the same rank that leave the data centre, those that gain most for
@@ -400,11 +465,11 @@
             let mut leaving = Vec::new();
             for (_, call) in group {
                 let later = (group.len() > 1).then_some(&mut leaving);
-                self.assign_call(now, *call, &mut candidates, later, rng, out);
+                self.assign_call(now, *call, &mut offer, later, rng, out);
             }
             leaving.sort_by(|left: &(f64, Call), right| right.0.total_cmp(&left.0));
             for (_, call) in leaving {
-                self.assign_call(now, call, &mut candidates, None, rng, out);
+                self.assign_call(now, call, &mut offer, None, rng, out);
             }
         }
     }
@@ -415,7 +480,7 @@
         &mut self,
         now: Instant,
         call: Call,
-        candidates: &mut [(target::Key, Candidate)],
+        offer: &mut Offer,
         leaving: Option<&mut Vec<(f64, Call)>>,
         rng: &mut SmallRng,
         out: &mut Vec<Action>,
@@ -425,11 +490,16 @@
         };
         let probing = item.probe_deadline.is_some_and(|deadline| now < deadline);
         let work = self.expected_work(&item.job);
-        if probing && !self.is_best_probed(now, item, work, candidates) {
+        if probing && !self.is_best_probed(now, item, work, &offer.candidates) {
             return;
         }
-        let choice = pick(candidates, now, item, work, &item.tried, rng)
-            .or_else(|| pick(candidates, now, item, work, &[], rng));
+        let choice = offer
+            .open
+            .then(|| {
+                pick(&offer.candidates, now, item, work, &item.tried, rng)
+                    .or_else(|| pick(&offer.candidates, now, item, work, &[], rng))
+            })
+            .flatten();
         match choice {
             Some(choice) => {
                 if let Some(leaving) = leaving.filter(|_| choice.candidate.leave.is_some()) {
@@ -439,13 +509,9 @@
                 if let Some(item) = self.queue.remove(call) {
                     let remaining = item.remaining(now);
                     self.send(now, item, &choice, work, out);
-                    self.record_leaving(now, call, remaining, &choice, candidates);
-                }
-                let mut chosen = candidates.iter_mut();
-                if let Some((_, candidate)) = chosen.find(|(key, _)| *key == choice.target) {
-                    candidate.load += 1.0;
-                    candidate.allowance -= 1.0;
+                    self.record_leaving(now, call, remaining, &choice, &mut offer.candidates);
                 }
+                offer.take(choice.target);
             }
             None if item.is_expired(now, work) => {
                 self.queue.remove(call);
@@ -508,8 +574,12 @@
         repeatable: item.job.class != Class::Once,
         fare: item.fare,
     };
-    let open = candidates.iter().filter(|(key, candidate)| {
-        !skip.contains(key) && candidate.is_allowed() && item.fare.pays(candidate.distance)
+    let regions = item.job.regions.clone();
+    let open = candidates.iter().filter(move |(key, candidate)| {
+        !skip.contains(key)
+            && candidate.is_allowed()
+            && regions.includes(candidate.region)
+            && item.fare.pays(candidate.distance)
     });
     open.map(move |(target, candidate)| Choice {
         target: *target,
--- a/crates/core/src/place/queue.rs
+++ b/crates/core/src/place/queue.rs
@@ -10,6 +10,7 @@
 use crate::balance::Job;
 use crate::estimate::seconds;
 use crate::place::spill::Fare;
+use crate::site::region::Scope;
 use crate::target;
 use crate::time::Instant;
 
@@ -73,6 +74,13 @@
         self.items.len()
     }
 
+    /// Number of calls that may reach the same regions as a call with `scope`. The calls for other
+    /// regions leave the queue at another rate, so they do not count against its limit.
+    pub(crate) fn len_of(&self, scope: &Scope) -> usize {
+        let same = self.items.iter().filter(|item| item.job.regions == *scope);
+        same.count()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.items.is_empty()
     }
@@ -110,12 +118,29 @@
             .collect()
     }
 
-    /// Number of calls that get a target before a new call of `urgency` that can be answered in
-    /// time.
-    pub(crate) fn ahead(&self, now: Instant, urgency: u8, work: impl Fn(&Job) -> f64) -> usize {
+    /// The calls that get a target before a new call of `urgency` that can be answered in time.
+    pub(crate) fn ahead(
+        &self,
+        now: Instant,
+        urgency: u8,
+        work: impl Fn(&Job) -> f64,
+    ) -> impl Iterator<Item = &Item> {
         let before =
-            |item: &&Item| item.job.urgency <= urgency && item.is_timely(now, work(&item.job));
-        self.items.iter().filter(before).count()
+            move |item: &&Item| item.job.urgency <= urgency && item.is_timely(now, work(&item.job));
+        self.items.iter().filter(before)
+    }
+
+    /// Removes and returns the call that arrived last among the least urgent ones that may reach the same
+    /// regions as `job`, if it is less urgent than `job`.
+    pub(crate) fn remove_last_after(&mut self, job: &Job) -> Option<Item> {
+        let order = |item: &&Item| (item.job.urgency, item.arrived, item.job.call);
+        let same = self
+            .items
+            .iter()
+            .filter(|item| item.job.regions == job.regions);
+        let last = same.max_by_key(order)?;
+        let call = (last.job.urgency > job.urgency).then_some(last.job.call)?;
+        self.remove(call)
     }
 
     /// Removes and returns every call for which `matches` holds.
--- a/crates/core/src/place/spill/state.rs
+++ b/crates/core/src/place/spill/state.rs
@@ -23,6 +23,7 @@
 use crate::place::placer::ASSUMED_WORK_S;
 use crate::place::placer::Choice;
 use crate::place::placer::Placer;
+use crate::place::region::permitted;
 use crate::target;
 use crate::target::Table;
 use crate::time::Instant;
@@ -183,12 +184,15 @@
             Distance::DataCenter => Scope::DataCenter,
             Distance::Region => Scope::Region,
         };
-        let flight = self.flights.get_mut(&call);
-        let mut attempts = flight.into_iter().flat_map(|flight| &mut flight.attempts);
+        let Some(flight) = self.flights.get_mut(&call) else {
+            return;
+        };
+        let mut attempts = flight.attempts.iter_mut();
         let Some(attempt) = attempts.find(|attempt| attempt.target == choice.target) else {
             return;
         };
-        let reason = reason(remaining, attempt.work, candidates);
+        let open = permitted(candidates, &flight.job.regions);
+        let reason = reason(remaining, attempt.work, open);
         attempt.leaving = Some((scope, reason));
         if let Some(center) = choice.candidate.leave {
             self.spill.rooms.take(now, center);
@@ -205,22 +209,23 @@
     }
 }
 
-/// Why a call leaves, by the local ones of `candidates`.
-fn reason(remaining: f64, work: f64, candidates: &[(target::Key, Candidate)]) -> Reason {
-    let local = |(_, candidate): &&(target::Key, Candidate)| candidate.distance == Distance::Local;
-    let mut open = candidates.iter().filter(local).peekable();
+/// Why a call leaves, by the local ones of `candidates`, which are in the regions of the call.
+fn reason<'a>(
+    remaining: f64,
+    work: f64,
+    candidates: impl Iterator<Item = &'a Candidate>,
+) -> Reason {
+    let mut open = candidates
+        .filter(|candidate| candidate.distance == Distance::Local)
+        .peekable();
     if open.peek().is_none() {
         return Reason::NoneOpen;
     }
-    let mut with_room = open
-        .filter(|(_, candidate)| candidate.has_room())
-        .peekable();
+    let mut with_room = open.filter(|candidate| candidate.has_room()).peekable();
     if with_room.peek().is_none() {
         return Reason::Full;
     }
-    let timely =
-        |(_, candidate): &(target::Key, Candidate)| candidate.expected_time(work) <= remaining;
-    if with_room.any(timely) {
+    if with_room.any(|candidate| candidate.expected_time(work) <= remaining) {
         Reason::Cheaper
     } else {
         Reason::Slow
--- a/crates/core/src/settings/hosting.rs
+++ b/crates/core/src/settings/hosting.rs
@@ -32,6 +32,18 @@
         pub regions: Vec<Region>,
         /// Costs of bytes between data centres and regions, and the worths of answers.
         pub prices: Prices,
+        /// Bound on the requests to a cold target; none without one.
+        pub cold: Option<Cold>,
+    }
+
+    /// Bound on the requests to a target that has just started, over all VMs together: in any second
+    /// at most `over` times the rate that the plan states for its service, and `slack` more.
+    #[derive(Copy)]
+    pub struct Cold {
+        /// Multiple of the rate, in thousandths.
+        pub over_thousandths: u64,
+        /// Requests allowed in addition, in thousandths.
+        pub slack_thousandths: u64,
     }
 
     /// Bound on the repeated requests to a service, over all VMs together: in each window at most
@@ -81,6 +93,7 @@
     let link = reader.thousandths("link_mbps", 1..=4_000_000_000, 1_000_000);
     let regions = reader.named_texts("regions");
     let prices = prices(reader);
+    let cold = reader.optional("cold", cold);
     let region = |(data_center, name)| Region { data_center, name };
     Some(Hosting {
         ready: ready?,
@@ -92,6 +105,7 @@
         link_kbps: link?,
         regions: regions.into_iter().map(region).collect(),
         prices: prices?,
+        cold: cold?,
     })
 }
 
@@ -107,6 +121,15 @@
     })
 }
 
+fn cold(reader: &mut Reader) -> Option<Cold> {
+    let over = reader.thousandths("over", 0..=1_000_000, 1_000);
+    let slack = reader.thousandths("slack", 0..=1_000_000_000, 8_000);
+    Some(Cold {
+        over_thousandths: over?,
+        slack_thousandths: slack?,
+    })
+}
+
 fn repeats(reader: &mut Reader) -> Option<Repeats> {
     let ratio = reader.thousandths("ratio", 0..=10_000, 100);
     let slack = reader.integer("slack", 0..=1_000_000, Some(0));
@@ -160,6 +183,10 @@
             "data_center_gb": decimal(self.prices.data_center_gb),
             "region_gb": decimal(self.prices.region_gb),
             "worths": worths,
+            "cold": self.cold.map(|cold| json!({
+                "over": decimal(cold.over_thousandths),
+                "slack": decimal(cold.slack_thousandths),
+            })),
         })
     }
 }
--- a/crates/core/src/site/registry.rs
+++ b/crates/core/src/site/registry.rs
@@ -12,6 +12,7 @@
 use crate::estimate::number;
 use crate::map::Map;
 use crate::map::Set;
+use crate::site::withdrawn;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -52,13 +53,16 @@
 struct Record {
     registration: Registration,
     read_at: Instant,
+    /// When this start of the target appeared; none if it was there when this VM started.
+    appeared: Option<Instant>,
     removal: Option<Removal>,
 }
 
 /// How a registration vanished.
 #[derive(Clone, Copy, Debug)]
 struct Removal {
-    at: Instant,
+    /// Earliest time at which it may have vanished; none if that is not known.
+    since: Option<Instant>,
     /// Until when it may come back because the store was away.
     back_by: Instant,
 }
@@ -81,9 +85,48 @@
     records: Map<Box<str>, Record>,
     /// Until when registrations that lapsed during an outage of the store come back.
     back_by: Instant,
+    /// Data centres out of service.
+    withdrawn: withdrawn::Orders,
+    /// Whether all registrations were read once, so that others are of targets that start.
+    complete: bool,
 }
 
 impl Registry {
+    /// Records that all registrations were read. Those that are put later are of targets that start, or
+    /// that were lost and are back.
+    pub fn set_complete(&mut self) {
+        self.complete = true;
+    }
+
+    /// The data centres out of service.
+    #[must_use]
+    pub fn withdrawn(&self) -> &withdrawn::Orders {
+        &self.withdrawn
+    }
+
+    /// Takes the targets of `data_center` out of service until [`Registry::restore`] gets the same
+    /// key. Returns the services whose targets changed; none if it was out of service already.
+    pub fn withdraw(&mut self, key: &str, data_center: &str) -> Option<Vec<Box<str>>> {
+        let changed = self.withdrawn.put(key, data_center);
+        changed.then(|| self.services_in(data_center))
+    }
+
+    /// Removes the order under `key` that took a data centre out of service. Returns the data centre
+    /// that is back with the services whose targets changed; none if `key` holds no such order.
+    pub fn restore(&mut self, now: Instant, key: &str) -> Option<(Box<str>, Vec<Box<str>>)> {
+        let data_center = self.withdrawn.remove(now, key)?;
+        let services = self.services_in(&data_center);
+        Some((data_center, services))
+    }
+
+    /// Services with registrations in `data_center`, without duplicates.
+    fn services_in(&self, data_center: &str) -> Vec<Box<str>> {
+        let records = self.records.values().map(|record| &record.registration);
+        let there = records.filter(|found| *found.data_center == *data_center);
+        let services: Set<Box<str>> = there.map(|found| found.service.clone()).collect();
+        services.into_iter().collect()
+    }
+
     /// Records that the store is back after an outage.
     pub fn record_return(&mut self, now: Instant) {
         self.back_by = now + RETURN_GRACE;
@@ -101,9 +144,15 @@
             return self.records.remove(key).into_iter().map(service).collect();
         };
         let mut changed = vec![registration.service.clone()];
+        let known = self.records.get(key);
+        let appeared = match known.filter(|known| known.registration.born == registration.born) {
+            Some(known) => known.appeared,
+            None => self.complete.then_some(now),
+        };
         let record = Record {
             registration,
             read_at: now,
+            appeared,
             removal: None,
         };
         if let Some(old) = self.records.insert(key.into(), record)
@@ -114,15 +163,16 @@
         changed
     }
 
-    /// Records that the registration under `key` vanished, at `at` or later. That of a ready target is
-    /// kept until [`Registry::expire`] removes it. Returns the services whose targets changed.
-    pub fn remove(&mut self, at: Instant, key: &str) -> Vec<Box<str>> {
+    /// Records that the registration under `key` vanished, at `since` or later, or at any time if none
+    /// is given. That of a ready target is kept until [`Registry::expire`] removes it. Returns the
+    /// services whose targets changed.
+    pub fn remove(&mut self, since: Option<Instant>, key: &str) -> Vec<Box<str>> {
         let Some(record) = self.records.get_mut(key) else {
             return Vec::new();
         };
         if record.registration.state == State::Ready {
             record.removal.get_or_insert(Removal {
-                at,
+                since,
                 back_by: self.back_by,
             });
             return Vec::new();
@@ -141,7 +191,10 @@
                 } else {
                     SINGLE_GRACE
                 };
-                now >= (removal.at + grace).max(removal.back_by)
+                let kept_until = removal
+                    .since
+                    .map_or(Instant::default(), |since| since + grace);
+                now >= kept_until.max(removal.back_by)
             })
         };
         let expired = self.records.extract_if(|_, record| overdue(record));
@@ -169,14 +222,15 @@
             .collect()
     }
 
-    /// The targets of `service` that take new work, by id. `region` returns the region of a data
-    /// centre.
+    /// The targets of `service` that take new work, by id. Those of a data centre out of service take
+    /// none. `region` returns the region of a data centre.
     pub fn targets(&self, service: &str, region: impl Fn(&str) -> Box<str>) -> Vec<entry::Target> {
         let mut targets: Vec<entry::Target> = self
             .records
             .values()
             .map(|record| &record.registration)
             .filter(|found| *found.service == *service && found.state == State::Ready)
+            .filter(|found| !self.withdrawn.contains(&found.data_center))
             .map(|found| entry::Target {
                 name: found.id.clone(),
                 address: found.address,
@@ -198,13 +252,20 @@
         targets
     }
 
-    /// Ids of the targets of `service`, each with the time until which it is slow after its start.
-    pub fn cold_until(&self, service: &str) -> impl Iterator<Item = (&str, Instant)> {
+    /// Ids of the targets of `service`, each with the time until which it is slow after its start: as
+    /// it registered, and for `start` after this VM saw it start or come back, alone or with its data
+    /// centre. Nothing is assumed if `start` is zero.
+    pub fn cold_until(&self, service: &str, start: Span) -> impl Iterator<Item = (&str, Instant)> {
         let records = self.records.values();
         let own = records.filter(move |record| *record.registration.service == *service);
-        own.map(|record| {
-            let until = record.read_at + record.registration.cold_left;
-            (&*record.registration.id, until)
+        own.map(move |record| {
+            let registration = &record.registration;
+            let stated = record.read_at + registration.cold_left;
+            let returned = self.withdrawn.returned_at(&registration.data_center);
+            let starts = record.appeared.max(returned);
+            let assumed = starts.map(|at| at + start);
+            let until = assumed.filter(|_| start > Span::ZERO).unwrap_or(stated);
+            (&*registration.id, until.max(stated))
         })
     }
 }
--- a/crates/core/tests/placer.rs
+++ b/crates/core/tests/placer.rs
@@ -11,6 +11,7 @@
 use oriolecleat_core::place::Placer;
 use oriolecleat_core::place::spill::Prices;
 use oriolecleat_core::place::spill::Terms;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::target::Standing;
@@ -76,6 +77,7 @@
             entry: 1,
             hedge_percent: 0,
             bytes: None,
+            regions: Scope::ANY,
         };
         let mut out = Vec::new();
         self.placer.arrive(now, job, &mut self.rng, &mut out);
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -52,6 +52,8 @@
     Put(u16, State),
     Unusable(u16),
     Remove(u16),
+    /// It vanished at an unknown time before.
+    RemoveEarlier(u16),
     /// The store is back after an outage.
     Return,
 }
@@ -123,6 +125,26 @@
         ],
         usable: &[(5_000, 4)],
     },
+    Case {
+        name: "those that may have vanished at any time before are not kept",
+        events: &[
+            (1_000, Event::RemoveEarlier(0)),
+            (1_000, Event::RemoveEarlier(1)),
+        ],
+        usable: &[(1_000, 3)],
+    },
+    Case {
+        name: "those that may have lapsed in an outage are kept until they should be back",
+        events: &[
+            (5_000, Event::Return),
+            (5_000, Event::RemoveEarlier(0)),
+            (5_000, Event::RemoveEarlier(1)),
+        ],
+        usable: &[
+            (5_000 + RETURN_GRACE.as_millis() - 1, 5),
+            (5_000 + RETURN_GRACE.as_millis(), 3),
+        ],
+    },
     Case {
         name: "those that vanish together are kept, but not until they would have stopped serving",
         events: &[
@@ -147,7 +169,8 @@
                 match event {
                     Event::Put(id, state) => put(&mut registry, *time, *id, *state),
                     Event::Unusable(id) => drop(registry.put(at(*time), &format!("t{id}"), None)),
-                    Event::Remove(id) => drop(registry.remove(at(*time), &format!("t{id}"))),
+                    Event::Remove(id) => drop(registry.remove(Some(at(*time)), &format!("t{id}"))),
+                    Event::RemoveEarlier(id) => drop(registry.remove(None, &format!("t{id}"))),
                     Event::Return => registry.record_return(at(*time)),
                 }
             }
@@ -190,3 +213,71 @@
     registry.put(at(10), "t0", Some(registration(0, 2, State::Ready)));
     assert_eq!(incarnation(&registry), 2);
 }
+
+/// Guards against a target that counts as warm although it has just started or come back, and against
+/// targets that count as cold because this VM has just started.
+#[test]
+fn a_target_that_appears_or_comes_back_is_taken_for_cold() {
+    const COLD: Span = Span::from_millis(3_000);
+    type Step = fn(&mut Registry);
+    let cases: [(&str, Step, u64); 7] = [
+        ("it was there when this VM started", |_| (), 500),
+        (
+            "it registers again, which the store repeats",
+            |registry| put(registry, 6_000, 0, State::Ready),
+            6_500,
+        ),
+        (
+            "it started again",
+            |registry| drop(registry.put(at(6_000), "t0", Some(registration(0, 2, State::Ready)))),
+            9_000,
+        ),
+        (
+            "it was gone and is back",
+            |registry| {
+                registry.remove(Some(at(6_000)), "t0");
+                registry.expire(at(6_500));
+                put(registry, 7_000, 0, State::Ready);
+            },
+            10_000,
+        ),
+        (
+            "its registration lapsed only",
+            |registry| {
+                registry.remove(Some(at(6_000)), "t0");
+                put(registry, 6_100, 0, State::Ready);
+            },
+            6_600,
+        ),
+        (
+            "its data centre came back",
+            |registry| {
+                registry.withdraw("k", "cai-1");
+                registry.restore(at(8_000), "k");
+            },
+            11_000,
+        ),
+        (
+            "another data centre came back",
+            |registry| {
+                registry.withdraw("k", "cai-2");
+                registry.restore(at(8_000), "k");
+            },
+            500,
+        ),
+    ];
+    for (name, step, expected) in cases {
+        let mut registry = registry();
+        registry.set_complete();
+        step(&mut registry);
+        let until = |start| {
+            let mut all = registry.cold_until("desk", start);
+            all.find(|(id, _)| *id == "t0").map(|(_, until)| until)
+        };
+        assert_eq!(until(COLD), Some(at(expected)), "{name}");
+        assert!(
+            until(Span::ZERO) <= Some(at(7_500)),
+            "{name}: nothing assumed"
+        );
+    }
+}
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -22,7 +22,7 @@
         "seeds": ["192.0.2.1:3"],
         "view": {}, "stop": {}, "http": {}, "evidence": {},
         "hosting": {"ready": "192.0.2.1:5", "repeats": {}, "regions": {"cai-1": "cai"},
-                    "worths": {"0": 2}},
+                    "cold": {}, "worths": {"0": 2}},
     })
 }
 
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -15,6 +15,7 @@
 use oriolecleat_core::place::spill::Scope;
 use oriolecleat_core::place::spill::Terms;
 use oriolecleat_core::place::spill::Way;
+use oriolecleat_core::site::region;
 use oriolecleat_core::target;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::target::Standing;
@@ -102,6 +103,7 @@
             avoid: None,
             entry,
             hedge_percent: 0,
+            regions: region::Scope::ANY,
             bytes: None,
         };
         let mut out = Vec::new();
--- a/crates/daemon/src/destination.rs
+++ b/crates/daemon/src/destination.rs
@@ -3,6 +3,7 @@
 use http::request::Parts;
 use oriolecleat_core::request::Code;
 use oriolecleat_core::site::plan::Plan;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::time::Span;
 
 use crate::head::Facts;
@@ -17,6 +18,8 @@
     pub(crate) objective: Span,
     /// Priority over the calls of other entries.
     pub(crate) urgency: u8,
+    /// Regions whose targets it may reach.
+    pub(crate) regions: Scope,
 }
 
 impl Node {
@@ -28,10 +31,12 @@
                 entry: None,
                 objective: Span::ZERO,
                 urgency: 0,
+                regions: Scope::ANY,
             });
         };
-        // Without a plan, this VM cannot tell that there is no such route.
-        if hosted.plan.is_none() {
+        // Without a plan, this VM cannot tell that there is no such route. Before it knows the whole
+        // state of the store, it might use a target that is out of service.
+        if hosted.plan.is_none() || self.is_catching_up() {
             return Err(Code::NoTarget);
         }
         let rule = hosted.rules.find(&facts.host, parts.uri.path());
@@ -42,6 +47,7 @@
             entry: Some(Plan::entry_name(&rule.name, &part.service)),
             objective: rule.objective,
             urgency: rule.urgency,
+            regions: rule.regions.clone(),
         })
     }
 }
--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -5,11 +5,17 @@
 use oriolecleat_core::address::Candidate;
 use oriolecleat_core::entry;
 use oriolecleat_core::home;
-use oriolecleat_core::home::Home;
 use oriolecleat_core::home::Target;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
+use oriolecleat_core::member::Member;
+use oriolecleat_core::place::cold;
+use oriolecleat_core::place::cold::SETTLE_AFTER;
+use oriolecleat_core::site::directory;
+use oriolecleat_core::site::directory::Homes;
+use oriolecleat_core::site::directory::Query;
 use oriolecleat_core::site::rule;
+use oriolecleat_core::time::Instant;
 use rand::RngExt;
 use serde_json::json;
 
@@ -30,9 +36,6 @@
 /// of the first service of this host.
 pub(crate) type Entrances = Map<Box<str>, Set<Box<str>>>;
 
-/// Homes of each service, by region of the callers and then by service.
-pub(crate) type Homes = Map<Box<str>, Map<Box<str>, Vec<Home>>>;
-
 /// The entrances of the services of `rules`.
 pub(crate) fn entrances(rules: &rule::Table) -> Entrances {
     let mut entrances = Entrances::default();
@@ -55,6 +58,11 @@
         };
         let now = self.clock.now();
         let candidates = self.candidates(now);
+        // The comparison below copies the names of all targets, and this runs five times a second.
+        if !self.homes_outdated && candidates == self.homes_basis.candidates {
+            return;
+        }
+        self.homes_outdated = false;
         let mut services: Vec<(Box<str>, Vec<Target>)> = hosted
             .services()
             .into_iter()
@@ -131,6 +139,52 @@
         }
     }
 
+    /// Chooses the cold targets that this VM uses, among those of its region. A VM that has just
+    /// started uses none, since it does not know yet who else does.
+    pub(crate) fn update_cold_users(&mut self) {
+        let now = self.clock.now();
+        let Some(hosted) = &mut self.hosted else {
+            return;
+        };
+        if hosted.settings.cold.is_none() || now < Instant::default() + SETTLE_AFTER {
+            return;
+        }
+        let region = &self.settings.region;
+        let cold = self.services.iter().map(|(key, service)| {
+            let targets = service.balancer.cold_targets(now).into_iter();
+            let near = targets.filter(|spec| spec.region == *region);
+            let mut names: Vec<Box<str>> = near.map(|spec| spec.name.clone()).collect();
+            names.sort_unstable();
+            (key, names)
+        });
+        let fleet = self.gossip.fleet();
+        let basis = (fleet.changes(), cold.collect());
+        if basis == hosted.cold_basis {
+            return;
+        }
+        // Members that died lately count as well: they may only be cut off.
+        let members = fleet.iter().map(Member::record);
+        let near = members.filter(|record| record.region == *region);
+        let known: Vec<&str> = near.map(|record| &*record.vm).collect();
+        for (key, names) in &basis.1 {
+            let used = |name: &&str| cold::is_user(name, &self.settings.vm, known.iter().copied());
+            let used: Set<Box<str>> = names
+                .iter()
+                .map(|name| &**name)
+                .filter(used)
+                .map(Into::into)
+                .collect();
+            if let Some(service) = self.services.get_mut(*key) {
+                if !names.is_empty() {
+                    let (service, cold) = (&*service.name, names.len());
+                    log::info!(service, cold, used = used.len(); "cold targets changed");
+                }
+                service.balancer.set_cold_users(used);
+            }
+        }
+        hosted.cold_basis = basis;
+    }
+
     /// The targets of `service`, as input of the assignment of homes.
     fn home_targets(&self, service: &str) -> Vec<Target> {
         let key = self.names.get(service);
@@ -155,22 +209,13 @@
         };
         let caller = hosted.host.caller(query);
         let rules = hosted.rules.rules_of(&caller.host).unwrap_or_default();
-        let part = rules.iter().flat_map(|rule| &rule.destinations).next();
-        let region = self
-            .homes
-            .get(&caller.region)
-            .or_else(|| self.homes.get(&self.settings.region));
-        let homes = region.and_then(|region| match part {
-            Some(part) => region.get(&part.service),
-            // A host without a rule has no service: any home answers its callers.
-            None => region.values().next(),
-        });
+        let query = Query {
+            region: &caller.region,
+            default_region: &self.settings.region,
+            count: hosted.settings.named,
+        };
         let draw = self.rng.random();
-        let named = home::select(
-            homes.map_or(&[], Vec::as_slice),
-            draw,
-            hosted.settings.named,
-        );
+        let named = directory::select(&self.homes, rules, query, draw);
         let addresses: Vec<SocketAddr> = named.iter().map(|home| home.address).collect();
         if addresses.is_empty() {
             return Answer::unavailable(json!({ "error": "no VM is known to serve" }));
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -10,6 +10,7 @@
 use oriolecleat_core::catalogue::Catalogue;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
+use oriolecleat_core::place::cold;
 use oriolecleat_core::repeat;
 use oriolecleat_core::settings::Hosting;
 use oriolecleat_core::site::feed;
@@ -18,11 +19,13 @@
 use oriolecleat_core::site::registry::Registry;
 use oriolecleat_core::site::rule;
 use oriolecleat_core::time::Instant;
+use oriolecleat_core::time::Span;
 use serde_json::Value;
 
 use crate::dialect::Dialect;
 use crate::homes;
 use crate::homes::Entrances;
+use crate::service;
 
 /// Why a message of the platform is not understood.
 pub type Fault = Box<dyn Error + Send + Sync>;
@@ -34,6 +37,8 @@
     Plan(Plan),
     /// The registration of a target.
     Registration(Registration),
+    /// This data centre is out of service for as long as the key exists.
+    Withdrawn(Box<str>),
 }
 
 /// Query of a caller that asks for addresses.
@@ -101,8 +106,13 @@
     pub(crate) entrances: Entrances,
     pub(crate) registry: Registry,
     pub(crate) repeats: Map<Box<str>, repeat::Budget>,
+    /// Input of the last choice of the cold targets that this VM uses.
+    pub(crate) cold_basis: ColdBasis,
 }
 
+/// Count of the changes of members, and the cold targets by service, in order of their names.
+pub(crate) type ColdBasis = (u64, Vec<(service::Key, Vec<Box<str>>)>);
+
 /// What a change of a key means for the services.
 #[derive(Debug)]
 pub(crate) enum Effect {
@@ -122,6 +132,7 @@
             entrances: Entrances::default(),
             registry: Registry::default(),
             repeats: Map::default(),
+            cold_basis: ColdBasis::default(),
         }
     }
 
@@ -133,22 +144,26 @@
         self.settings = settings;
     }
 
-    /// Applies the text of `key` in `catalogue`. If it has none, it vanished at `removed` or later.
+    /// Applies the text of `key` in `catalogue`. If it has none, it vanished at `removed` or later, or at any
+    /// time if none is given.
     pub(crate) fn apply_key(
         &mut self,
         now: Instant,
-        removed: Instant,
+        removed: Option<Instant>,
         catalogue: &Catalogue,
         key: &str,
     ) -> Effect {
         let Some(text) = catalogue.text(key) else {
-            return Effect::Targets(self.registry.remove(removed, key));
+            return Effect::Targets(self.remove_key(now, removed, key));
         };
         match self.host.content(key, text) {
             Ok(Content::Plan(plan)) => self.set_plan(plan),
             Ok(Content::Registration(registration)) => {
                 Effect::Targets(self.registry.put(now, key, Some(registration)))
             }
+            Ok(Content::Withdrawn(data_center)) => {
+                Effect::Targets(self.withdraw(key, &data_center))
+            }
             Err(fault) => {
                 log::warn!(key, cause:% = fault; "the value of a key in the store is not valid");
                 Effect::Targets(self.registry.put(now, key, None))
@@ -156,6 +171,26 @@
         }
     }
 
+    /// Takes a data centre out of service. Returns the services whose targets changed.
+    fn withdraw(&mut self, key: &str, data_center: &str) -> Vec<Box<str>> {
+        let Some(services) = self.registry.withdraw(key, data_center) else {
+            return Vec::new();
+        };
+        log::warn!(data_center, services = services.len(); "data centre out of service");
+        services
+    }
+
+    /// Applies the removal of a key that vanished at `removed` or later, or at any time if none is given.
+    /// Returns the services whose targets changed.
+    fn remove_key(&mut self, now: Instant, removed: Option<Instant>, key: &str) -> Vec<Box<str>> {
+        let Some((data_center, services)) = self.registry.restore(now, key) else {
+            return self.registry.remove(removed, key);
+        };
+        let data_center = &*data_center;
+        log::warn!(data_center, services = services.len(); "data centre back in service");
+        services
+    }
+
     /// Puts `plan` in force if its version is higher.
     fn set_plan(&mut self, plan: Plan) -> Effect {
         let known = self.plan.as_ref().map(|plan| plan.version);
@@ -167,9 +202,24 @@
             return Effect::Targets(Vec::new());
         }
         log::info!(
-            version = plan.version, before = known, rules = plan.rules.len();
+            version = plan.version, before = known, rules = plan.rules.len(),
+            restricted = plan.restricted_rules();
             "plan in force"
         );
+        for unread in &plan.unread {
+            let word = &*unread.word;
+            if unread.rules > 0 {
+                log::warn!(
+                    version = plan.version, part = unread.part, word, rules = unread.rules;
+                    "unknown word in the plan; its rules are treated as not repeatable"
+                );
+            } else {
+                log::warn!(
+                    version = plan.version, part = unread.part, word;
+                    "unknown word in the plan ignored"
+                );
+            }
+        }
         self.rules = rule::Table::build(&plan.rules);
         self.entrances = homes::entrances(&self.rules);
         self.plan = Some(plan);
@@ -187,6 +237,19 @@
             .expect("the budget was inserted if it was missing")
     }
 
+    /// What cold targets of `service` tolerate, if the plan and the settings bound it.
+    pub(crate) fn cold_bound(&self, service: &str) -> Option<cold::Bound> {
+        let settings = self.settings.cold?;
+        let mut services = self.plan.iter().flat_map(|plan| &plan.services);
+        let found = services.find(|known| *known.name == *service)?;
+        let per_s = found.cold_per_s_thousandths * settings.over_thousandths / 1_000;
+        (per_s > 0 && found.cold_start > Span::ZERO).then_some(cold::Bound {
+            start: found.cold_start,
+            per_s_thousandths: per_s,
+            slack_thousandths: settings.slack_thousandths,
+        })
+    }
+
     /// The services of the plan.
     pub(crate) fn services(&self) -> Set<Box<str>> {
         let rules = self.rules.iter().flat_map(|rule| &rule.destinations);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -101,6 +101,8 @@
         SpillRegionCheaperCalls,
         /// Bytes sent to another region because the loss was smaller there.
         SpillRegionCheaperBytes,
+        /// Unknown words for the class of rules, once for each plan in force.
+        UnreadClasses,
     }
 
     /// What is gauged; each name in docs/metrics.md.
@@ -117,6 +119,8 @@
         Members,
         /// Targets that may get no new work.
         TargetsLeaving,
+        /// Data centres that are out of service.
+        DataCentersOut,
         /// Median time of a call inside the process and the target, in microseconds.
         CallP50Us,
         /// 99th percentile of that time.
@@ -127,7 +131,7 @@
 }
 
 /// All counts in the order of their declaration.
-pub const COUNTS: [Count; 37] = [
+pub const COUNTS: [Count; 38] = [
     Count::Calls,
     Count::Ran,
     Count::NotRun,
@@ -165,16 +169,18 @@
     Count::SpillRegionNoneOpenBytes,
     Count::SpillRegionCheaperCalls,
     Count::SpillRegionCheaperBytes,
+    Count::UnreadClasses,
 ];
 
 /// All gauges in the order of their declaration.
-pub const GAUGES: [Gauge; 9] = [
+pub const GAUGES: [Gauge; 10] = [
     Gauge::InFlight,
     Gauge::Waiting,
     Gauge::ViewAgeMs,
     Gauge::Links,
     Gauge::Members,
     Gauge::TargetsLeaving,
+    Gauge::DataCentersOut,
     Gauge::CallP50Us,
     Gauge::CallP99Us,
     Gauge::CallP999Us,
@@ -222,6 +228,7 @@
             Self::SpillRegionNoneOpenBytes => "spill.region.none_open.bytes",
             Self::SpillRegionCheaperCalls => "spill.region.cheaper.calls",
             Self::SpillRegionCheaperBytes => "spill.region.cheaper.bytes",
+            Self::UnreadClasses => "plan.unread_classes",
         }
     }
 }
@@ -237,6 +244,7 @@
             Self::Links => "peer.links",
             Self::Members => "members.alive",
             Self::TargetsLeaving => "targets.leaving",
+            Self::DataCentersOut => "data_centers.out",
             Self::CallP50Us => "call.p50_us",
             Self::CallP99Us => "call.p99_us",
             Self::CallP999Us => "call.p999_us",
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,6 +14,7 @@
 use oriolecleat_core::reader::Reader;
 use oriolecleat_core::route;
 use oriolecleat_core::settings::Settings;
+use oriolecleat_core::site::directory::Homes;
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::target::Place;
 use oriolecleat_core::ticket;
@@ -32,11 +33,11 @@
 use crate::gather::BUFFERED_MAX_BYTES;
 use crate::halt::Phases;
 use crate::homes::Basis;
-use crate::homes::Homes;
 use crate::host::Host;
 use crate::host::Hosted;
 use crate::inflight;
 use crate::metrics::Metrics;
+use crate::pipeline::READ_AHEAD_MAX_BYTES;
 use crate::pool::Pool;
 use crate::probe;
 use crate::quota;
@@ -60,10 +61,12 @@
     pub(crate) issuer: ticket::Issuer,
     pub(crate) ledger: ticket::Ledger,
     pub(crate) pool: Pool,
-    /// How long ago registrations may have vanished whose removal is being applied.
-    pub(crate) removal_age: Span,
+    /// How long ago registrations may have vanished whose removal is being applied; none if at any time.
+    pub(crate) removal_age: Option<Span>,
     /// Space for answers that are buffered before the caller gets their first byte.
     pub(crate) buffered: Space,
+    /// Space for bytes of requests that are read ahead.
+    pub(crate) read_ahead: Space,
     /// Longest idle time of a connection that may carry a request which must not run twice.
     pub(crate) idle_limit: idle::Limit,
     pub(crate) revision: u64,
@@ -101,6 +104,8 @@
     pub(crate) hosted: Option<Hosted>,
     pub(crate) homes: Homes,
     pub(crate) homes_basis: Basis,
+    /// Whether the targets, rules or regions changed since the homes were assigned.
+    pub(crate) homes_outdated: bool,
 }
 
 impl Node {
@@ -135,6 +140,7 @@
             hosted,
             homes: Homes::default(),
             homes_basis: Basis::default(),
+            homes_outdated: true,
             issuer: ticket::Issuer::new(settings.fleet_key.as_bytes()),
             ledger: ticket::Ledger::new(&settings.vm, incarnation, LEDGER_CAPACITY),
             metrics: Metrics::new(settings.statsd, &settings.vm),
@@ -142,8 +148,9 @@
             incarnation,
             routes: route::Table::default(),
             pool: Pool::default(),
-            removal_age: Span::ZERO,
+            removal_age: Some(Span::ZERO),
             buffered: Space::new(BUFFERED_MAX_BYTES),
+            read_ahead: Space::new(READ_AHEAD_MAX_BYTES),
             idle_limit: idle::Limit::default(),
             revision: 0,
             catalogue: Catalogue::with_opaque(foreign),
--- a/crates/daemon/src/policy.rs
+++ b/crates/daemon/src/policy.rs
@@ -15,9 +15,11 @@
 use oriolecleat_core::place;
 use oriolecleat_core::place::Estimate;
 use oriolecleat_core::place::Placer;
+use oriolecleat_core::place::cold;
 use oriolecleat_core::place::spill;
 use oriolecleat_core::place::spill::Tally;
 use oriolecleat_core::place::spill::Terms;
+use oriolecleat_core::site::region::Scope;
 use oriolecleat_core::stated::Change;
 use oriolecleat_core::stated::Statement;
 use oriolecleat_core::target;
@@ -84,6 +86,38 @@
         }
     }
 
+    /// Sets what cold targets tolerate of all VMs together, if it is bounded.
+    pub(crate) fn set_cold_bound(&mut self, bound: Option<cold::Bound>) {
+        match self {
+            Self::Own(_) => {}
+            Self::Hosted(placer) => placer.set_cold_bound(bound),
+        }
+    }
+
+    /// The targets that are cold and have a bound.
+    pub(crate) fn cold_targets(&self, now: Instant) -> Vec<&entry::Target> {
+        match self {
+            Self::Own(_) => Vec::new(),
+            Self::Hosted(placer) => placer.cold_targets(now).collect(),
+        }
+    }
+
+    /// Sets the names of the cold targets that this VM may use.
+    pub(crate) fn set_cold_users(&mut self, targets: Set<Box<str>>) {
+        match self {
+            Self::Own(_) => {}
+            Self::Hosted(placer) => placer.set_cold_users(targets),
+        }
+    }
+
+    /// Records that a target states that it is cold for `left`.
+    pub(crate) fn record_cold(&mut self, now: Instant, target: target::Key, left: Span) {
+        match self {
+            Self::Own(_) => {}
+            Self::Hosted(placer) => placer.record_cold(now, target, left),
+        }
+    }
+
     /// Takes over what an answer to a request sent at `sent` states of its target.
     pub(crate) fn record_statement(
         &mut self,
@@ -286,11 +320,11 @@
         }
     }
 
-    /// Expected wait of a new call; none for the product's own targets.
-    pub(crate) fn expected_wait(&self, now: Instant) -> Option<Span> {
+    /// Expected wait of a new call to `regions`; none for the product's own targets.
+    pub(crate) fn expected_wait(&self, now: Instant, regions: &Scope) -> Option<Span> {
         match self {
             Self::Own(_) => None,
-            Self::Hosted(placer) => Some(placer.expected_wait(now)),
+            Self::Hosted(placer) => Some(placer.expected_wait_in(now, regions)),
         }
     }
 
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -56,6 +56,7 @@
             own.named = new.named;
             own.regions.clone_from(&new.regions);
             own.prices.clone_from(&new.prices);
+            own.cold = new.cold;
         }
         let changed = next != self.settings;
         if next != *settings {
@@ -66,7 +67,13 @@
         log::info!(changed; "reload: the settings are valid");
         if let (Some(hosted), Some(hosting)) = (&mut self.hosted, &next.hosting) {
             hosted.configure(hosting.clone());
+            self.homes_outdated = true;
         }
+        let cold = |settings: &Settings| settings.hosting.as_ref().and_then(|own| own.cold);
+        let is_cold_changed = cold(&self.settings) != cold(&next);
         self.settings = next;
+        if is_cold_changed {
+            self.apply();
+        }
     }
 }
