Let calls leave at once if no target of their VM may get them

While all targets of a data centre were lost, full or out of service, its calls waited for the next trial, one a second, where no report told the load elsewhere. Where reports told free slots, the share of one of 120 VMs accrued to a call after seconds, and the call was refused after 215 ms to 350 ms.

A VM without an own target with room now sends a trial in each mean time of work, and its share accrues to a call within 0.2 s while free slots are reported. Full targets still get none, and 60 VMs beside three free slots still send at most three calls at once (many_vms_send_no_more_than_is_free).

without_reports_only_trials_leave asserted the wait beside a full local target. It now has a slow local target with room, for which a trial a second remains the rule, with one more moment checked. The two new tests failed on the code before (at 60 ms no second call; the call refused).

--- a/crates/core/src/place/spill/room.rs
+++ b/crates/core/src/place/spill/room.rs
@@ -10,6 +10,7 @@
 
 use crate::estimate::number;
 use crate::estimate::seconds;
+use crate::estimate::span;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -31,6 +32,10 @@
 const TRIP_PART: f64 = 0.25;
 /// Time between two trials in a data centre of which nothing is known.
 const TRIAL_INTERVAL: Span = Span::from_millis(1_000);
+/// Longest time in seconds until a VM whose own targets take no call may send one to a data centre that
+/// reports free slots. Calls with an objective of 300 ms and 85 ms of work are refused after 215 ms, and
+/// the share of one of many VMs takes longer to accrue.
+const STRANDED_WAIT_S: f64 = 0.2;
 /// Time in seconds in which a congestion price moves by the excess of the load over the limit.
 const PRICE_PERIOD_S: f64 = 0.5;
 /// Share of the largest load above which the price rises.
@@ -93,6 +98,8 @@
     /// Updates the accounts by the targets of each data centre. `senders` returns the number of VMs
     /// that may send to it, `period` is the time in seconds after which a call sent shows in the
     /// reports, and `phase` a random number below 1, which spreads the first calls of the VMs.
+    /// `stranded` states that no target outside the accounts may get a call at once: then one call
+    /// leaves in each `period` without reports, and in `STRANDED_WAIT_S` with free slots.
     pub(crate) fn update(
         &mut self,
         now: Instant,
@@ -100,6 +107,7 @@
         senders: impl Fn(usize) -> usize,
         period: f64,
         phase: f64,
+        stranded: bool,
     ) {
         let mut sums: BTreeMap<usize, Sum> = BTreeMap::new();
         for (center, target) in targets {
@@ -115,7 +123,7 @@
                 own: 0.0,
                 price: 0.0,
             });
-            account.update(now, &sum, senders(center), period);
+            account.update(now, &sum, senders(center), period, stranded);
         }
     }
 
@@ -171,16 +179,19 @@
 }
 
 impl Account {
-    fn update(&mut self, now: Instant, sum: &Sum, senders: usize, period: f64) {
+    fn update(&mut self, now: Instant, sum: &Sum, senders: usize, period: f64, stranded: bool) {
         let elapsed = seconds(now.since(self.updated));
         self.updated = now;
         let period = period.max(f64::MIN_POSITIVE);
         self.own += (sum.own - self.own) * (1.0 - (-elapsed / (2.0 * period)).exp());
         self.blind = sum.best_weight < REPORT_WEIGHT_MIN;
         if self.blind {
-            let due = self
-                .trial
-                .is_none_or(|last| now.since(last) >= TRIAL_INTERVAL);
+            let interval = if stranded {
+                span(period).min(TRIAL_INTERVAL)
+            } else {
+                TRIAL_INTERVAL
+            };
+            let due = self.trial.is_none_or(|last| now.since(last) >= interval);
             self.credit = if due { 1.0 } else { self.credit.min(0.0) };
             return;
         }
@@ -193,7 +204,11 @@
         let age = sum.known_age / sum.weights.max(f64::MIN_POSITIVE);
         let delay = (age * AGE_PART).max(TRIP_PART * sum.round_trip).min(period);
         let delay = delay.max(f64::MIN_POSITIVE);
-        let accrued = self.credit + share * elapsed / delay;
+        let mut rate = share / delay;
+        if stranded && free > 0.0 {
+            rate = rate.max(1.0 / STRANDED_WAIT_S);
+        }
+        let accrued = self.credit + rate * elapsed;
         self.credit = accrued.min(share.max(1.0));
         if sum.known_free >= AMPLE_SHARE * sum.known_max {
             self.credit = self.credit.max(1.0);
--- a/crates/core/src/place/spill/state.rs
+++ b/crates/core/src/place/spill/state.rs
@@ -134,6 +134,10 @@
             (candidate.distance != Distance::Local).then_some((center, reported))
         };
         let away: Vec<(usize, Reported)> = candidates.iter().filter_map(away).collect();
+        // Calls that no target of this VM may get at once do not wait for the next trial.
+        let stranded = !candidates.iter().any(|(key, candidate)| {
+            (candidate.distance == Distance::Local || self.is_own(*key)) && candidate.has_room()
+        });
         let work = self.work.typical().unwrap_or(ASSUMED_WORK_S) * self.mean_slowdown;
         let spill = &self.spill;
         let mut rooms = spill.rooms.clone();
@@ -144,6 +148,7 @@
             |center| spill.senders(center),
             work,
             phase,
+            stranded,
         );
         self.spill.rooms = rooms;
         for (key, candidate) in candidates {
