Bound leaving calls without a copy of the accounts

Each arrival copied the accounts of all data centres, built a tree of sums and a list of the targets elsewhere, and looked up the name of each such target among the assigned ones. The accounts and sums are now indexed by data centre and kept, and whether a target is assigned is noted when targets or homes change. The pass over the targets remains.

--- a/crates/bench/examples/decision_cost.rs
+++ b/crates/bench/examples/decision_cost.rs
@@ -22,16 +22,22 @@
 
 fn main() {
     for targets in [12, 250, 3_000] {
-        for waiting in [0, 100, 2_000] {
-            let micros = measure(targets, waiting);
-            println!("{targets:5} targets {waiting:5} waiting {micros:10.1} us a decision");
+        for centers in [1, 6] {
+            for waiting in [0, 100, 2_000] {
+                let micros = measure(targets, centers, waiting);
+                println!(
+                    "{targets:5} targets {centers} data centres {waiting:5} waiting \
+                     {micros:10.1} us a decision"
+                );
+            }
         }
     }
 }
 
-/// Mean microseconds of a tick if calls wait, or else of an arrival with its withdrawal.
-fn measure(targets: usize, waiting: u64) -> f64 {
-    let site = Site::new(1, 1, targets, Kind::quiet(2, Full::Reset));
+/// Mean microseconds of a tick with targets in `centers` data centres if calls wait, or else of an arrival with its withdrawal.
+fn measure(targets: usize, centers: usize, waiting: u64) -> f64 {
+    let mut site = Site::new(1, 1, targets, Kind::quiet(2, Full::Reset));
+    site.centers = (0..targets).map(|index| index % centers).collect();
     let mut placer = Placer::new(site.place(0), Limits { queue: 10_000 });
     let now = Instant::from_micros(1_000_000);
     placer.update(now, &site.specs(), |_| None);
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -183,7 +183,7 @@
         cold_until: impl Fn(&str) -> Option<Instant>,
     ) {
         self.targets.update(now, &self.place, specs);
-        self.spill.update(&self.targets);
+        self.spill.update(&self.targets, self.own_targets.as_ref());
         let targets = &self.targets;
         self.stats.retain(|key, _| targets.get(key).is_some());
         self.stated.retain(|key, _| targets.get(key).is_some());
@@ -204,6 +204,7 @@
     /// Sets the names of the targets that belong to this VM; none if no target counts as foreign.
     pub fn set_own_targets(&mut self, targets: Option<Set<Box<str>>>) {
         self.own_targets = targets;
+        self.spill.update(&self.targets, self.own_targets.as_ref());
     }
 
     /// Replaces the limits.
--- a/crates/core/src/place/spill/room.rs
+++ b/crates/core/src/place/spill/room.rs
@@ -6,8 +6,6 @@
 //! The shares of all VMs add up to the free slots without any message between VMs, and the share of
 //! a VM that sends alone grows with each round of reports.
 
-use std::collections::BTreeMap;
-
 use crate::estimate::number;
 use crate::estimate::seconds;
 use crate::estimate::span;
@@ -91,7 +89,9 @@
 /// What this VM may send to each other data centre, by its index.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Rooms {
-    accounts: BTreeMap<usize, Account>,
+    accounts: Vec<Option<Account>>,
+    /// Sums of the update under way, kept so that an arrival allocates nothing.
+    sums: Vec<Option<Sum>>,
 }
 
 impl Rooms {
@@ -109,13 +109,23 @@
         phase: f64,
         stranded: bool,
     ) {
-        let mut sums: BTreeMap<usize, Sum> = BTreeMap::new();
+        self.sums.fill(None);
         for (center, target) in targets {
-            sums.entry(center).or_default().add(&target);
+            if self.sums.len() <= center {
+                self.sums.resize(center + 1, None);
+                self.accounts.resize(center + 1, None);
+            }
+            self.sums[center]
+                .get_or_insert_with(Sum::default)
+                .add(&target);
         }
-        self.accounts.retain(|center, _| sums.contains_key(center));
-        for (center, sum) in sums {
-            let account = self.accounts.entry(center).or_insert(Account {
+        let both = self.accounts.iter_mut().zip(&self.sums).enumerate();
+        for (center, (account, sum)) in both {
+            let Some(sum) = sum else {
+                *account = None;
+                continue;
+            };
+            let account = account.get_or_insert(Account {
                 credit: phase,
                 updated: now,
                 blind: true,
@@ -123,33 +133,33 @@
                 own: 0.0,
                 price: 0.0,
             });
-            account.update(now, &sum, senders(center), period, stranded);
+            account.update(now, sum, senders(center), period, stranded);
         }
     }
 
+    fn account(&self, center: usize) -> Option<&Account> {
+        self.accounts.get(center).and_then(Option::as_ref)
+    }
+
     /// Calls that may be sent to `center` now.
     pub(crate) fn credit(&self, center: usize) -> f64 {
-        self.accounts
-            .get(&center)
-            .map_or(0.0, |account| account.credit)
+        self.account(center).map_or(0.0, |account| account.credit)
     }
 
     /// Whether no recent report tells the load of `center`.
     pub(crate) fn is_blind(&self, center: usize) -> bool {
-        let account = self.accounts.get(&center);
+        let account = self.account(center);
         account.is_none_or(|account| account.blind)
     }
 
     /// Congestion price of a call to `center`.
     pub(crate) fn price(&self, center: usize) -> f64 {
-        self.accounts
-            .get(&center)
-            .map_or(0.0, |account| account.price)
+        self.account(center).map_or(0.0, |account| account.price)
     }
 
     /// Takes a call that was sent to `center`.
     pub(crate) fn take(&mut self, now: Instant, center: usize) {
-        if let Some(account) = self.accounts.get_mut(&center) {
+        if let Some(account) = self.accounts.get_mut(center).and_then(Option::as_mut) {
             account.credit -= 1.0;
             if account.blind {
                 account.trial = Some(now);
--- a/crates/core/src/place/spill/state.rs
+++ b/crates/core/src/place/spill/state.rs
@@ -18,6 +18,7 @@
 use crate::balance::Job;
 use crate::estimate::number;
 use crate::map::Map;
+use crate::map::Set;
 use crate::place::loss::Candidate;
 use crate::place::loss::Distance;
 use crate::place::placer::ASSUMED_WORK_S;
@@ -37,15 +38,15 @@
     rooms: Rooms,
     /// Names of the data centres, by index.
     centers: Vec<Box<str>>,
-    /// Index of the data centre of each target.
-    places: SecondaryMap<target::Key, usize>,
+    /// Index of the data centre of each target, and whether the target is assigned to this VM.
+    places: SecondaryMap<target::Key, (usize, bool)>,
     /// VMs by data centre.
     vms: Map<Box<str>, usize>,
 }
 
 impl Spill {
-    /// Numbers the data centres of `targets`.
-    pub(crate) fn update(&mut self, targets: &Table) {
+    /// Numbers the data centres of `targets`, of which those named in `own` are assigned to this VM.
+    pub(crate) fn update(&mut self, targets: &Table, own: Option<&Set<Box<str>>>) {
         self.places.clear();
         for (key, target) in targets.iter() {
             let name = &target.spec.data_center;
@@ -54,7 +55,8 @@
                 self.centers.push(name.clone());
                 self.centers.len() - 1
             });
-            self.places.insert(key, index);
+            let is_own = own.is_some_and(|own| own.contains(&target.spec.name));
+            self.places.insert(key, (index, is_own));
         }
     }
 
@@ -119,9 +121,10 @@
         if !bounded || self.spill.centers.len() < 2 {
             return;
         }
+        let mut rooms = std::mem::take(&mut self.spill.rooms);
         let (stats, places) = (&self.stats, &self.spill.places);
         let away = |(key, candidate): &(target::Key, Candidate)| {
-            let center = *places.get(*key)?;
+            let (center, _) = *places.get(*key)?;
             let stats = stats.get(*key)?;
             let own = u64::try_from(stats.own_calls()).unwrap_or(u64::MAX);
             let reported = Reported {
@@ -133,18 +136,16 @@
             };
             (candidate.distance != Distance::Local).then_some((center, reported))
         };
-        let away: Vec<(usize, Reported)> = candidates.iter().filter_map(away).collect();
         // Calls that no target of this VM may get at once do not wait for the next trial.
         let stranded = !candidates.iter().any(|(key, candidate)| {
             (candidate.distance == Distance::Local || self.is_own(*key)) && candidate.has_room()
         });
         let work = self.work.typical().unwrap_or(ASSUMED_WORK_S) * self.mean_slowdown;
         let spill = &self.spill;
-        let mut rooms = spill.rooms.clone();
         let phase = rng.random::<f64>();
         rooms.update(
             now,
-            away.into_iter(),
+            candidates.iter().filter_map(away),
             |center| spill.senders(center),
             work,
             phase,
@@ -152,7 +153,7 @@
         );
         self.spill.rooms = rooms;
         for (key, candidate) in candidates {
-            let Some(center) = self.spill.places.get(*key) else {
+            let Some((center, is_own)) = self.spill.places.get(*key) else {
                 continue;
             };
             if candidate.distance == Distance::Local {
@@ -160,7 +161,7 @@
             }
             if way == Way::Congestion {
                 candidate.price = self.spill.rooms.price(*center);
-            } else if !self.is_own(*key) {
+            } else if !is_own {
                 candidate.leave = Some(*center);
                 candidate.may_leave = self.spill.rooms.credit(*center) >= 1.0;
                 candidate.unreported = self.spill.rooms.is_blind(*center);
@@ -170,9 +171,10 @@
 
     /// Whether the target is assigned to this VM.
     fn is_own(&self, key: target::Key) -> bool {
-        let own = self.own_targets.as_ref();
-        let target = self.targets.get(key);
-        target.is_some_and(|target| own.is_some_and(|own| own.contains(&target.spec.name)))
+        self.spill
+            .places
+            .get(key)
+            .is_some_and(|(_, is_own)| *is_own)
     }
 
     /// Records that `call` was sent to `choice`, and takes it from what this VM may send there.
