--- a/crates/bench/src/model/hosted/fleet.rs
+++ b/crates/bench/src/model/hosted/fleet.rs
@@ -18,6 +18,7 @@
 use super::site::Site;
 use super::site::Vm;
 use super::site::center;
+use super::site::cheap_bytes;
 use super::site::name;
 use super::site::region;
 
@@ -152,6 +153,7 @@
         centers: (0..targets).map(|index| index % CENTERS).collect(),
         homes: None,
         near_us: 600,
+        terms: cheap_bytes(),
         center_us: 2_800,
         caller_us: 16_000,
         far_us: 40_000,
--- a/crates/bench/src/model/hosted/site.rs
+++ b/crates/bench/src/model/hosted/site.rs
@@ -1,6 +1,10 @@
 //! VMs, targets and the delays between them.
 
 use oriolecleat_core::entry;
+use oriolecleat_core::map::Map;
+use oriolecleat_core::place::spill::Prices;
+use oriolecleat_core::place::spill::Terms;
+use oriolecleat_core::place::spill::Way;
 use oriolecleat_core::target::Place;
 
 /// What a target does with a request for which it has neither a slot nor a place in its queue.
@@ -86,6 +90,19 @@
     pub caller_us: u64,
     /// Microseconds to a target in another region and back.
     pub far_us: u64,
+    /// How calls leave their data centre.
+    pub terms: Terms,
+}
+
+/// Size of a data centre.
+#[derive(Clone, Copy, Debug)]
+pub struct Center {
+    /// Region.
+    pub region: usize,
+    /// VMs.
+    pub vms: usize,
+    /// Targets.
+    pub targets: usize,
 }
 
 impl Kind {
@@ -131,6 +148,19 @@
     }
 }
 
+/// Prices at which time and knowledge of the load decide and not bytes.
+pub(super) fn cheap_bytes() -> Terms {
+    let prices = Prices {
+        data_center_gb: 4_000,
+        region_gb: 32_000,
+        ..Prices::default()
+    };
+    Terms {
+        prices,
+        ..Terms::default()
+    }
+}
+
 impl Site {
     /// `regions` regions, each with `vms` VMs and `targets` targets of one kind.
     #[must_use]
@@ -153,7 +183,48 @@
             center_us: 600,
             caller_us: 0,
             far_us: 40_000,
+            terms: cheap_bytes(),
+        }
+    }
+
+    /// Data centres with targets of one kind. The targets of a data centre have consecutive indices.
+    #[must_use]
+    pub fn with_centers(centers: &[Center], kind: Kind) -> Self {
+        let mut site = Self {
+            center_us: 1_800,
+            ..Self::new(0, 0, 0, kind)
+        };
+        for (index, center) in centers.iter().enumerate() {
+            let vm = Vm {
+                region: center.region,
+                center: index,
+                cores: f64::INFINITY,
+            };
+            site.vms.extend(std::iter::repeat_n(vm, center.vms));
+            let target = (center.region, kind);
+            site.targets
+                .extend(std::iter::repeat_n(target, center.targets));
+            site.centers
+                .extend(std::iter::repeat_n(index, center.targets));
+        }
+        site
+    }
+
+    /// The same site where calls leave their data centre by `way`.
+    #[must_use]
+    pub fn with_way(mut self, way: Way) -> Self {
+        self.terms.way = way;
+        self
+    }
+
+    /// VMs by data centre.
+    #[must_use]
+    pub fn vm_counts(&self) -> Map<Box<str>, usize> {
+        let mut counts = Map::default();
+        for vm in &self.vms {
+            *counts.entry(center(vm.center)).or_default() += 1;
         }
+        counts
     }
 
     /// The same site with VMs that have `cores` of a processor core each.
--- a/crates/bench/src/model/hosted/target.rs
+++ b/crates/bench/src/model/hosted/target.rs
@@ -71,8 +71,7 @@
     }
 
     /// The load report on the answer to a request that has just ended.
-    pub(super) fn report_on_answer(&self, now: u64) -> Report {
-        let report = self.report(now);
+    pub(super) fn count_answered(&self, report: Report) -> Report {
         Report {
             running: report.running + u64::from(self.kind.counts_answered),
             ..report
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -14,6 +14,7 @@
 mod probe;
 mod queue;
 mod region;
+pub mod spill;
 mod stated;
 mod stats;
 mod wait;
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -30,6 +30,7 @@
 use crate::place::queue::Queue;
 use crate::place::region::is_limited;
 use crate::place::region::permitted;
+use crate::place::spill::Spill;
 use crate::place::stats::Stats;
 use crate::place::work::Work;
 use crate::stated::Stated;
@@ -72,6 +73,30 @@
     pub(super) loss: f64,
 }
 
+/// The targets among which calls that wait are assigned.
+struct Offer {
+    candidates: Vec<(target::Key, Candidate)>,
+    /// Whether any of them has room.
+    open: bool,
+}
+
+impl Offer {
+    fn new(candidates: Vec<(target::Key, Candidate)>) -> Self {
+        let open = candidates.iter().any(|(_, target)| target.has_room());
+        Self { candidates, open }
+    }
+
+    /// Takes room for one call at `target`.
+    fn take(&mut self, target: target::Key) {
+        let mut chosen = self.candidates.iter_mut();
+        if let Some((_, candidate)) = chosen.find(|(key, _)| *key == target) {
+            candidate.load += 1.0;
+            candidate.allowance -= 1.0;
+        }
+        self.open = self.candidates.iter().any(|(_, target)| target.has_room());
+    }
+}
+
 /// Weight of a new report in the mean slowdown of the machines.
 const SLOWDOWN_WEIGHT: f64 = 1.0 / 64.0;
 /// Weight of a new report in the mean load of other VMs.
@@ -109,6 +134,7 @@
     pub(super) queue: Queue,
     pub(super) flights: Map<Call, Flight>,
     pub(super) work: Work,
+    pub(super) spill: Spill,
     /// Mean slowdown of the machines, 1 for as usual.
     pub(super) mean_slowdown: f64,
     /// Mean requests of other VMs at a target, for each of its slots.
@@ -139,6 +165,7 @@
             queue: Queue::default(),
             flights: Map::default(),
             work: Work::default(),
+            spill: Spill::default(),
             mean_slowdown: 1.0,
             mean_others: 0.0,
             count: Count::default(),
@@ -156,6 +183,7 @@
         cold_until: impl Fn(&str) -> Option<Instant>,
     ) {
         self.targets.update(now, &self.place, specs);
+        self.spill.update(&self.targets, self.own_targets.as_ref());
         let targets = &self.targets;
         self.stats.retain(|key, _| targets.get(key).is_some());
         self.stated.retain(|key, _| targets.get(key).is_some());
@@ -176,6 +204,7 @@
     /// Sets the names of the targets that belong to this VM; none if no target counts as foreign.
     pub fn set_own_targets(&mut self, targets: Option<Set<Box<str>>>) {
         self.own_targets = targets;
+        self.spill.update(&self.targets, self.own_targets.as_ref());
     }
 
     /// Replaces the limits.
@@ -225,9 +254,11 @@
             arrived: job.arrived,
             tried: job.avoid.into_iter().collect(),
             probe_deadline: None,
+            fare: self.fare(&job),
             job,
         };
-        let candidates = self.candidates(now);
+        let mut candidates = self.candidates(now);
+        self.bound_leaving(now, &mut candidates, rng);
         item.probe_deadline = self.probe_best(now, &item, work, &candidates, out);
         let is_limited = is_limited(&candidates, &item.job.regions);
         let reason = Refusal::Overloaded;
@@ -371,6 +402,10 @@
                         stated.allowance(now, self.users_of(&target.spec))
                     })
                     .min(self.cold_allowance(now, key, &target.spec.name)),
+                leave: None,
+                may_leave: true,
+                unreported: false,
+                price: 0.0,
             };
             Some((key, candidate))
         };
@@ -400,7 +435,8 @@
     /// Assigns calls that wait to the targets as they are known now, if any call waits.
     fn dispatch(&mut self, now: Instant, rng: &mut SmallRng, out: &mut Vec<Action>) {
         if !self.queue.is_empty() {
-            let candidates = self.candidates(now);
+            let mut candidates = self.candidates(now);
+            self.bound_leaving(now, &mut candidates, rng);
             self.assign(now, candidates, rng, out);
         }
     }
@@ -410,7 +446,7 @@
     fn assign(
         &mut self,
         now: Instant,
-        mut candidates: Vec<(target::Key, Candidate)>,
+        candidates: Vec<(target::Key, Candidate)>,
         rng: &mut SmallRng,
         out: &mut Vec<Action>,
     ) {
@@ -420,46 +456,70 @@
             let reason = Refusal::NoTarget;
             out.push(Action::Refuse { call, reason });
         }
-        let is_open = |candidates: &[(target::Key, Candidate)]| {
-            candidates.iter().any(|(_, candidate)| candidate.has_room())
-        };
         // Under overload many calls wait, so the candidates are derived once for all of them, and
         // not weighed for each call once none has room.
-        let mut open = is_open(&candidates);
-        for call in self.queue.by_priority(now, |job| self.expected_work(job)) {
-            let Some(item) = self.queue.iter().find(|item| item.job.call == call) else {
-                continue;
-            };
-            let probing = item.probe_deadline.is_some_and(|deadline| now < deadline);
-            let work = self.expected_work(&item.job);
-            if probing && !self.is_best_probed(now, item, work, &candidates) {
-                continue;
+        let mut offer = Offer::new(candidates);
+        let order = self.queue.by_priority(now, |job| self.expected_work(job));
+        for group in order.chunk_by(|left, right| left.0 == right.0) {
+            // Of the calls of the same rank that leave the data centre, those that gain most for
+            // their bytes go first.
+            let mut leaving = Vec::new();
+            for (_, call) in group {
+                let later = (group.len() > 1).then_some(&mut leaving);
+                self.assign_call(now, *call, &mut offer, later, rng, out);
             }
-            let choice = open
-                .then(|| {
-                    pick(&candidates, now, item, work, &item.tried, rng)
-                        .or_else(|| pick(&candidates, now, item, work, &[], rng))
-                })
-                .flatten();
-            match choice {
-                Some(choice) => {
-                    if let Some(item) = self.queue.remove(call) {
-                        self.send(now, item, &choice, work, out);
-                    }
-                    let mut chosen = candidates.iter_mut();
-                    if let Some((_, candidate)) = chosen.find(|(key, _)| *key == choice.target) {
-                        candidate.load += 1.0;
-                        candidate.allowance -= 1.0;
-                    }
-                    open = is_open(&candidates);
+            leaving.sort_by(|left: &(f64, Call), right| right.0.total_cmp(&left.0));
+            for (_, call) in leaving {
+                self.assign_call(now, call, &mut offer, None, rng, out);
+            }
+        }
+    }
+
+    /// Sends a call that waits if a target has room, or refuses it if it waited too long. A call
+    /// that would leave the data centre is added to `leaving` instead, with its gain by byte.
+    fn assign_call(
+        &mut self,
+        now: Instant,
+        call: Call,
+        offer: &mut Offer,
+        leaving: Option<&mut Vec<(f64, Call)>>,
+        rng: &mut SmallRng,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(item) = self.queue.iter().find(|item| item.job.call == call) else {
+            return;
+        };
+        let probing = item.probe_deadline.is_some_and(|deadline| now < deadline);
+        let work = self.expected_work(&item.job);
+        if probing && !self.is_best_probed(now, item, work, &offer.candidates) {
+            return;
+        }
+        let choice = offer
+            .open
+            .then(|| {
+                pick(&offer.candidates, now, item, work, &item.tried, rng)
+                    .or_else(|| pick(&offer.candidates, now, item, work, &[], rng))
+            })
+            .flatten();
+        match choice {
+            Some(choice) => {
+                if let Some(leaving) = leaving.filter(|_| choice.candidate.leave.is_some()) {
+                    leaving.push((item.gain_by_byte(choice.loss), call));
+                    return;
                 }
-                None if item.is_expired(now, work) => {
-                    self.queue.remove(call);
-                    let reason = Refusal::Overloaded;
-                    out.push(Action::Refuse { call, reason });
+                if let Some(item) = self.queue.remove(call) {
+                    let remaining = item.remaining(now);
+                    self.send(now, item, &choice, work, out);
+                    self.record_leaving(now, call, remaining, &choice, &mut offer.candidates);
                 }
-                None => {}
+                offer.take(choice.target);
+            }
+            None if item.is_expired(now, work) => {
+                self.queue.remove(call);
+                let reason = Refusal::Overloaded;
+                out.push(Action::Refuse { call, reason });
             }
+            None => {}
         }
     }
 }
@@ -504,7 +564,7 @@
 pub(super) fn score<'a>(
     candidates: &'a [(target::Key, Candidate)],
     now: Instant,
-    item: &Item,
+    item: &'a Item,
     work: f64,
     skip: &'a [target::Key],
 ) -> impl Iterator<Item = Choice> + 'a {
@@ -513,11 +573,14 @@
         objective: seconds(item.job.objective),
         remaining: item.remaining(now),
         repeatable: item.job.class != Class::Once,
-        urgency: item.job.urgency,
+        fare: item.fare,
     };
     let regions = item.job.regions.clone();
     let open = candidates.iter().filter(move |(key, candidate)| {
-        !skip.contains(key) && candidate.is_allowed() && regions.includes(candidate.region)
+        !skip.contains(key)
+            && candidate.is_allowed()
+            && regions.includes(candidate.region)
+            && item.fare.pays(candidate.distance)
     });
     open.map(move |(target, candidate)| Choice {
         target: *target,
--- a/crates/core/src/settings/hosting.rs
+++ b/crates/core/src/settings/hosting.rs
@@ -1,11 +1,13 @@
 //! The `hosting` section of the settings, for a fleet that a platform hosts.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use serde_json::Map;
 use serde_json::Value;
 use serde_json::json;
 
+use crate::place::spill::Prices;
 use crate::read::Reader;
 use crate::time::Span;
 
@@ -30,6 +32,8 @@
         pub memory_mb: u64,
         /// Regions of the data centres that targets may name.
         pub regions: Vec<Region>,
+        /// Costs of bytes between data centres and regions, and the worths of answers.
+        pub prices: Prices,
         /// Bound on the requests to a cold target; none without one.
         pub cold: Option<Cold>,
     }
@@ -74,6 +78,12 @@
 /// slot transfers about half a Mbit/s.
 const SLOTS_PER_MBPS: u64 = 2;
 
+/// Cost of a gigabyte in thousandths of the worth of an answer; at the upper end a byte costs a
+/// thousandth of an answer.
+const GB_RANGE: RangeInclusive<u32> = 0..=1_000_000_000;
+/// Worth of an answer in thousandths of a plain one. An answer without a worth would not be sent.
+const WORTH_RANGE: RangeInclusive<u32> = 1..=1_000_000;
+
 /// Reads the fields of the section.
 pub(super) fn read(reader: &mut Reader) -> Option<Hosting> {
     let ready = reader.listen_address("ready");
@@ -85,6 +95,7 @@
     let link = reader.thousandths("link_mbps", 1..=4_000_000_000, 1_000_000);
     let memory = reader.integer("memory_mb", 0..=1_048_576, Some(0));
     let regions = reader.named_texts("regions");
+    let prices = prices(reader);
     let cold = reader.optional("cold", cold);
     let region = |(data_center, name)| Region { data_center, name };
     Some(Hosting {
@@ -97,10 +108,23 @@
         link_kbps: link?,
         memory_mb: memory?,
         regions: regions.into_iter().map(region).collect(),
+        prices: prices?,
         cold: cold?,
     })
 }
 
+fn prices(reader: &mut Reader) -> Option<Prices> {
+    let default = Prices::default();
+    let data_center_gb = reader.thousandths("data_center_gb", GB_RANGE, default.data_center_gb);
+    let region_gb = reader.thousandths("region_gb", GB_RANGE, default.region_gb);
+    let worths = reader.ranked_thousandths("worths", WORTH_RANGE);
+    Some(Prices {
+        data_center_gb: data_center_gb?,
+        region_gb: region_gb?,
+        worths,
+    })
+}
+
 fn cold(reader: &mut Reader) -> Option<Cold> {
     let over = reader.thousandths("over", 0..=1_000_000, 1_000);
     let slack = reader.thousandths("slack", 0..=1_000_000_000, 8_000);
@@ -143,6 +167,8 @@
 
     pub(super) fn to_json(&self) -> Value {
         let region = |region: &Region| (String::from(&*region.data_center), json!(region.name));
+        let worth = |(rank, worth): &(u8, u64)| (rank.to_string(), json!(decimal(*worth)));
+        let worths: Map<String, Value> = self.prices.worths.iter().map(worth).collect();
         let regions: Map<String, Value> = self.regions.iter().map(region).collect();
         json!({
             "ready": self.ready.to_string(),
@@ -159,6 +185,9 @@
             "link_mbps": decimal(self.link_kbps),
             "memory_mb": self.memory_mb,
             "regions": regions,
+            "data_center_gb": decimal(self.prices.data_center_gb),
+            "region_gb": decimal(self.prices.region_gb),
+            "worths": worths,
             "cold": self.cold.map(|cold| json!({
                 "over": decimal(cold.over_thousandths),
                 "slack": decimal(cold.slack_thousandths),
