Let the price of bytes alone decide which calls leave a data centre

The daemon now uses the price of bytes without that bound; as many calls leave as the targets elsewhere are expected to have room for. The bound stays in the model for comparison.

Test: core spill calls_leave_a_full_data_center_at_once_if_they_are_worth_their_bytes, by the way that the daemon uses. With shares in force it fails, as fewer of the three calls leave. The tests of the shares name this way now.

--- a/crates/core/src/place/spill/mod.rs
+++ b/crates/core/src/place/spill/mod.rs
@@ -38,7 +38,7 @@
 const PROHIBITIVE: f64 = 100.0;
 
 key! {
-    /// How calls leave their data centre. The daemon uses [`Way::Shares`]; the model compares the
+    /// How calls leave their data centre. The daemon uses [`Way::Unbounded`]; the model compares the
     /// others with it.
     pub enum Way {
         /// Calls pay for their bytes, and each VM sends a share of the room in another data centre.
@@ -49,7 +49,8 @@
         Fixed,
         /// Calls leave only if more than half of them would be late at a local target.
         Threshold,
-        /// Calls pay for their bytes, and the number that leaves is not bounded.
+        /// Calls pay for their bytes, and as many leave as the targets elsewhere are expected to have
+        /// room for.
         Unbounded,
         /// Calls pay for their bytes and for the load at the other end, by a price that moves slowly.
         Congestion,
@@ -69,7 +70,7 @@
 impl Default for Terms {
     fn default() -> Self {
         Self {
-            way: Way::Shares,
+            way: Way::Unbounded,
             prices: Prices::default(),
         }
     }
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -203,11 +203,34 @@
     assert!((1..=3).contains(&bounded), "{bounded} with shares");
 }
 
+/// Guards against calls that wait beside a full local target while another data centre has room, and
+/// against calls whose bytes cost more than their answers, as the VM decides without further terms.
+#[test]
+fn calls_leave_a_full_data_center_at_once_if_they_are_worth_their_bytes() {
+    for (region_gb, leave) in [(Prices::default().region_gb, 3), (1_000_000_000, 0)] {
+        let mut vm = Vm::new(4, 1);
+        let way = Terms::default().way;
+        let prices = Prices {
+            region_gb,
+            ..Prices::default()
+        };
+        vm.set_terms(way, prices);
+        vm.report_all(at(0), 0);
+        let mut left = 0;
+        for call in 0..3 {
+            let out = vm.arrive(at(1), call, 1, 1);
+            left += vm.left(&out).len();
+        }
+        assert_eq!(left, leave, "{region_gb}");
+    }
+}
+
 /// Guards against more than a trial a second where no report tells the load while a local target
 /// has room but is slow, and against a trial that is never renewed.
 #[test]
 fn without_reports_only_trials_leave() {
     let mut vm = Vm::new(4, 1);
+    vm.set_terms(Way::Shares, Prices::default());
     let slow = |vm: &mut Vm, millis| {
         let report = Report {
             running: 0,
@@ -233,6 +256,7 @@
 fn calls_without_a_local_target_do_not_wait_for_the_next_trial() {
     for lost in [false, true] {
         let mut vm = Vm::new(4, 1);
+        vm.set_terms(Way::Shares, Prices::default());
         if lost {
             vm.placer.set_standing(vm.targets[0], Standing::Leaving);
         }
@@ -254,6 +278,7 @@
     for (running, leaves) in [(2, true), (SLOTS, false)] {
         for seed in 0..8 {
             let mut vm = Vm::new(3, seed);
+            vm.set_terms(Way::Shares, Prices::default());
             let vms = [("c".into(), 120)].into_iter().collect::<Map<_, _>>();
             vm.placer.set_vms(vms);
             let mut out = Vec::new();
