Name the cost of a call's way by its usual term

Fare becomes Cost, and the input of the choice of cold targets Basis. Names only: callers see no difference, and the lines that changed hold nothing else.

--- a/crates/core/src/place/flight.rs
+++ b/crates/core/src/place/flight.rs
@@ -155,7 +155,7 @@
                 let mut tried = flight.tried;
                 tried.push(target);
                 self.queue.push(Item {
-                    fare: self.fare(&flight.job),
+                    cost: self.cost(&flight.job),
                     job: flight.job,
                     arrived: flight.arrived,
                     probe_deadline: None,
--- a/crates/core/src/place/hedge.rs
+++ b/crates/core/src/place/hedge.rs
@@ -60,7 +60,7 @@
             arrived: flight.arrived,
             probe_deadline: None,
             tried: flight.tried.clone(),
-            fare: self.fare(&flight.job),
+            cost: self.cost(&flight.job),
         };
         let work = self.expected_work(&flight.job);
         let mut candidates = self.candidates(now);
--- a/crates/core/src/place/loss.rs
+++ b/crates/core/src/place/loss.rs
@@ -4,7 +4,7 @@
 //! For noisy neighbours, which slow a machine fourfold for some hundred milliseconds.
 
 use crate::estimate::number;
-use crate::place::spill::Fare;
+use crate::place::spill::Cost;
 use crate::site::region;
 
 /// Loss of a late answer.
@@ -85,7 +85,7 @@
     /// Whether the call may run twice.
     pub(crate) repeatable: bool,
     /// Loss by the way to the target and back.
-    pub(crate) fare: Fare,
+    pub(crate) cost: Cost,
 }
 
 impl Candidate {
@@ -129,7 +129,7 @@
         } else {
             FAILURE_LOSS
         };
-        let distance = criteria.fare.loss(self.distance) + self.price;
+        let distance = criteria.cost.loss(self.distance) + self.price;
         let foreign = if self.foreign { FOREIGN_LOSS } else { 0.0 };
         let congestion = if self.is_congested() {
             CONGESTION_LOSS
--- a/crates/core/src/place/placer.rs
+++ b/crates/core/src/place/placer.rs
@@ -254,7 +254,7 @@
             arrived: job.arrived,
             tried: job.avoid.into_iter().collect(),
             probe_deadline: None,
-            fare: self.fare(&job),
+            cost: self.cost(&job),
             job,
         };
         let mut candidates = self.candidates(now);
@@ -573,14 +573,14 @@
         objective: seconds(item.job.objective),
         remaining: item.remaining(now),
         repeatable: item.job.class != Class::Once,
-        fare: item.fare,
+        cost: item.cost,
     };
     let regions = item.job.regions.clone();
     let open = candidates.iter().filter(move |(key, candidate)| {
         !skip.contains(key)
             && candidate.is_allowed()
             && regions.includes(candidate.region)
-            && item.fare.pays(candidate.distance)
+            && item.cost.pays(candidate.distance)
     });
     open.map(move |(target, candidate)| Choice {
         target: *target,
--- a/crates/core/src/place/queue.rs
+++ b/crates/core/src/place/queue.rs
@@ -9,7 +9,7 @@
 use crate::balance::Call;
 use crate::balance::Job;
 use crate::estimate::seconds;
-use crate::place::spill::Fare;
+use crate::place::spill::Cost;
 use crate::site::region::Scope;
 use crate::target;
 use crate::time::Instant;
@@ -32,7 +32,7 @@
     /// Targets that failed or shed the call.
     pub(crate) tried: Vec<target::Key>,
     /// What the call loses by the way to another data centre.
-    pub(crate) fare: Fare,
+    pub(crate) cost: Cost,
 }
 
 impl Item {
@@ -43,7 +43,7 @@
 
     /// What an answer at an expected `loss` gains for each byte, in the worth of the answer.
     pub(crate) fn gain_by_byte(&self, loss: f64) -> f64 {
-        (1.0 - loss).max(0.0) / self.fare.bytes.max(1.0)
+        (1.0 - loss).max(0.0) / self.cost.bytes.max(1.0)
     }
 
     /// Whether a call with `work` seconds of expected work is likely to end within the objective.
--- a/crates/core/src/place/spill/mod.rs
+++ b/crates/core/src/place/spill/mod.rs
@@ -78,7 +78,7 @@
 
 impl Terms {
     /// What a call of `urgency` that carries `bytes` loses by its way.
-    pub(crate) fn fare(&self, bytes: f64, urgency: u8) -> Fare {
+    pub(crate) fn cost(&self, bytes: f64, urgency: u8) -> Cost {
         let between = self.prices.cost(bytes, Distance::DataCenter, urgency);
         let beyond = self.prices.cost(bytes, Distance::Region, urgency);
         let (losses, pays) = match self.way {
@@ -93,7 +93,7 @@
                 ([0.0, FIXED_DATA_CENTER, FIXED_REGION[rank]], [true; 3])
             }
         };
-        Fare {
+        Cost {
             losses,
             bytes,
             pays,
@@ -103,7 +103,7 @@
 
 /// What a call loses by its way, for each [`Distance`].
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Fare {
+pub(crate) struct Cost {
     losses: [f64; 3],
     /// Expected bytes of the call and its answer.
     pub(crate) bytes: f64,
@@ -111,7 +111,7 @@
     pays: [bool; 3],
 }
 
-impl Fare {
+impl Cost {
     /// Loss over `distance`.
     pub(crate) fn loss(&self, distance: Distance) -> f64 {
         self.losses[distance as usize]
--- a/crates/core/src/place/spill/state.rs
+++ b/crates/core/src/place/spill/state.rs
@@ -5,7 +5,7 @@
 use slotmap::SecondaryMap;
 
 use super::Change;
-use super::Fare;
+use super::Cost;
 use super::Reason;
 use super::Scope;
 use super::Tally;
@@ -104,9 +104,9 @@
     }
 
     /// What `job` loses by its way to another data centre.
-    pub(in crate::place) fn fare(&self, job: &Job) -> Fare {
+    pub(in crate::place) fn cost(&self, job: &Job) -> Cost {
         let bytes = self.spill.sizes.expected(job.entry, job.bytes.map(number));
-        self.spill.terms.fare(bytes, job.urgency)
+        self.spill.terms.cost(bytes, job.urgency)
     }
 
     /// Limits `candidates` in other data centres to what this VM may send there.
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -108,11 +108,11 @@
     pub(crate) registry: Registry,
     pub(crate) repeats: Map<Box<str>, repeat::Budget>,
     /// Input of the last choice of the cold targets that this VM uses.
-    pub(crate) cold_basis: ColdBasis,
+    pub(crate) cold_basis: Basis,
 }
 
 /// Count of the changes of members, and the cold targets by service, in order of their names.
-pub(crate) type ColdBasis = (u64, Vec<(service::Key, Vec<Box<str>>)>);
+pub(crate) type Basis = (u64, Vec<(service::Key, Vec<Box<str>>)>);
 
 /// What a change of a key means for the services.
 #[derive(Debug)]
@@ -133,7 +133,7 @@
             entrances: Entrances::default(),
             registry: Registry::default(),
             repeats: Map::default(),
-            cold_basis: ColdBasis::default(),
+            cold_basis: Basis::default(),
         }
     }
 
