--- a/review/standin-2/extra.rs
+++ b/review/standin-2/extra.rs
@@ -67,7 +67,7 @@
         });
         store.register(&format!("i-{index}"), SERVICE, address, 4);
     }
-    let node = Node::start("front-cai-a-1", store.address, folder);
+    let node = Node::start("front-cai-a-1", store.address);
     record.line("the process is ready");
     let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLERS)
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 mod close;
 mod extra;
 mod kit;
+mod seeds;
 mod slow;
 
 fn main() {
@@ -12,6 +13,7 @@
     let broken = match &*case {
         "close" => close::run(&folder),
         "extra" => extra::run(&folder),
+        "seeds" => seeds::run(&folder),
         "slow" => slow::run(&folder),
         _ => kit::unable("usage: standin-2 CASE FOLDER"),
     };
--- a/review/standin-2/slow.rs
+++ b/review/standin-2/slow.rs
@@ -22,6 +22,8 @@
 const SENT_AFTER: Duration = Duration::from_millis(2_700);
 /// Callers read 2 kB each 250 ms at first, and all they can get from then on.
 const SLOW_FOR: Duration = Duration::from_millis(2_000);
+/// Receive buffer of a caller.
+const WINDOW: i32 = 4_096;
 const SLOW_PART: usize = 2_000;
 const SLOW_PAUSE: Duration = Duration::from_millis(250);
 /// `grace_s`, from which on the platform kills the process.
@@ -62,7 +64,7 @@
         });
         store.register(&format!("i-{index}"), SERVICE, address, 4);
     }
-    let mut node = Node::start("front-vc-heredia-1", store.address, folder);
+    let mut node = Node::start("front-vc-heredia-1", store.address);
     let front = node.front;
     // Usual traffic, from which the process knows how long the requests of the route take.
     for number in 0..40 {
@@ -111,7 +113,7 @@
 
 /// Sends a request, and returns the status and how many bytes of the body came.
 fn fetch(front: SocketAddr, id: &str, slow_for: Duration) -> io::Result<(u16, usize)> {
-    let mut conn = Conn::new(kit::connect_small(front)?);
+    let mut conn = Conn::new(kit::connect_small(front, WINDOW)?);
     conn.stream.set_read_timeout(Some(Duration::from_secs(4)))?;
     conn.send(&format!(
         "GET /pistas/2f HTTP/1.1\r\nHost: {}\r\nX-Request-Attempt-Id: {id}\r\nX-Deadline-Ms: {LIMIT_MS}\r\n\r\n",
