--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -511,7 +511,7 @@
 
     /// Sends a signal by its name, such as TERM.
     pub fn signal(&self, name: &str) {
-        let sent = Command::new("/bin/sh")
+        let sent = Command::new("sh")
             .args(["-c", &format!("kill -{name} {}", self.child.id())])
             .status();
         if !sent.is_ok_and(|status| status.success()) {
