Count a request as in flight until the kernel has its answer

Cause: the guard of a request in flight and the space reserved for a buffered answer were parts of the body that hyper reads. hyper drops the body once its last part is in its own buffer, so the planned stop saw in_flight 0 and ended the process while callers had not read what hyper still held.

The guard now passes to the state of the connection and is dropped when hyper flushes the stream, which it does only with an empty buffer, or when the connection ends. It holds the space of the answer, so that the bound on buffered answers holds for slow callers too.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -295,7 +295,7 @@
     };
     let depth = admitted.terms().depth;
     let deadline = job.deadline;
-    tracker.in_flight.record_deadline(deadline);
+    node.borrow_mut().in_flight.record_deadline(deadline);
     let left = clock::duration(deadline.since(node.borrow().clock.now()));
     let expires_at = tokio::time::Instant::now() + left;
     tracker.set_deadline(expires_at);
@@ -319,7 +319,7 @@
         deadline_timer: Box::pin(tokio::time::sleep_until(expires_at)),
         refused_by: Vec::new(),
     };
-    let arrived = tracker.in_flight.arrived;
+    let arrived = tracker.arrived;
     let unanswered = Unanswered::new(&exchange, arrived);
     let ran = exchange.run(admitted).await;
     unanswered.end();
@@ -451,7 +451,7 @@
 /// Turns the answer of a target into the response to the caller.
 async fn deliver(
     exchange: Exchange,
-    tracker: Tracker,
+    mut tracker: Tracker,
     answer: Answer,
     outcome: Outcome,
     id: HeaderValue,
@@ -463,9 +463,9 @@
     let reply = match answer {
         Answer::Whole(mut parts, bytes, reserved) => {
             head::rewrite_answer(&mut parts.headers, &dialect, id, outcome.as_str());
+            tracker.hold_answer(reserved);
             let body = Download::Own {
                 bytes: (!bytes.is_empty()).then_some(bytes),
-                _reserved: Some(reserved),
                 _tracker: tracker,
             };
             return Response::from_parts(*parts, body);
@@ -576,7 +576,6 @@
     );
     let mut response = Response::new(Download::Own {
         bytes: Some(body),
-        _reserved: None,
         _tracker: tracker,
     });
     let hosted = node.borrow().hosted.is_some();
--- a/crates/daemon/src/inflight.rs
+++ b/crates/daemon/src/inflight.rs
@@ -1,11 +1,12 @@
-//! Counts the requests in flight, for which a planned stop waits.
+//! Counts the requests in flight, for which a planned stop waits, and keeps what they hold.
 
 use oriolecleat_core::stop::Work;
 use oriolecleat_core::time::Instant;
 
+use crate::gather::Reservation;
 use crate::node::Shared;
 
-/// Requests in flight, from the head to the last byte of the answer.
+/// Requests in flight, from the head until the kernel has the last byte of the answer.
 #[derive(Debug, Default)]
 pub(crate) struct Counter {
     count: u64,
@@ -25,17 +26,24 @@
         }
     }
 
+    /// Records when the caller of a request in flight stops waiting.
+    pub(crate) fn record_deadline(&mut self, deadline: Instant) {
+        self.latest_deadline = self.latest_deadline.max(deadline);
+    }
+
     /// Number of requests in flight.
     pub(crate) fn count(&self) -> u64 {
         self.count
     }
 }
 
-/// Counts one request as in flight until it is dropped, with the last byte of the answer.
+/// Counts one request as in flight until it is dropped.
 pub(crate) struct Guard {
     node: Shared,
     /// When the head was read.
-    pub(crate) arrived: Instant,
+    arrived: Instant,
+    /// Space for the answer, if it is buffered.
+    answer: Option<Reservation>,
 }
 
 impl Guard {
@@ -49,13 +57,18 @@
         Self {
             node: node.clone(),
             arrived: now,
+            answer: None,
         }
     }
 
-    /// Records when the caller of this request stops waiting.
-    pub(crate) fn record_deadline(&self, deadline: Instant) {
-        let counter = &mut self.node.borrow_mut().in_flight;
-        counter.latest_deadline = counter.latest_deadline.max(deadline);
+    /// Keeps the space for the answer as long as the request is in flight.
+    pub(crate) fn hold_answer(&mut self, reserved: Reservation) {
+        let _ = self.answer.insert(reserved);
+    }
+
+    /// When the head was read.
+    pub(crate) fn arrived(&self) -> Instant {
+        self.arrived
     }
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -121,7 +121,7 @@
         TargetsLeaving,
         /// Data centres that are out of service.
         DataCentersOut,
-        /// Bytes of answers that are buffered for callers.
+        /// Bytes of answers that are buffered and not yet written to their callers.
         AnswersHeld,
         /// Bytes reserved for bodies that are kept for another attempt.
         BodiesHeld,
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -19,7 +19,6 @@
 
 use crate::attempt::Attempt;
 use crate::attempt::Handle;
-use crate::gather::Reservation;
 use crate::node::Shared;
 use crate::pool::Connection;
 use crate::socket::poll_turn;
@@ -35,7 +34,6 @@
     /// An answer of the balancer itself, or one of a target that was buffered whole.
     Own {
         bytes: Option<Bytes>,
-        _reserved: Option<Reservation>,
         _tracker: Tracker,
     },
     /// An answer of a target.
@@ -107,7 +105,7 @@
         }
         self.ticket.mark_ran();
         attempt.record_bytes(self.bytes);
-        let arrived = self.tracker.in_flight.arrived;
+        let arrived = self.tracker.arrived;
         attempt.record_delivery(arrived);
         if let Some(permit) = &self.tracker.permit {
             permit.record_duration(arrived);
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -2,6 +2,7 @@
 //! lengths or a fragment, replaces hyper's own refusals and resets the connection after a truncated answer.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::io::IoSlice;
@@ -15,6 +16,7 @@
 use bytes::Bytes;
 use oriolecleat_core::request::Code;
 use oriolecleat_core::request::Outcome;
+use oriolecleat_core::time;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -25,6 +27,7 @@
 
 use crate::framing::Defect;
 use crate::framing::Scanner;
+use crate::gather::Reservation;
 use crate::inflight;
 use crate::pipeline;
 use crate::quota::Permit;
@@ -54,6 +57,8 @@
     /// Number of heads that hyper was given up to the end, if nothing was given beyond the last one
     /// and that one has no body.
     given: Cell<Option<u64>>,
+    /// Requests whose answer hyper has read to its end and may still have to write.
+    unwritten: RefCell<Vec<inflight::Guard>>,
 }
 
 impl State {
@@ -93,6 +98,11 @@
         self.unfinished.get() == 0
     }
 
+    /// Ends requests whose answer the kernel now has, or whose connection has ended.
+    fn end_written(&self) {
+        self.unwritten.borrow_mut().clear();
+    }
+
     /// Requests that hyper has read and whose answer it has read to its end.
     fn finished(&self) -> u64 {
         self.requests.get() - self.unfinished.get()
@@ -134,13 +144,15 @@
     }
 }
 
-/// Tracks a request from the moment its head was read, perhaps ahead of its turn, to the last part
-/// of its answer.
+/// Tracks a request from the moment its head was read, perhaps ahead of its turn, until hyper has
+/// read the last part of its answer. The request stays in flight until hyper has written that part.
 pub(crate) struct Tracker {
     pub(crate) state: Rc<State>,
     /// Why hyper reads the head as another one, if it does.
     pub(crate) defect: Option<Defect>,
-    pub(crate) in_flight: inflight::Guard,
+    /// When the head was read.
+    pub(crate) arrived: time::Instant,
+    in_flight: Option<inflight::Guard>,
     /// Set once the limits of the entry admit the request.
     pub(crate) permit: Option<Permit>,
     /// Set if the request was read ahead of its turn.
@@ -156,12 +168,20 @@
         Self {
             state: Rc::clone(state),
             defect,
-            in_flight,
+            arrived: in_flight.arrived(),
+            in_flight: Some(in_flight),
             permit: None,
             early_deadline: None,
         }
     }
 
+    /// Keeps the space for the answer until it is written.
+    pub(crate) fn hold_answer(&mut self, reserved: Reservation) {
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.hold_answer(reserved);
+        }
+    }
+
     /// Sets the time by which the answer has to be written.
     pub(crate) fn set_deadline(&self, deadline: Instant) {
         match &self.early_deadline {
@@ -178,6 +198,13 @@
     }
 }
 
+impl Drop for Tracker {
+    fn drop(&mut self) {
+        let in_flight = self.in_flight.take();
+        self.state.unwritten.borrow_mut().extend(in_flight);
+    }
+}
+
 /// The connection of a caller.
 pub(crate) struct Stream {
     inner: TcpStream,
@@ -347,6 +374,7 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
+        self.state.end_written();
         if self.state.truncated.get() {
             // Unlike a close, a reset cannot be taken for the end of an answer without a length.
             // The call fails if the connection is already closed, which does no harm.
@@ -424,6 +452,7 @@
             }
         }
         // hyper flushes the stream only once its own buffer is empty.
+        self.state.end_written();
         if self.state.unfinished.get() == 0 {
             self.state.answer_pending.set(false);
         }
