Let callers read the last answer before their connection is closed

Cause: after an answer with Connection: close, the socket was closed as soon as the kernel had the answer. A caller learns of the end only when it reads that answer, and sends on until then; the kernel answers with a reset and drops what it still has to send.

The VM now closes the writing side first and the socket once the caller has closed its side, at the latest http.linger_ms after the last answer was written. A planned stop waits for them within its drain limit. This covers each end of a caller's connection but an aborted answer, which still needs the reset.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -101,6 +101,8 @@
         pub head_timeout: Span,
         /// Maximum wait for the next part of a body, in either direction.
         pub body_idle: Span,
+        /// Maximum time that a connection lingers after its last answer, for its caller to read it.
+        pub linger: Span,
         /// Maximum wait for a connection to a target.
         pub connect_timeout: Span,
         /// Maximum number of concurrent connections from callers.
@@ -283,6 +285,7 @@
     let head_bytes = reader.integer("head_bytes", 8_192..=1_048_576, Some(32_768));
     let head_timeout = millis(reader, "head_timeout_ms", 5_000);
     let body_idle = millis(reader, "body_idle_ms", 10_000);
+    let linger = millis(reader, "linger_ms", 5_000);
     let connect_timeout = millis(reader, "connect_timeout_ms", 250);
     let connections = reader.integer("connections", 1..=1_000_000, Some(10_000));
     let per_target = reader.integer("connections_per_target", 1..=1_000_000, Some(240));
@@ -291,6 +294,7 @@
         head_bytes: head_bytes?,
         head_timeout: head_timeout?,
         body_idle: body_idle?,
+        linger: linger?,
         connect_timeout: connect_timeout?,
         connections: connections?,
         connections_per_target: per_target?,
@@ -351,6 +355,7 @@
                 "head_bytes": self.http.head_bytes,
                 "head_timeout_ms": self.http.head_timeout.as_millis(),
                 "body_idle_ms": self.http.body_idle.as_millis(),
+                "linger_ms": self.http.linger.as_millis(),
                 "connect_timeout_ms": self.http.connect_timeout.as_millis(),
                 "connections": self.http.connections,
                 "connections_per_target": self.http.connections_per_target,
--- a/crates/core/src/settings/builder.rs
+++ b/crates/core/src/settings/builder.rs
@@ -154,6 +154,7 @@
             head_bytes: 32_768,
             head_timeout: Span::from_millis(5_000),
             body_idle: Span::from_millis(10_000),
+            linger: Span::from_millis(5_000),
             connect_timeout: Span::from_millis(250),
             connections: 10_000,
             connections_per_target: 240,
--- a/crates/core/src/stop.rs
+++ b/crates/core/src/stop.rs
@@ -14,6 +14,8 @@
     pub struct Work {
         /// Requests in flight.
         pub in_flight: u64,
+        /// Connections whose callers may still read the last answer.
+        pub lingering: u64,
         /// The latest deadline of a request in flight.
         pub latest_deadline: Instant,
         /// When a caller last sent a request.
@@ -144,8 +146,8 @@
 }
 
 impl Draining {
-    /// Stops once no request is in flight, callers no longer send requests, and the audit records
-    /// were handed over; at the latest at the drain limit, which does not cut a request before its
+    /// Stops once no request is in flight, no connection lingers, callers no longer send requests, and
+    /// the audit records were handed over; at the latest at the drain limit, which does not cut a request before its
     /// own deadline.
     ///
     /// # Errors
@@ -161,7 +163,7 @@
                 .ok_or(self);
         }
         let is_quiet = now.since(self.since.max(work.last_arrival)) >= QUIET;
-        let is_done = is_quiet && work.handed_over;
+        let is_done = is_quiet && work.lingering == 0 && work.handed_over;
         (is_done || now >= self.until)
             .then_some(Stopped { cut: 0 })
             .ok_or(self)
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -95,6 +95,7 @@
     fn work(&self) -> Work {
         Work {
             in_flight: self.in_flight.len() as u64,
+            lingering: 0,
             latest_deadline: at(self.in_flight.iter().copied().max().unwrap_or(0)),
             last_arrival: at(self.last_arrival),
             handed_over: true,
@@ -170,6 +171,7 @@
 
 const IDLE: Work = Work {
     in_flight: 0,
+    lingering: 0,
     latest_deadline: Instant::from_micros(0),
     last_arrival: Instant::from_micros(0),
     handed_over: true,
@@ -198,6 +200,14 @@
         },
         stops_at: 72_000,
     },
+    Case {
+        name: "callers that do not close their side do not delay the stop forever",
+        work: Work {
+            lingering: 1,
+            ..IDLE
+        },
+        stops_at: 72_000,
+    },
     Case {
         name: "a request past its deadline does not delay the stop forever",
         work: Work {
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -5,6 +5,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::future::poll_fn;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
 
@@ -35,7 +36,6 @@
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::time::Span;
 use rand::RngExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -50,6 +50,8 @@
 use crate::head::Outgoing;
 use crate::held;
 use crate::inflight;
+use crate::linger;
+use crate::linger::Rest;
 use crate::metrics::Count;
 use crate::node::Shared;
 use crate::pipeline;
@@ -87,7 +89,8 @@
                 let guard = Guard::new(&open);
                 let limit = node.borrow().settings.http.connections;
                 if open.get() > limit {
-                    tokio::task::spawn_local(refuse_connection(stream, guard));
+                    drop(guard);
+                    tokio::task::spawn_local(refuse_connection(node.clone(), stream));
                 } else {
                     tokio::task::spawn_local(serve_connection(node.clone(), stream, guard));
                 }
@@ -121,19 +124,25 @@
 
 /// Refuses a connection above the limit. No request was read, so the outcome of the ticket that one
 /// may carry is unknown.
-async fn refuse_connection(mut stream: TcpStream, _guard: Guard) {
+async fn refuse_connection(node: Shared, stream: TcpStream) {
     let answer = refusal::raw(Code::Overloaded, Outcome::Unknown);
     // Best effort: the caller may have closed the connection.
     let _ = stream.try_write(&answer);
-    let _ = stream.shutdown().await;
     log::info!(
         code = Code::Overloaded.as_str();
         "caller's connection refused: the limit on open connections is reached"
     );
+    let end = tokio::time::Instant::now() + linger(&node);
+    linger::close(&node, &stream, Rest::Discard, end).await;
+}
+
+/// Longest time that a connection lingers.
+fn linger(node: &Shared) -> std::time::Duration {
+    clock::duration(node.borrow().settings.http.linger)
 }
 
 /// Serves the requests on one connection of a caller.
-async fn serve_connection(node: Shared, stream: TcpStream, _guard: Guard) {
+async fn serve_connection(node: Shared, stream: TcpStream, guard: Guard) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(cause:% = error; "TCP_NODELAY could not be set on a caller's connection");
         return;
@@ -147,7 +156,7 @@
     let buffer = ahead.as_ref().map(pipeline::Ahead::buffer);
     let stream = Stream::new(stream, Rc::clone(&connection_state), buffer, head, idle);
     let service = {
-        let ahead = ahead.clone();
+        let (node, ahead) = (node.clone(), ahead.clone());
         service_fn(move |request| {
             let turn = Turn::new(&connection_state);
             // hyper may read the end of the stream before it first polls the future below.
@@ -156,27 +165,25 @@
             take_turn(node.clone(), ahead.clone(), turn, request)
         })
     };
-    let mut serving = std::pin::pin!(
-        http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(clock::duration(http.head_timeout))
-            .max_buf_size(head)
-            .max_headers(HEADERS_MAX)
-            .serve_connection(TokioIo::new(stream), service)
-    );
+    let mut serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(clock::duration(http.head_timeout))
+        .max_buf_size(head)
+        .max_headers(HEADERS_MAX)
+        .serve_connection(TokioIo::new(stream), service);
     let mut refusing = std::pin::pin!(wait_until_refusing(phases));
     let (mut is_refusing, mut is_closing) = (false, false);
     let served = poll_fn(|context| {
         let mut repeated = false;
         loop {
-            if let Poll::Ready(served) = serving.as_mut().poll(context) {
+            if let Poll::Ready(served) = Pin::new(&mut serving).poll(context) {
                 return Poll::Ready(served);
             }
             is_refusing = is_refusing || refusing.as_mut().poll(context).is_ready();
             let early = ahead.as_ref().is_some_and(|ahead| ahead.has_early());
             if is_refusing && !is_closing && !early {
                 // Closes the connection as soon as no request is in progress on it.
-                serving.as_mut().graceful_shutdown();
+                Pin::new(&mut serving).graceful_shutdown();
                 is_closing = true;
                 continue;
             }
@@ -196,6 +203,10 @@
     if let Err(error) = served {
         log::debug!(cause:% = error; "caller's connection ended with an error");
     }
+    let stream = serving.into_parts().io.into_inner();
+    // A connection that lingers takes no place from new ones, and holds nothing for requests.
+    drop((guard, ahead));
+    stream.close(&node, linger(&node)).await;
 }
 
 /// Waits until the VM refuses new requests.
@@ -212,6 +223,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Reply>, Infallible> {
     let (parts, body) = request.into_parts();
+    let closes = pipeline::closes(&parts);
     let early = ahead.as_ref().and_then(|ahead| ahead.take(&parts));
     let mut response = if let Some(early) = early {
         early.answer().await
@@ -221,7 +233,6 @@
         let tracker = Tracker::new(&turn.state, turn.defect(), in_flight);
         let admitted = admit(&node, &tracker, &parts, body.size_hint().exact());
         let idempotent = admitted.as_ref().is_ok_and(Admission::is_idempotent);
-        let closes = pipeline::closes(&parts);
         turn.state
             .set_parallel(idempotent && body.is_end_stream() && !closes);
         let idle = clock::duration(node.borrow().settings.http.body_idle);
@@ -234,6 +245,8 @@
     if !early && !node.borrow().phase().is_advertised() {
         close_connection(&mut response);
     }
+    let closing = closes || response.headers().contains_key(CONNECTION);
+    turn.state.set_closing(closing);
     Ok(response.map(|download| Reply::new(download, turn)))
 }
 
--- a/crates/daemon/src/framing.rs
+++ b/crates/daemon/src/framing.rs
@@ -89,6 +89,11 @@
             && self.bodiless
     }
 
+    /// Whether the body of the last head has not ended.
+    pub(crate) fn is_in_body(&self) -> bool {
+        !matches!(self.state, State::Head)
+    }
+
     /// Scans `bytes` up to the end of the first head without a body, or all.
     pub(crate) fn scan_one(&mut self, bytes: &[u8]) -> Scan {
         self.scan_until(bytes, true)
--- a/crates/daemon/src/halt.rs
+++ b/crates/daemon/src/halt.rs
@@ -38,7 +38,7 @@
 
     /// Moves the planned stop to its next phase when that is due.
     pub(crate) fn advance(&mut self) {
-        let work = self.in_flight.work(true);
+        let work = self.in_flight.work(self.lingering.in_use(), true);
         let phase = self
             .phase()
             .advance(self.clock.now(), &self.stop_bounds(), work);
@@ -59,10 +59,11 @@
 
     fn set_phase(&mut self, phase: Phase) {
         if phase != self.phase() {
-            let work = self.in_flight.work(true);
+            let work = self.in_flight.work(self.lingering.in_use(), true);
             log::info!(
                 phase = name(phase),
                 in_flight = work.in_flight,
+                lingering = work.lingering,
                 latest_deadline_ms = work.latest_deadline.since(self.clock.now()).as_millis();
                 "phase of the VM changed"
             );
--- a/crates/daemon/src/inflight.rs
+++ b/crates/daemon/src/inflight.rs
@@ -15,11 +15,12 @@
 }
 
 impl Counter {
-    /// The work that a planned stop has to wait for. `handed_over` tells whether the newest audit
-    /// records were handed over to peers.
-    pub(crate) fn work(&self, handed_over: bool) -> Work {
+    /// The work that a planned stop has to wait for, beside the `lingering` connections.
+    /// `handed_over` tells whether the newest audit records were handed over to peers.
+    pub(crate) fn work(&self, lingering: u64, handed_over: bool) -> Work {
         Work {
             in_flight: self.count,
+            lingering,
             latest_deadline: self.latest_deadline,
             last_arrival: self.last_arrival,
             handed_over,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod homes;
 pub mod host;
 mod inflight;
+mod linger;
 mod logs;
 pub mod metrics;
 mod node;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -103,6 +103,10 @@
         SpillRegionCheaperBytes,
         /// Unknown words for the class of rules, once for each plan in force.
         UnreadClasses,
+        /// Connections that were closed at once because too many lingered.
+        LingerRefused,
+        /// Connections whose callers did not close their side in time.
+        LingerExpired,
     }
 
     /// What is gauged; each name in docs/metrics.md.
@@ -127,6 +131,8 @@
         BodiesHeld,
         /// Bytes of requests that are read ahead.
         ReadAhead,
+        /// Connections that linger after their last answer.
+        Lingering,
         /// Median time of a call inside the process and the target, in microseconds.
         CallP50Us,
         /// 99th percentile of that time.
@@ -137,7 +143,7 @@
 }
 
 /// All counts in the order of their declaration.
-pub const COUNTS: [Count; 38] = [
+pub const COUNTS: [Count; 40] = [
     Count::Calls,
     Count::Ran,
     Count::NotRun,
@@ -176,10 +182,12 @@
     Count::SpillRegionCheaperCalls,
     Count::SpillRegionCheaperBytes,
     Count::UnreadClasses,
+    Count::LingerRefused,
+    Count::LingerExpired,
 ];
 
 /// All gauges in the order of their declaration.
-pub const GAUGES: [Gauge; 13] = [
+pub const GAUGES: [Gauge; 14] = [
     Gauge::InFlight,
     Gauge::Waiting,
     Gauge::ViewAgeMs,
@@ -190,6 +198,7 @@
     Gauge::AnswersHeld,
     Gauge::BodiesHeld,
     Gauge::ReadAhead,
+    Gauge::Lingering,
     Gauge::CallP50Us,
     Gauge::CallP99Us,
     Gauge::CallP999Us,
@@ -238,6 +247,8 @@
             Self::SpillRegionCheaperCalls => "spill.region.cheaper.calls",
             Self::SpillRegionCheaperBytes => "spill.region.cheaper.bytes",
             Self::UnreadClasses => "plan.unread_classes",
+            Self::LingerRefused => "connections.linger_refused",
+            Self::LingerExpired => "connections.linger_expired",
         }
     }
 }
@@ -257,6 +268,7 @@
             Self::AnswersHeld => "held.answers_bytes",
             Self::BodiesHeld => "held.bodies_bytes",
             Self::ReadAhead => "held.read_ahead_bytes",
+            Self::Lingering => "connections.lingering",
             Self::CallP50Us => "call.p50_us",
             Self::CallP99Us => "call.p99_us",
             Self::CallP999Us => "call.p999_us",
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -36,6 +36,7 @@
 use crate::host::Host;
 use crate::host::Hosted;
 use crate::inflight;
+use crate::linger::LINGERING_MAX;
 use crate::metrics::Metrics;
 use crate::pipeline::EARLY_MAX;
 use crate::pipeline::READ_AHEAD_MAX_BYTES;
@@ -70,6 +71,8 @@
     pub(crate) bodies: Space,
     /// Requests that may be processed before their turn.
     pub(crate) early: Space,
+    /// Connections of callers that linger after their last answer.
+    pub(crate) lingering: Space,
     /// Space for bytes of requests that are read ahead.
     pub(crate) read_ahead: Space,
     /// Longest idle time of a connection that may carry a request which must not run twice.
@@ -157,6 +160,7 @@
             buffered: held::answers(&settings),
             bodies: held::bodies(&settings),
             early: Space::new(EARLY_MAX),
+            lingering: Space::new(LINGERING_MAX),
             read_ahead: Space::new(READ_AHEAD_MAX_BYTES),
             idle_limit: idle::Limit::default(),
             revision: 0,
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -29,6 +29,9 @@
 use crate::framing::Scanner;
 use crate::gather::Reservation;
 use crate::inflight;
+use crate::linger;
+use crate::linger::Rest;
+use crate::node::Shared;
 use crate::pipeline;
 use crate::quota::Permit;
 use crate::refusal;
@@ -57,6 +60,10 @@
     /// Number of heads that hyper was given up to the end, if nothing was given beyond the last one
     /// and that one has no body.
     given: Cell<Option<u64>>,
+    /// Whether the newest answer announced the end of the connection.
+    closing: Cell<bool>,
+    /// When the kernel got the last byte of an answer.
+    written_at: Cell<Option<Instant>>,
     /// Requests whose answer hyper has read to its end and may still have to write.
     unwritten: RefCell<Vec<inflight::Guard>>,
 }
@@ -82,6 +89,11 @@
         self.owed.set(owed);
     }
 
+    /// Sets whether the newest answer announces the end of the connection.
+    pub(crate) fn set_closing(&self, closing: bool) {
+        self.closing.set(closing);
+    }
+
     /// Sets whether requests behind the newest one may be processed beside it.
     pub(crate) fn set_parallel(&self, parallel: bool) {
         self.parallel.set(parallel);
@@ -326,6 +338,24 @@
         self.state.given.set(ends.then(|| self.scanner.heads()));
     }
 
+    /// Closes the connection, on which hyper has finished, so that the caller can read the last answer
+    /// for as long as `linger` after it was written.
+    pub(crate) async fn close(mut self, node: &Shared, linger: Duration) {
+        self.ahead = None;
+        let Some(written_at) = self.state.written_at.get() else {
+            return;
+        };
+        if self.state.truncated.get() {
+            return;
+        }
+        let rest = if self.state.closing.get() || self.scanner.is_in_body() {
+            Rest::Discard
+        } else {
+            Rest::Leave
+        };
+        linger::close(node, &self.inner, rest, written_at + linger).await;
+    }
+
     /// Fails a write that the caller has not accepted within the limits.
     fn bound_write(
         &mut self,
@@ -369,6 +399,7 @@
         };
         // The head was not read, so the state of the ticket that it may carry is unknown.
         self.refusal = refusal::raw(code, Outcome::Unknown);
+        self.state.set_closing(true);
     }
 }
 
@@ -446,15 +477,18 @@
             let rest = self.refusal.clone();
             let polled = Pin::new(&mut self.inner).poll_write(context, &rest);
             match self.bound_write(context, polled) {
-                Poll::Ready(Ok(written)) => self.refusal.advance(written),
+                Poll::Ready(Ok(written)) => {
+                    self.refusal.advance(written);
+                    self.state.written_at.set(Some(Instant::now()));
+                }
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
                 Poll::Pending => return Poll::Pending,
             }
         }
         // hyper flushes the stream only once its own buffer is empty.
         self.state.end_written();
-        if self.state.unfinished.get() == 0 {
-            self.state.answer_pending.set(false);
+        if self.state.unfinished.get() == 0 && self.state.answer_pending.replace(false) {
+            self.state.written_at.set(Some(Instant::now()));
         }
         Pin::new(&mut self.inner).poll_flush(context)
     }
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -68,6 +68,7 @@
         (Gauge::AnswersHeld, node.buffered.in_use()),
         (Gauge::BodiesHeld, node.bodies.in_use()),
         (Gauge::ReadAhead, node.read_ahead.in_use()),
+        (Gauge::Lingering, node.lingering.in_use()),
         (Gauge::Links, node.gossip.linked().count() as u64),
         (Gauge::Members, node.members_alive),
         (
