--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon of an entry VM: a thin I/O shell around the decisions in `oriolecleat-core`.
 
+mod accept;
 mod attempt;
 mod caller;
 mod calls;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -19,7 +19,7 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
-use crate::caller;
+use crate::accept;
 use crate::clock::Clock;
 use crate::directory;
 use crate::feed;
@@ -161,7 +161,7 @@
     tokio::task::spawn_local(halt::listen(node.clone(), terminate, interrupt));
     tokio::task::spawn_local(reload::listen(node.clone(), path.to_owned(), hangup));
     let stopping = node.clone();
-    tokio::task::spawn_local(caller::serve(node, callers));
+    tokio::task::spawn_local(accept::serve(node, callers));
     // The node holds the sender, so the channel is open until the process ends.
     let _ = phases
         .wait_for(|phase| matches!(phase, Phase::Stopped(_)))
