Treat statuses above 599 as errors of a target

Asked by the report of callers that got an answer with status 000. Statuses below 100 and those without three digits reach no caller here: hyper rejects such a head, and the request is repeated or answered with 502. A status above 599 did: a request that may run again got it although another target could answer, and a second copy that got it ended the first one.

Cause: StatusCode::is_server_error ends at 599. RFC 9110, section 15, has higher statuses treated as 5xx. head::is_server_error holds from 500 on; a status that no other answer replaces is still passed on unchanged.

All tests of daemon and platform pass.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -344,7 +344,7 @@
         connection: Some(reply.connection),
         attempt: Some(reply.attempt),
         bytes,
-        failed: parts.status.is_server_error(),
+        failed: head::is_server_error(parts.status),
         ticket: exchange.ticket,
         call: exchange.call,
         deadline_timer: exchange.deadline_timer,
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -136,7 +136,7 @@
         self.node
             .borrow_mut()
             .record_duration(self.quota, self.call.arrived());
-        attempt.end_answered(parts.status.is_server_error());
+        attempt.end_answered(head::is_server_error(parts.status));
         self.ticket.mark_ran();
         self.call.mark_finished();
         Buffering::Answer(Answer::Whole(Box::new(parts), bytes.freeze(), reserved))
--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -7,6 +7,7 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::EXPECT;
@@ -249,6 +250,12 @@
     }
 }
 
+/// Whether the status tells of an error of the server. Those above 599 are not defined, and count as
+/// such errors (RFC 9110, section 15).
+pub(crate) fn is_server_error(status: StatusCode) -> bool {
+    status.as_u16() >= 500
+}
+
 /// Whether the answer is framed so that the end of its body differs from a lost connection.
 pub(crate) fn is_delimited(headers: &HeaderMap, length: Option<u64>) -> bool {
     let chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -47,7 +47,7 @@
 impl Reply {
     /// Whether the target answered with an error of its own.
     pub(crate) fn is_error(&self) -> bool {
-        self.response.status().is_server_error()
+        head::is_server_error(self.response.status())
     }
 }
 
@@ -326,7 +326,7 @@
             let bytes = bytes + length.unwrap_or(0);
             return Conclusion::Shed(shed, attempt.end(Ending::Shed { bytes }));
         }
-        if status.is_server_error() && !is_last {
+        if head::is_server_error(status) && !is_last {
             attempt.end_answered(true);
             return Conclusion::Failed(Code::TargetFailed);
         }
