Take no answer without a request id for one to a request

Cause: health checks share the connections of requests, and an answer without a request id was accepted as the answer to the request that was sent last, also as the proof that it did not run. Targets of the platform return the id of each request; only a health check has none.

Such an answer is now discarded unless its request was the first on its connection, and so is an answer to a health check that carries an id.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -15,6 +15,9 @@
 pub struct Dialect {
     /// Header with the id of a request, which targets return on their answers.
     pub request_id: HeaderName,
+    /// Whether targets return the request id on all answers. An answer without one then belongs to a
+    /// request that had none, such as a health check.
+    pub echoes_id: bool,
     /// Header with the time in milliseconds for which the sender still waits.
     pub deadline: HeaderName,
     /// Header with the name of the only target that may run the request. None: it is not sent.
@@ -43,6 +46,7 @@
     pub fn own() -> Self {
         Self {
             request_id: HeaderName::from_static("oriolecleat-request-id"),
+            echoes_id: false,
             deadline: HeaderName::from_static("oriolecleat-deadline-ms"),
             target: None,
             signature: None,
--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -242,11 +242,14 @@
         outgoing_bytes(&self.head)
     }
 
-    /// Whether an answer with these headers may belong to this request. A target need not return
-    /// the request id, but one that it returns must match.
-    pub(crate) fn is_answered_by(&self, headers: &HeaderMap) -> bool {
-        let id = headers.get(&self.dialect.request_id);
-        id.is_none_or(|id| *id == self.id)
+    /// Whether an answer with these headers may belong to this request. Without a request id, it may
+    /// only if targets need not return one, or if nothing else was sent on its connection, which
+    /// `is_first` tells.
+    pub(crate) fn is_answered_by(&self, headers: &HeaderMap, is_first: bool) -> bool {
+        match headers.get(&self.dialect.request_id) {
+            Some(id) => *id == self.id,
+            None => is_first || !self.dialect.echoes_id,
+        }
     }
 }
 
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -109,6 +109,10 @@
         .body(upload::Shared::empty().upload())?;
     let response = connection.send(request).await?;
     let headers = response.headers();
+    if headers.contains_key(&dialect.request_id) {
+        // The connection ends here, as the answer to the probe is still to come on it.
+        return Err("the answer carries the id of a request".into());
+    }
     let health = ((dialect.load)(headers), (dialect.cold)(headers));
     let mut body = response.into_body();
     let mut read = 0;
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -290,13 +290,14 @@
         let headers = response.headers();
         attempt.record_head(headers);
         let length = response.body().size_hint().exact();
+        let is_first = connection.last_idle().is_none();
         let limit = self.node.borrow().settings.http.head_bytes;
         let defect = if head::is_too_large(headers, limit) {
             Some("the head of the answer exceeds the limit head_bytes")
         } else if status == StatusCode::SWITCHING_PROTOCOLS {
             Some("the target switched protocols although the request asked for no upgrade")
-        } else if !self.outgoing.is_answered_by(headers) {
-            Some("the answer carries a request id other than that of its request")
+        } else if !self.outgoing.is_answered_by(headers, is_first) {
+            Some("the answer carries another request id than its request, or none")
         } else if !self.dialect().open_ended && !head::is_delimited(headers, length) {
             Some("the answer has no length and is not chunked")
         } else if self.is_unsigned(status, headers) {
