Go above a newer record of the own name under a platform

Cause: the incarnation is the wall clock at the start. A process that starts while the clock is ahead leaves a newer record with its peers than its successor has. Under a platform the successor fixed its incarnation at once, took the record for one of a process in its place and left: "a newer incarnation of this VM's name serves: leaving".

A platform runs no two processes of a VM, so the incarnation stays open there and goes above any that peers report, as that of a starting VM does elsewhere.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -85,12 +85,16 @@
 }
 
 /// Waits until peers could report an earlier incarnation of this VM, then fixes its own.
+///
+/// A platform runs no two processes of a VM, so under one a newer incarnation is always an earlier
+/// process whose clock was ahead. The VM goes above it whenever it hears of it.
 pub(crate) async fn join(node: &Shared) {
+    if node.borrow().hosted.is_some() {
+        return;
+    }
     let wait = {
         let node = node.borrow();
-        // A platform distinguishes the starts of a VM, so no peer has to be asked first.
-        let alone = node.settings.seeds.is_empty() || node.hosted.is_some();
-        if alone {
+        if node.settings.seeds.is_empty() {
             Span::ZERO
         } else {
             node.settings.view.peer_wait
