Dial the seeds of changed settings

Cause: a reload put the new seeds into the settings of the node, while the gossip dials a copy from the start. The reload now passes them on, and one that no live member has is dialled at the next tick.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -208,6 +208,14 @@
         self.hearing == Hearing::Lost
     }
 
+    /// Replaces the seeds; one that no live member has is dialled at the next tick.
+    pub fn set_seeds(&mut self, now: Instant, seeds: Vec<SocketAddr>) {
+        if seeds != self.seeds {
+            self.seeds = seeds;
+            self.next_rejoin = now;
+        }
+    }
+
     /// Replaces the peer addresses that the VM list gives; they are dialled like seeds.
     pub fn set_peer_hints(&mut self, addresses: Vec<SocketAddr>) {
         self.hints = addresses;
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -71,6 +71,8 @@
         }
         let cold = |settings: &Settings| settings.hosting.as_ref().and_then(|own| own.cold);
         let is_cold_changed = cold(&self.settings) != cold(&next);
+        let now = self.clock.now();
+        self.gossip.set_seeds(now, next.seeds.clone());
         self.settings = next;
         if is_cold_changed {
             self.apply();
