Apply the bounds on the view at a reload

The bounds under `view` of changed settings took effect only at the next start: the reader kept its copy from the start, as the gossip did with the seeds. A reload now passes them on.

path restarting::a_reload_takes_new_bounds_on_the_view failed before: a view that was stale under the old bound stayed stale in 30 s.

--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -208,6 +208,14 @@
         }
     }
 
+    /// Applies changed bounds on the view.
+    pub fn set_limits(&mut self, limits: settings::View, random: &mut dyn Rng) {
+        if limits != self.limits {
+            self.jitter = jitter(&limits, random);
+            self.limits = limits;
+        }
+    }
+
     /// The budget of calls to the configuration service.
     pub fn budget(&mut self) -> &mut Budget {
         &mut self.budget
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -73,6 +73,7 @@
         let is_cold_changed = cold(&self.settings) != cold(&next);
         let now = self.clock.now();
         self.gossip.set_seeds(now, next.seeds.clone());
+        self.reader.set_limits(next.view.clone(), &mut self.rng);
         self.settings = next;
         if is_cold_changed {
             self.apply();
