Leave requests behind the rest of a body unread

A connection whose last answer came before the body was read ends without an announcement. While it lingered, everything that its caller still sent was read and dropped, also a request behind that body. The caller may send such a request again only if it was not read, so now only the rest of the body is read, to its last byte; the scanner of the connection knows where that is.

path closing::callers_read_the_last_answer_although_they_send_more now checks, by the kernel's table of connections, how much stays unread; it failed before for the refusal before the body is read (0 bytes were left).

--- a/crates/daemon/src/framing.rs
+++ b/crates/daemon/src/framing.rs
@@ -89,9 +89,13 @@
             && self.bodiless
     }
 
-    /// Whether the body of the last head has not ended.
-    pub(crate) fn is_in_body(&self) -> bool {
-        !matches!(self.state, State::Head)
+    /// How many of the next bytes belong to the body of the last head for certain; none if it has ended.
+    pub(crate) fn rest_of_body(&self) -> u64 {
+        match self.state {
+            State::Head | State::Invalid => 0,
+            State::Body(left) | State::Chunk(left) => left,
+            State::Size | State::Trailers => 1,
+        }
     }
 
     /// Scans `bytes` up to the end of the first head without a body, or all.
--- a/crates/daemon/src/linger.rs
+++ b/crates/daemon/src/linger.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::framing::Scanner;
 use crate::metrics::Count;
 use crate::node::Shared;
 
@@ -21,20 +22,19 @@
 /// buffers of the kernel.
 pub(crate) const LINGERING_MAX: u64 = 256;
 
-/// Bytes that are discarded in one read.
+/// Most bytes that are dropped after one read.
 const DISCARD_BYTES: usize = 4_096;
 
 /// Interval of the checks whether a caller, whose bytes are left unread, has closed its side.
 const POLL: Duration = Duration::from_millis(50);
 
 /// What happens to bytes that the caller sends after the last answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Rest {
-    /// They are read, so that the caller can send the rest of a body. They belong to a request that was
-    /// answered, or come behind an answer that announced the end of the connection.
+pub(crate) enum Rest<'a> {
+    /// They are read and dropped: they come behind an answer that announced the end of the connection.
     Discard,
-    /// They stay unread: the caller may send such a request again as one that was not read.
-    Leave,
+    /// Only the rest of a body is read, so that the caller can send it. What is behind it stays unread,
+    /// as the caller may send such a request again.
+    Leave(&'a mut Scanner),
 }
 
 /// One of the connections that linger.
@@ -56,7 +56,7 @@
 
 /// Closes the writing side of `stream` and waits until its caller has closed the other one, at most
 /// until `end`.
-pub(crate) async fn close(node: &Shared, stream: &TcpStream, rest: Rest, end: Instant) {
+pub(crate) async fn close(node: &Shared, stream: &TcpStream, rest: Rest<'_>, end: Instant) {
     // Fails if the caller has reset the connection.
     if SockRef::from(stream).shutdown(Shutdown::Write).is_err() || end <= Instant::now() {
         return;
@@ -67,8 +67,12 @@
     };
     let ended = async {
         match rest {
-            Rest::Discard => discard(stream).await,
-            Rest::Leave => wait_for_end(stream).await,
+            Rest::Discard => while read(stream, DISCARD_BYTES, |_| ()).await {},
+            Rest::Leave(scanner) => {
+                if discard_body(stream, scanner).await {
+                    wait_for_end(stream).await;
+                }
+            }
         }
     };
     if tokio::time::timeout_at(end, ended).await.is_err() {
@@ -77,15 +81,38 @@
     }
 }
 
-/// Reads and drops bytes until the caller closes or resets the connection.
-async fn discard(stream: &TcpStream) {
-    while stream.readable().await.is_ok() {
-        match stream.try_read(&mut [0; DISCARD_BYTES]) {
-            Ok(0) => return,
-            Ok(_) => tokio::task::consume_budget().await,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
+/// Reads the rest of a body and drops it. Returns false if the caller closes or resets the connection
+/// before.
+async fn discard_body(stream: &TcpStream, scanner: &mut Scanner) -> bool {
+    loop {
+        let rest = usize::try_from(scanner.rest_of_body()).unwrap_or(usize::MAX);
+        if rest == 0 {
+            return true;
         }
+        let scan = |bytes: &[u8]| {
+            scanner.scan(bytes);
+        };
+        if !read(stream, rest.min(DISCARD_BYTES), scan).await {
+            return false;
+        }
+    }
+}
+
+/// Reads up to `most` bytes and passes them on. Returns false once the caller has closed or reset the
+/// connection.
+async fn read(stream: &TcpStream, most: usize, use_bytes: impl FnOnce(&[u8])) -> bool {
+    tokio::task::consume_budget().await;
+    if stream.readable().await.is_err() {
+        return false;
+    }
+    let mut bytes = [0; DISCARD_BYTES];
+    match stream.try_read(&mut bytes[..most]) {
+        Ok(0) => false,
+        Ok(read) => {
+            use_bytes(&bytes[..read]);
+            true
+        }
+        Err(error) => error.kind() == io::ErrorKind::WouldBlock,
     }
 }
 
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -167,10 +167,10 @@
         if self.state.truncated.get() {
             return;
         }
-        let rest = if self.state.closing.get() || self.scanner.is_in_body() {
+        let rest = if self.state.closing.get() {
             Rest::Discard
         } else {
-            Rest::Leave
+            Rest::Leave(&mut self.scanner)
         };
         linger::close(node, &self.inner, rest, written_at + linger).await;
     }
