--- a/crates/core/src/stop.rs
+++ b/crates/core/src/stop.rs
@@ -147,8 +147,8 @@
 
 impl Draining {
     /// Stops once no request is in flight, no connection lingers, callers no longer send requests, and
-    /// the audit records were handed over; at the latest at the drain limit, which does not cut a request before its
-    /// own deadline.
+    /// the audit records were handed over; at the latest at the drain limit, which does not cut a
+    /// request before its own deadline.
     ///
     /// # Errors
     ///
--- a/crates/daemon/src/accept.rs
+++ b/crates/daemon/src/accept.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,6 +18,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::caller;
 use crate::caller::HEADERS_MAX;
@@ -30,6 +32,9 @@
 use crate::stream::Stream;
 use crate::stream::Turn;
 
+/// Pause after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Accepts connections of callers until the process ends.
 pub(crate) async fn serve(node: Shared, listener: TcpListener) {
     let open = Rc::new(Cell::new(0));
@@ -54,8 +59,6 @@
     }
 }
 
-const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(10);
-
 /// Counts one connection of a caller while it is open.
 struct Guard(Rc<Cell<u64>>);
 
@@ -82,12 +85,12 @@
         code = Code::Overloaded.as_str();
         "caller's connection refused: the limit on open connections is reached"
     );
-    let end = tokio::time::Instant::now() + linger(&node);
+    let end = Instant::now() + linger_limit(&node);
     linger::close(&node, &stream, Rest::Discard, end).await;
 }
 
 /// Longest time that a connection lingers.
-fn linger(node: &Shared) -> std::time::Duration {
+fn linger_limit(node: &Shared) -> Duration {
     clock::duration(node.borrow().settings.http.linger)
 }
 
@@ -156,7 +159,7 @@
     let stream = serving.into_parts().io.into_inner();
     // A connection that lingers takes no place from new ones, and holds nothing for requests.
     drop((guard, ahead));
-    stream.close(&node, linger(&node)).await;
+    stream.close(&node, linger_limit(&node)).await;
 }
 
 /// Waits until the VM refuses new requests.
