--- a/review/stand-3/common.rs
+++ b/review/stand-3/common.rs
@@ -12,6 +12,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -319,6 +320,15 @@
         self.state.lock().unwrap().copy.rev
     }
 
+    pub fn delete(&self, key: &str) {
+        let mut state = self.state.lock().unwrap();
+        let copy = &mut state.copy;
+        copy.rev += 1;
+        copy.items.remove(key);
+        copy.changes.push((copy.rev, key.to_owned(), None));
+        self.changed.notify_all();
+    }
+
     /// The store goes away: its connections end and it takes no new ones.
     pub fn go_away(&self) {
         let mut state = self.state.lock().unwrap();
@@ -438,6 +448,60 @@
     format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{rev},\"create_revision\":{created},\"lease\":0}}")
 }
 
+/// The way of one machine to the store, which can be cut. The cut is silent: what is sent stays on the way,
+/// and new connections get no answer.
+pub struct Path {
+    pub address: SocketAddr,
+    cut: Arc<AtomicBool>,
+    /// When the machine last sent something to the store.
+    sent: Arc<Mutex<f64>>,
+}
+
+impl Path {
+    pub fn start(store: SocketAddr) -> Self {
+        let (listener, address) = listener();
+        let path = Self { address, cut: Arc::default(), sent: Arc::default() };
+        let (cut, sent) = (Arc::clone(&path.cut), Arc::clone(&path.sent));
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let Ok(far) = TcpStream::connect(store) else { continue };
+                let _ = (near.set_nodelay(true), far.set_nodelay(true));
+                let ways = [(near.try_clone(), far.try_clone(), true), (Ok(far), Ok(near), false)];
+                for (from, to, forth) in ways {
+                    let (cut, sent) = (Arc::clone(&cut), Arc::clone(&sent));
+                    let (Ok(from), Ok(to)) = (from, to) else { continue };
+                    thread::spawn(move || carry(from, to, &cut, forth.then_some(&*sent)));
+                }
+            }
+        });
+        path
+    }
+
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+
+    pub fn last_sent(&self) -> f64 {
+        *self.sent.lock().unwrap()
+    }
+}
+
+fn carry(mut from: TcpStream, mut to: TcpStream, cut: &AtomicBool, sent: Option<&Mutex<f64>>) {
+    let mut bytes = [0; 65_536];
+    while let Ok(read) = from.read(&mut bytes) {
+        while cut.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        if read == 0 || to.write_all(&bytes[..read]).is_err() {
+            break;
+        }
+        if let Some(sent) = sent {
+            *sent.lock().unwrap() = now();
+        }
+    }
+    let _ = to.shutdown(std::net::Shutdown::Write);
+}
+
 /// The operator's configuration. `routes` are rows of the table `routes`.
 pub fn config(version: u64, routes: &[String], services: &[&str]) -> String {
     let rows = services.iter().map(|name| format!("[\"{name}\",\"/health\",240,\"h1\",false]"));
@@ -507,6 +571,8 @@
     freed: Condvar,
     runs: Arc<Runs>,
     work: Box<dyn Fn(&str) -> Work + Send + Sync>,
+    /// Its open connections; none once it has ended.
+    connections: Mutex<Option<Vec<TcpStream>>>,
 }
 
 impl Upstream {
@@ -528,10 +594,15 @@
             freed: Condvar::new(),
             runs: Arc::clone(runs),
             work: Box::new(work),
+            connections: Mutex::new(Some(Vec::new())),
         });
         let served = Arc::clone(&upstream);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                match served.connections.lock().unwrap().as_mut() {
+                    Some(open) => open.extend(stream.try_clone()),
+                    None => return,
+                }
                 let upstream = Arc::clone(&served);
                 thread::spawn(move || {
                     let _ = upstream.serve(Conn::new(stream));
@@ -554,6 +625,20 @@
         )
     }
 
+    /// It exits: what it works on is dropped, and nobody listens any more.
+    pub fn end(&self) {
+        let open = self.connections.lock().unwrap().take();
+        for connection in open.into_iter().flatten() {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+        // Wakes the thread that accepts connections.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    fn has_ended(&self) -> bool {
+        self.connections.lock().unwrap().is_none()
+    }
+
     fn load(&self) -> String {
         let busy = self.busy.lock().unwrap();
         format!("{},{},{SLOTS}", busy.0, busy.1)
@@ -638,7 +723,8 @@
         let end = Instant::now() + Duration::from_secs_f64(work.seconds);
         while Instant::now() < end {
             if is_closed(&conn.stream, Duration::from_millis(5)) {
-                self.runs.end(run, "cancelled: its connection was closed");
+                let ended = self.has_ended();
+                self.runs.end(run, if ended { "lost: its upstream exited" } else { "cancelled: its connection was closed" });
                 return Ok(false);
             }
             if Instant::now() >= deadline {
@@ -766,6 +852,12 @@
 
 /// Starts machines, one for each name with its zone; the first three are the seeds.
 pub fn start_vms(folder: &Folder, store: &Store, places: &[(&str, &str)]) -> Vec<Vm> {
+    let addresses = vec![store.address; places.len()];
+    start_vms_on(folder, &addresses, places)
+}
+
+/// Starts machines like [`start_vms`], each with an own address of the store.
+pub fn start_vms_on(folder: &Folder, stores: &[SocketAddr], places: &[(&str, &str)]) -> Vec<Vm> {
     let ports: Vec<Vec<SocketAddr>> = places
         .iter()
         .map(|_| {
@@ -776,8 +868,8 @@
     let seeds: Vec<SocketAddr> = ports.iter().take(3).map(|ports| ports[3]).collect();
     let vms: Vec<Vm> = places
         .iter()
-        .zip(&ports)
-        .map(|((name, zone), ports)| Vm::start(folder, store, name, zone, ports, &seeds))
+        .zip(ports.iter().zip(stores))
+        .map(|((name, zone), (ports, store))| Vm::start(folder, *store, name, zone, ports, &seeds))
         .collect();
     for vm in &vms {
         let end = now() + 15.0;
@@ -792,7 +884,7 @@
 impl Vm {
     fn start(
         folder: &Folder,
-        store: &Store,
+        store: SocketAddr,
         name: &str,
         zone: &str,
         ports: &[SocketAddr],
@@ -815,7 +907,7 @@
 "grace_s":6,"named":1,"cores":0.2,"link_mbps":1000.0,"memory_mb":260,"data_center_gb":20000,"region_gb":65000,
 "worths":{{"0":2.5,"1":2}},
 "regions":{{"cai-a":"cai","alx-a":"alx","hrg-a":"hrg","cai-b":"cai","alx-b":"alx","hrg-b":"hrg"}}}}}}"#,
-            ports[1], ports[0], ports[3], ports[4], store.address, seeds.join(","), ports[2], ports[5]
+            ports[1], ports[0], ports[3], ports[4], store, seeds.join(","), ports[2], ports[5]
         );
         let path = folder.0.join(format!("{name}.json"));
         std::fs::write(&path, settings).unwrap();
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -6,6 +6,7 @@
 
 mod common;
 mod restored_store;
+mod cut_readers;
 mod read_ahead;
 
 use std::panic::catch_unwind;
@@ -25,6 +26,7 @@
     record.line(&format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let run: fn(&Record, bool) -> bool = match case.as_str() {
         "restored-store" => restored_store::run,
+        "cut-readers" => cut_readers::run,
         "read-ahead" => read_ahead::run,
         _ => {
             eprintln!("no such case: {case}");
