--- a/review/stand-3/common.rs
+++ b/review/stand-3/common.rs
@@ -535,7 +535,6 @@
 pub struct Run {
     pub at: f64,
     pub id: String,
-    pub path: String,
     pub service: String,
     pub upstream: String,
     /// How it ended.
@@ -715,7 +714,6 @@
         let run = self.runs.begin(Run {
             at: now(),
             id: id.to_owned(),
-            path: path.to_owned(),
             service: self.service.clone(),
             upstream: self.id.clone(),
             end: "running",
@@ -766,7 +764,6 @@
     pub vm: String,
     /// Status of the complete answer; none if there was none.
     pub status: Option<u16>,
-    pub note: String,
 }
 
 pub fn attempt_id() -> String {
@@ -812,11 +809,8 @@
         conn.stream.write_all(text.as_bytes())?;
         read_answer(&mut conn, Duration::from_millis(limit_ms + 500))
     });
-    let (status, note) = match got {
-        Ok((status, body, _)) => (Some(status), String::from_utf8_lossy(&body[..body.len().min(60)]).trim().to_owned()),
-        Err(error) => (None, error.to_string()),
-    };
-    Answer { sent, id, path: path.to_owned(), vm: vm.to_owned(), status, note }
+    let status = got.ok().map(|(status, ..)| status);
+    Answer { sent, id, path: path.to_owned(), vm: vm.to_owned(), status }
 }
 
 // The project's own processes
@@ -841,15 +835,22 @@
 pub struct Vm {
     pub name: String,
     pub front: SocketAddr,
-    pub directory: SocketAddr,
     pub ready: SocketAddr,
-    pub control: SocketAddr,
-    ports: [SocketAddr; 2],
+    operator: SocketAddr,
     zone: String,
     child: Child,
     log: PathBuf,
 }
 
+/// Six free ports on a loopback address of the machine's own, so that no connection that is made from
+/// 127.0.0.1 meanwhile takes one of them.
+fn free_ports(machine: usize) -> Vec<SocketAddr> {
+    let process = std::process::id();
+    let address = format!("127.{}.{}.{}:0", 100 + process % 100, process / 100 % 250, 10 + machine);
+    let held: Vec<TcpListener> = (0..6).map(|_| TcpListener::bind(&address).unwrap()).collect();
+    held.iter().map(|listener| listener.local_addr().unwrap()).collect()
+}
+
 /// Starts machines, one for each name with its zone; the first three are the seeds.
 pub fn start_vms(folder: &Folder, store: &Store, places: &[(&str, &str)]) -> Vec<Vm> {
     let addresses = vec![store.address; places.len()];
@@ -858,13 +859,7 @@
 
 /// Starts machines like [`start_vms`], each with an own address of the store.
 pub fn start_vms_on(folder: &Folder, stores: &[SocketAddr], places: &[(&str, &str)]) -> Vec<Vm> {
-    let ports: Vec<Vec<SocketAddr>> = places
-        .iter()
-        .map(|_| {
-            let held: Vec<_> = (0..6).map(|_| listener()).collect();
-            held.iter().map(|(_, address)| *address).collect()
-        })
-        .collect();
+    let ports: Vec<Vec<SocketAddr>> = (0..places.len()).map(free_ports).collect();
     let seeds: Vec<SocketAddr> = ports.iter().take(3).map(|ports| ports[3]).collect();
     let vms: Vec<Vm> = places
         .iter()
@@ -874,7 +869,7 @@
     for vm in &vms {
         let end = now() + 15.0;
         while !vm.is_ready() {
-            assert!(now() < end, "{} does not get ready", vm.name);
+            assert!(now() < end, "{} does not get ready: {:?}", vm.name, vm.logged("ERROR"));
             sleep(0.05);
         }
     }
@@ -916,10 +911,8 @@
         Self {
             name: name.to_owned(),
             front: ports[0],
-            directory: ports[1],
             ready: ports[2],
-            control: ports[3],
-            ports: [ports[4], ports[5]],
+            operator: ports[4],
             zone: zone.to_owned(),
             child,
             log,
@@ -941,11 +934,7 @@
     }
 
     pub fn describe(&self) -> String {
-        format!("{} in {}: front {}, pid {}, operator {}", self.name, self.zone, self.front, self.child.id(), self.ports[0])
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().unwrap().is_some()
+        format!("{} in {}: front {}, pid {}, operator {}", self.name, self.zone, self.front, self.child.id(), self.operator)
     }
 }
 
