Order the contents of a platform's store by its era

Callers saw requests run by the old service of a route long after the operator's change was acknowledged, once the store had come back from a copy.

Cause: the catalogue kept for each key the content with the highest revision. A restored store gives its revisions out again, so all that it showed was taken for older and dropped, on readers and their peers. Nothing read the header Store-Era, which rises with each restore.

The version of a key is now (era, revision); that of the configuration is (version in its text, revision), so it does not go back on any VM, nor on one that starts from the copy. Sessions list anew when the era rises, also between two pages and where the new revisions have passed those of the wait, and use no answer of an era that is over. Keys of an earlier era that a frozen or cut-off VM brings back are refused.

--- a/crates/bench/src/network/mod.rs
+++ b/crates/bench/src/network/mod.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeSet;
 
 use oriolecleat_core::catalogue::Catalogue;
+use oriolecleat_core::catalogue::Opaque;
 use oriolecleat_core::catalogue::Verdict;
 use oriolecleat_core::gossip::Action;
 use oriolecleat_core::gossip::Context;
@@ -126,13 +127,13 @@
         network
     }
 
-    /// A fleet without codec whose catalogues also store keys with one of `prefixes`, as on a
-    /// hosting platform.
+    /// A fleet without codec whose catalogues also store the keys of `opaque`, as on a hosting
+    /// platform.
     #[must_use]
-    pub fn hosted(sites: &[Site], seed: u64, prefixes: &[Box<str>]) -> Self {
+    pub fn hosted(sites: &[Site], seed: u64, opaque: &[Opaque]) -> Self {
         let mut network = Self::new(sites, seed, false);
         for vm in &mut network.vms {
-            vm.catalogue = Catalogue::with_opaque(prefixes.to_vec());
+            vm.catalogue = Catalogue::with_opaque(opaque.to_vec());
         }
         network
     }
--- a/crates/bench/tests/spread.rs
+++ b/crates/bench/tests/spread.rs
@@ -4,6 +4,8 @@
 use oriolecleat_bench::network::Machine;
 use oriolecleat_bench::network::Network;
 use oriolecleat_bench::network::sites;
+use oriolecleat_core::catalogue::Opaque;
+use oriolecleat_core::catalogue::Order;
 use oriolecleat_core::catalogue::Record;
 use oriolecleat_core::message::Content;
 use oriolecleat_core::reader;
@@ -85,7 +87,11 @@
 /// A fleet on small machines that has settled with a first plan.
 fn settled(case: &Case) -> Network {
     let sites = sites(case.regions, case.centers, case.vms);
-    let mut network = Network::hosted(&sites, 1, &["plan".into(), "targets/".into()]);
+    let opaque = ["plan", "targets/"].map(|prefix| Opaque {
+        prefix: prefix.into(),
+        order: Order::Era,
+    });
+    let mut network = Network::hosted(&sites, 1, &opaque);
     network.run(Span::from_millis(8_000));
     network.machine = Some(SMALL);
     publish(&mut network, &[content("plan", 1, plan(1, 2_000))]);
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -6,10 +6,13 @@
 
 mod check;
 mod exchange;
+mod opaque;
 mod record;
 
 pub use exchange::Content;
 pub use exchange::Stamp;
+pub use opaque::Opaque;
+pub use opaque::Order;
 pub use record::Mark;
 pub use record::Record;
 pub use record::Rejected;
@@ -90,8 +93,10 @@
     records: Map<Box<str>, Record>,
     bytes: usize,
     digest: [u64; BUCKETS],
-    /// Prefixes of the keys whose texts an adapter decodes.
-    opaque_prefixes: Vec<Box<str>>,
+    /// The keys whose texts an adapter decodes.
+    opaque: Vec<Opaque>,
+    /// Highest era of the contents of keys that are ordered by it; never decreases.
+    era: u64,
 }
 
 impl Default for Catalogue {
@@ -100,29 +105,23 @@
             records: Map::default(),
             bytes: 0,
             digest: [0; BUCKETS],
-            opaque_prefixes: Vec::new(),
+            opaque: Vec::new(),
+            era: 0,
         }
     }
 }
 
 impl Catalogue {
-    /// A catalogue that also stores keys with one of `opaque_prefixes`. Their texts are not
-    /// checked here; an adapter decodes them.
+    /// A catalogue that also stores the keys of `opaque`. Their texts are not checked here; an
+    /// adapter decodes them.
     #[must_use]
-    pub fn with_opaque(opaque_prefixes: Vec<Box<str>>) -> Self {
+    pub fn with_opaque(opaque: Vec<Opaque>) -> Self {
         Self {
-            opaque_prefixes,
+            opaque,
             ..Self::default()
         }
     }
 
-    /// Whether an adapter decodes the text of `key`.
-    fn is_opaque(&self, key: &str) -> bool {
-        self.opaque_prefixes
-            .iter()
-            .any(|prefix| key.starts_with(&**prefix))
-    }
-
     /// The version of a content that the configuration service delivered at `revision`.
     ///
     /// A deletion, and a text whose generation cannot be read, get the highest generation stored
@@ -131,7 +130,7 @@
     pub fn version(&self, key: &str, revision: u64, text: Option<&str>) -> Version {
         let newest = self.records.get(key).and_then(Record::newest);
         let highest = newest.map_or(0, |mark| mark.version.generation);
-        let stated = text.filter(|_| !self.is_opaque(key));
+        let stated = text.filter(|_| self.order(key).is_none());
         let generation = stated
             .and_then(check::written_generation)
             .unwrap_or(highest);
@@ -150,10 +149,13 @@
         text: Option<&str>,
         source: Source,
     ) -> Verdict {
-        let is_opaque = self.is_opaque(key);
+        let is_opaque = self.order(key).is_some();
         if let Err(reason) = check::check_offer(key, text, is_opaque) {
             return Verdict::Refused(reason.into());
         }
+        if self.is_lost(key, version) {
+            return Verdict::Behind;
+        }
         let mark = record::mark(version, text);
         let record = self.records.get(key);
         if let Some(verdict) = record.and_then(|record| check::verdict_from_marks(record, mark)) {
@@ -222,11 +224,16 @@
                 },
             })
         });
-        let deletions: Vec<Deletion> = missing.collect();
+        let deletions = missing.collect();
+        Ok(self.delete(deletions))
+    }
+
+    /// Offers `deletions` and returns them.
+    fn delete(&mut self, deletions: Vec<Deletion>) -> Vec<Deletion> {
         for deletion in &deletions {
             self.offer(&deletion.key, deletion.version, None, Source::Service);
         }
-        Ok(deletions)
+        deletions
     }
 
     /// The entries in effect with their names, in no particular order.
@@ -388,6 +395,7 @@
             self.evict_tombstone(&record)?;
         }
         self.remove(key);
+        self.raise_era(key, &record);
         self.bytes += record.bytes();
         self.digest[record::bucket(key, BUCKETS)] ^= record.fingerprint(key);
         self.records.insert(key.into(), record);
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -37,6 +37,9 @@
         pub changes: Vec<Change>,
         /// For a range: the revision at which `changes` are all keys that exist.
         pub snapshot_revision: Option<u64>,
+        /// Era of a platform's store in which it gave the revisions; none for a service that does not
+        /// give revisions again.
+        pub era: Option<u64>,
         /// Whether the response confirms that the view was complete when it was sent.
         pub confirmed: bool,
         /// Whether the watch has ended and the next call has to be sent.
@@ -172,7 +175,7 @@
             changes: changes?,
             snapshot_revision: Some(revision),
             confirmed: true,
-            ended: false,
+            ..Update::default()
         };
         self.next = Some(revision + 1);
         Ok(update)
--- a/crates/core/src/propagation.rs
+++ b/crates/core/src/propagation.rs
@@ -31,14 +31,20 @@
     }
 
     /// Completes a read of the whole catalogue at `revision`, whose contents were published before:
-    /// keys that are not `present` are deleted. See [`catalogue::Catalogue::apply_snapshot`].
+    /// keys that are not `present` are deleted. See [`catalogue::Catalogue::apply_snapshot`], and
+    /// [`catalogue::Catalogue::apply_listing`] for a platform's store, which has an `era`.
     pub fn publish_snapshot(
         &mut self,
         context: &mut Context,
+        era: Option<u64>,
         revision: u64,
         present: &[(&str, u64)],
     ) -> Vec<Action> {
-        let deletions = match context.catalogue.apply_snapshot(revision, present) {
+        let deletions = match era {
+            Some(era) => context.catalogue.apply_listing(era, revision, present),
+            None => context.catalogue.apply_snapshot(revision, present),
+        };
+        let deletions = match deletions {
             Ok(deletions) => deletions,
             Err(restored) => {
                 let cause = "the service serves an older content than it had";
--- a/crates/core/src/site/feed.rs
+++ b/crates/core/src/site/feed.rs
@@ -40,6 +40,21 @@
     }
 }
 
+data! {
+    /// How an answer relates to the times at which the store was restored from a copy, which begin a
+    /// new era each.
+    #[derive(Copy)]
+    pub enum Standing {
+        /// It is of the era that the session reads.
+        Current,
+        /// It is the first one of a new era. What the session has read may be lost in the store, and
+        /// its revisions are given out again: the range is listed anew.
+        Restored,
+        /// It is of an era that is over, and must not be used.
+        Outdated,
+    }
+}
+
 /// Whether the store answers, by the calls so far.
 #[derive(Debug, Default)]
 pub struct Contact {
@@ -87,9 +102,47 @@
     /// Whether the state read so far was complete at some moment since the start. Pages that may be
     /// old lack the newest changes, which the first wait returns.
     caught_up: bool,
+    /// Era of the answers so far.
+    era: u64,
 }
 
 impl Session {
+    /// A session that begins with a listing. `era` is the highest era known.
+    #[must_use]
+    pub fn new(era: u64) -> Self {
+        Self {
+            era,
+            ..Self::default()
+        }
+    }
+
+    /// Era of the answers so far; 0 if the store states none.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Compares the era that an answer states with that of the answers before it and with `newest`,
+    /// the highest one that this VM knows. Call it before the answer is applied, and apply the answer
+    /// only if it is [`Standing::Current`]. An answer that states no era is of the one before.
+    pub fn check_era(&mut self, newest: u64, stated: Option<u64>) -> Standing {
+        let Some(stated) = stated else {
+            return Standing::Current;
+        };
+        if stated < self.era.max(newest) {
+            self.restart();
+            return Standing::Outdated;
+        }
+        let is_first = self.wait_after.is_none() && self.lowest_revision.is_none();
+        let is_new = stated != self.era;
+        self.era = stated;
+        if is_new && !is_first {
+            self.restart();
+            return Standing::Restored;
+        }
+        Standing::Current
+    }
+
     /// The next call to the store.
     #[must_use]
     pub fn next_call(&self) -> Call {
@@ -120,7 +173,7 @@
     fn restart(&mut self) {
         *self = Self {
             current_only: true,
-            ..Self::default()
+            ..Self::new(self.era)
         };
     }
 
@@ -142,6 +195,7 @@
         Some(Update {
             changes: std::mem::take(&mut self.listed),
             snapshot_revision: Some(lowest),
+            era: Some(self.era),
             confirmed: std::mem::take(&mut self.current_only),
             ended: false,
         })
@@ -163,6 +217,7 @@
         Some(Update {
             changes,
             snapshot_revision: None,
+            era: Some(self.era),
             confirmed: true,
             ended: false,
         })
--- a/crates/core/tests/transfer.rs
+++ b/crates/core/tests/transfer.rs
@@ -5,6 +5,8 @@
 
 use oriolecleat_core::audit::Ring;
 use oriolecleat_core::catalogue::Catalogue;
+use oriolecleat_core::catalogue::Opaque;
+use oriolecleat_core::catalogue::Order;
 use oriolecleat_core::catalogue::Record;
 use oriolecleat_core::gossip::Action;
 use oriolecleat_core::gossip::Context;
@@ -72,7 +74,10 @@
         Self {
             name,
             gossip: Gossip::new(now, record, Vec::new(), Span::from_millis(60_000)),
-            catalogue: Catalogue::with_opaque(vec![KEY.into()]),
+            catalogue: Catalogue::with_opaque(vec![Opaque {
+                prefix: KEY.into(),
+                order: Order::Era,
+            }]),
             audit: Ring::new(name, 1),
             reader: Reader::new(now, view, &mut random),
             random,
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -72,6 +72,9 @@
         if !catching_up {
             hosted.registry.set_complete();
         }
+        if hosted.record_era(now, self.catalogue.era()) {
+            self.metrics.add(Count::StoreRestores, 1);
+        }
         let mut replanned = false;
         let mut services: Set<Box<str>> = Set::default();
         for key in keys {
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -9,13 +9,14 @@
 use http_body_util::Empty;
 use http_body_util::Limited;
 use hyper::Request;
-use hyper::StatusCode;
+use hyper::Response;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use oriolecleat_core::gateway::Update;
 use oriolecleat_core::site::feed;
 use oriolecleat_core::site::feed::Contact;
 use oriolecleat_core::site::feed::Session;
+use oriolecleat_core::site::feed::Standing;
 use oriolecleat_core::time::Span;
 use rand::RngExt;
 use tokio::net::TcpStream;
@@ -90,12 +91,13 @@
 
 /// Reads the store until this VM is no reader any more.
 async fn read(node: &Shared, host: &dyn Host, address: SocketAddr) {
-    let mut reading = Reading {
-        unseen: {
-            let node = node.borrow();
-            node.reader.age(node.clock.now())
-        },
-        ..Reading::default()
+    let mut reading = {
+        let node = node.borrow();
+        Reading {
+            session: Session::new(node.catalogue.era()),
+            unseen: node.reader.age(node.clock.now()),
+            ..Reading::default()
+        }
     };
     loop {
         match make_call(node, host, address, &mut reading).await {
@@ -170,10 +172,37 @@
             node.borrow_mut().confirm_view(node);
         }
     };
-    let (status, body) = tokio::select! {
+    let answer = tokio::select! {
         answer = answer => answer??,
         () = confirm => return Ok(false),
     };
+    let era = host.era(answer.headers())?;
+    let before = session.era();
+    let newest = node.borrow().catalogue.era();
+    match session.check_era(newest, era) {
+        Standing::Current => {}
+        Standing::Restored => {
+            record_answer(node, contact);
+            *listed = None;
+            *unseen = Some(Span::ZERO);
+            let era = session.era();
+            log::warn!(era, before; "the store was restored from a copy: reading all keys again");
+            return Ok(false);
+        }
+        Standing::Outdated => {
+            *listed = None;
+            node.borrow_mut()
+                .metrics
+                .add(Count::StoreOutdatedAnswers, 1);
+            let newest = newest.max(before);
+            return Err(format!(
+                "the store answered from its era {era:?}, before the known {newest}"
+            )
+            .into());
+        }
+    }
+    let status = answer.status();
+    let body = answer.into_body();
     let news = if waits {
         let changes = host.changes(status, &body)?;
         record_answer(node, contact);
@@ -232,12 +261,12 @@
     }
 }
 
-/// Sends one call and returns the status and body of its answer.
+/// Sends one call and returns its answer.
 async fn send_call(
     connection: &mut Option<Connection>,
     address: SocketAddr,
     path: &str,
-) -> Result<(StatusCode, Bytes), Failure> {
+) -> Result<Response<Bytes>, Failure> {
     // A connection with an unfinished call must not be reused.
     let mut used = match connection.take() {
         Some(line) if line.sender.is_ready() => line,
@@ -246,12 +275,10 @@
     let request = Request::get(path)
         .header("host", address.to_string())
         .body(Empty::new())?;
-    let response = used.sender.send_request(request).await?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), ANSWER_BYTES);
-    let body = body.collect().await?.to_bytes();
+    let (head, body) = used.sender.send_request(request).await?.into_parts();
+    let body = Limited::new(body, ANSWER_BYTES).collect().await?;
     *connection = Some(used);
-    Ok((status, body))
+    Ok(Response::from_parts(head, body.to_bytes()))
 }
 
 async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -6,8 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::HeaderMap;
 use hyper::StatusCode;
 use oriolecleat_core::catalogue::Catalogue;
+use oriolecleat_core::catalogue::Opaque;
 use oriolecleat_core::map::Map;
 use oriolecleat_core::map::Set;
 use oriolecleat_core::place::cold;
@@ -68,8 +70,18 @@
     fn dialect(&self) -> Dialect;
     /// Paths of the calls that arrive.
     fn paths(&self) -> Paths;
-    /// Prefixes of the keys that the adapter understands.
-    fn keys(&self) -> Vec<Box<str>>;
+    /// The keys that the adapter understands.
+    fn keys(&self) -> Vec<Opaque>;
+    /// The number that orders the contents of `key`, as stated by its text; none if the text states
+    /// none or cannot be used.
+    fn number(&self, key: &str, text: &str) -> Option<u64>;
+    /// The era of the store that an answer states; none if it states none. A store that was restored
+    /// from a copy begins a higher era.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is not understood.
+    fn era(&self, headers: &HeaderMap) -> Result<Option<u64>, Fault>;
     /// Path and query of a call to the store that answers within `wait`.
     fn call(&self, call: &feed::Call, wait: Duration) -> Box<str>;
     /// Reads a page of keys.
@@ -106,6 +118,8 @@
     /// Those of `rules`.
     pub(crate) entrances: Entrances,
     pub(crate) registry: Registry,
+    /// Era of the store whose keys were last applied; 0 before the first one.
+    era: u64,
     pub(crate) repeats: Map<Box<str>, repeat::Budget>,
     /// Input of the last choice of the cold targets that this VM uses.
     pub(crate) cold_basis: Basis,
@@ -132,6 +146,7 @@
             rules: rule::Table::default(),
             entrances: Entrances::default(),
             registry: Registry::default(),
+            era: 0,
             repeats: Map::default(),
             cold_basis: Basis::default(),
         }
@@ -172,6 +187,18 @@
         }
     }
 
+    /// Records the era of the store whose keys are applied next. Returns whether the store was restored
+    /// from a copy: registrations that the copy lacks then come back.
+    pub(crate) fn record_era(&mut self, now: Instant, era: u64) -> bool {
+        let before = std::mem::replace(&mut self.era, era);
+        let is_restored = before > 0 && era > before;
+        if is_restored {
+            log::warn!(era, before; "the store was restored from a copy");
+            self.registry.record_return(now);
+        }
+        is_restored
+    }
+
     /// Takes a data centre out of service. Returns the services whose targets changed.
     fn withdraw(&mut self, key: &str, data_center: &str) -> Vec<Box<str>> {
         let Some(services) = self.registry.withdraw(key, data_center) else {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -107,6 +107,10 @@
         LingerRefused,
         /// Connections whose callers did not close their side in time.
         LingerExpired,
+        /// Restores of the platform's store from a copy, as this VM learned of them.
+        StoreRestores,
+        /// Answers of the platform's store from before its restore, which were not used.
+        StoreOutdatedAnswers,
     }
 
     /// What is gauged; each name in docs/metrics.md.
@@ -133,6 +137,8 @@
         ReadAhead,
         /// Connections that linger after their last answer.
         Lingering,
+        /// Era of the platform's store; 0 if it states none.
+        StoreEra,
         /// Median time of a call inside the process and the target, in microseconds.
         CallP50Us,
         /// 99th percentile of that time.
@@ -143,7 +149,7 @@
 }
 
 /// All counts in the order of their declaration.
-pub const COUNTS: [Count; 40] = [
+pub const COUNTS: [Count; 42] = [
     Count::Calls,
     Count::Ran,
     Count::NotRun,
@@ -184,10 +190,12 @@
     Count::UnreadClasses,
     Count::LingerRefused,
     Count::LingerExpired,
+    Count::StoreRestores,
+    Count::StoreOutdatedAnswers,
 ];
 
 /// All gauges in the order of their declaration.
-pub const GAUGES: [Gauge; 14] = [
+pub const GAUGES: [Gauge; 15] = [
     Gauge::InFlight,
     Gauge::Waiting,
     Gauge::ViewAgeMs,
@@ -199,6 +207,7 @@
     Gauge::BodiesHeld,
     Gauge::ReadAhead,
     Gauge::Lingering,
+    Gauge::StoreEra,
     Gauge::CallP50Us,
     Gauge::CallP99Us,
     Gauge::CallP999Us,
@@ -249,6 +258,8 @@
             Self::UnreadClasses => "plan.unread_classes",
             Self::LingerRefused => "connections.linger_refused",
             Self::LingerExpired => "connections.linger_expired",
+            Self::StoreRestores => "store.restores",
+            Self::StoreOutdatedAnswers => "store.outdated_answers",
         }
     }
 }
@@ -269,6 +280,7 @@
             Self::BodiesHeld => "held.bodies_bytes",
             Self::ReadAhead => "held.read_ahead_bytes",
             Self::Lingering => "connections.lingering",
+            Self::StoreEra => "store.era",
             Self::CallP50Us => "call.p50_us",
             Self::CallP99Us => "call.p99_us",
             Self::CallP999Us => "call.p999_us",
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -191,8 +191,16 @@
     /// Publishes an update of the configuration service that was complete `age` ago.
     pub(crate) fn publish_update(&mut self, node: &Shared, news: Update, age: Span) {
         self.reader.record_response(self.clock.now());
+        let hosted = self.hosted.as_ref().zip(news.era);
+        let version = |key: &str, revision, text: Option<&str>| match hosted {
+            Some((hosted, era)) => {
+                let number = text.and_then(|text| hosted.host.number(key, text));
+                self.catalogue.opaque_version(key, era, revision, number)
+            }
+            None => self.catalogue.version(key, revision, text),
+        };
         let content = |key: Box<str>, revision, text: Option<Box<str>>| Content {
-            version: self.catalogue.version(&key, revision, text.as_deref()),
+            version: version(&key, revision, text.as_deref()),
             key,
             text,
         };
@@ -217,7 +225,7 @@
                     .iter()
                     .map(|(key, revision)| (&**key, *revision))
                     .collect();
-                gossip.publish_snapshot(context, revision, &present)
+                gossip.publish_snapshot(context, news.era, revision, &present)
             });
         }
         if news.confirmed {
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -81,6 +81,9 @@
         .as_ref()
         .map(|hosted| hosted.registry.withdrawn());
     gauges.extend(withdrawn.map(|orders| (Gauge::DataCentersOut, orders.count() as u64)));
+    if node.hosted.is_some() {
+        gauges.push((Gauge::StoreEra, node.catalogue.era()));
+    }
     gauges.extend(node.view_age_ms().map(|age| (Gauge::ViewAgeMs, age)));
     gauges
 }
