Keep a draining target out of use when a restored store shows it as ready

Callers could reach a target past drain_s: a store that came back from a copy made before the target began to drain shows it as ready until it writes again.

A registration of the same start no longer goes back from draining to ready. A new start has another value in born and is used.

--- a/crates/core/src/site/registry.rs
+++ b/crates/core/src/site/registry.rs
@@ -32,7 +32,8 @@
     pub struct Registration {
         /// Its id, under which it answers.
         pub id: Box<str>,
-        /// When it started, in milliseconds since 1970; tells apart starts under one id.
+        /// When it started, in milliseconds since 1970; tells apart starts under one id. 0 if it does
+        /// not say.
         pub born: u64,
         /// Service that it belongs to.
         pub service: Box<str>,
@@ -135,21 +136,29 @@
 
     /// Replaces the registration under `key`, or removes it if there is none because the new value
     /// of the key cannot be used. Returns the services whose targets changed.
+    ///
+    /// A start that drains stays so: a store that was restored from a copy may show it as ready.
     pub fn put(
         &mut self,
         now: Instant,
         key: &str,
         registration: Option<Registration>,
     ) -> Vec<Box<str>> {
-        let Some(registration) = registration else {
+        let Some(mut registration) = registration else {
             return self.records.remove(key).into_iter().map(service).collect();
         };
         let mut changed = vec![registration.service.clone()];
         let known = self.records.get(key);
-        let appeared = match known.filter(|known| known.registration.born == registration.born) {
+        let same_start = known.filter(|known| known.registration.born == registration.born);
+        let appeared = match same_start {
             Some(known) => known.appeared,
             None => self.complete.then_some(now),
         };
+        if same_start.is_some_and(|known| known.registration.state == State::Draining)
+            && registration.born > 0
+        {
+            registration.state = State::Draining;
+        }
         let record = Record {
             registration,
             read_at: now,
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -125,6 +125,15 @@
         ],
         usable: &[(5_000, 4)],
     },
+    Case {
+        name: "one that was draining and is ready in a restored store gets no new work",
+        events: &[
+            (500, Event::Put(0, State::Draining)),
+            (5_000, Event::Return),
+            (5_000, Event::Put(0, State::Ready)),
+        ],
+        usable: &[(5_000, 4)],
+    },
     Case {
         name: "those that may have vanished at any time before are not kept",
         events: &[
@@ -210,8 +219,11 @@
         targets[0].incarnation
     };
     assert_eq!(incarnation(&registry), 1);
+    put(&mut registry, 5, 0, State::Draining);
+    assert_eq!(names(&registry).len(), 4);
     registry.put(at(10), "t0", Some(registration(0, 2, State::Ready)));
     assert_eq!(incarnation(&registry), 2);
+    assert_eq!(names(&registry).len(), 5, "the new start does not drain");
 }
 
 /// Guards against a target that counts as warm although it has just started or come back, and against
