Confirm the view of a platform's store by its answers only

Callers' requests reached targets that had left: VMs in touch with the store learned of a draining target 3.5 s and more after the ack, and bookings were lost when it exited.

Cause: a reader counted its view as confirmed each second while a wait was pending, and peers took that over. A reader that is cut from the store so vouched for 2 s for what it could not know, and the takeover began 1.5 s after that. Ruled out as causes: the turns of the takeover and the way of the change between peers, which take less than 0.4 s in the logs.

Only answers confirm the view now, dated by the latest time at which the state was complete. The first readers of two data centres wait for two thirds of takeover_after at most, so that views do not get old while the store answers; the others wait for 2 s as before, since calls cost.

--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -6,8 +6,10 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::map::Map;
 use crate::member::Fleet;
 use crate::member::MAX_MEMBERS;
+use crate::member::Member;
 use crate::member::State;
 use crate::settings;
 use crate::time::Instant;
@@ -32,6 +34,13 @@
 // enough that it ends, with a timer that is 0.2 s late, before twice `takeover_after`.
 const FIRST_PROBE_INTERVALS: u64 = 5;
 
+/// Longest wait for changes in one call. An answer can be lost on a connection that stays open, which
+/// only the end of the wait shows.
+pub const WAIT_MAX: Span = Span::from_millis(2_000);
+/// Designated readers, each of another data centre, that confirm the view often enough for all. The
+/// second one does so alone while the first one is lost.
+const PACERS: usize = 2;
+
 const MICROS_PER_CALL: u64 = 1_000_000;
 // Limits that are safe for any fleet: the documented rate of the service, shared by as many VMs as
 // a fleet can have. They apply until the catalogue has the constants of the deployment.
@@ -45,6 +54,23 @@
     fleet.own().record().state == State::Alive && rank_in_data_center(fleet) < readers
 }
 
+/// Whether this VM is one of the [`PACERS`] lowest-ranked VMs among the first readers of all data
+/// centres.
+fn is_pacer(fleet: &Fleet) -> bool {
+    let mut first: Map<&str, &Member> = Map::default();
+    for member in fleet.live() {
+        let reader = first.entry(&member.record().data_center).or_insert(member);
+        if reader.record().state != State::Alive || reader.is_preceded_by(member) {
+            *reader = member;
+        }
+    }
+    let own = fleet.own().record();
+    let is_first = |reader: &&Member| reader.record().vm == own.vm;
+    let mut readers: Vec<&Member> = first.into_values().collect();
+    readers.sort_unstable_by_key(|reader| (reader.rank(), &reader.record().vm));
+    readers.iter().take(PACERS).any(is_first)
+}
+
 /// Number of alive members of this VM's data centre that rank before it.
 fn rank_in_data_center(fleet: &Fleet) -> u64 {
     let own = fleet.own();
@@ -262,6 +288,20 @@
         }
     }
 
+    /// Longest wait for changes that this VM makes as a reader. The view of the fleet is confirmed only
+    /// when a wait ends, so some readers wait for two thirds of `takeover_after` at most; the rest is for
+    /// the way of the answer to all VMs. The other designated readers wait longer, as calls cost.
+    #[must_use]
+    pub fn longest_wait(&self, fleet: &Fleet) -> Span {
+        let takes_over = !is_designated(fleet, self.limits.readers_per_data_center);
+        if takes_over || is_pacer(fleet) {
+            let takeover_after = self.limits.takeover_after.as_micros();
+            Span::from_micros(takeover_after / 3 * 2).min(WAIT_MAX)
+        } else {
+            WAIT_MAX
+        }
+    }
+
     /// Age of the view; none before the first confirmation.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Span> {
--- a/crates/core/src/site/mod.rs
+++ b/crates/core/src/site/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod directory;
 pub mod feed;
+pub mod freshness;
 pub mod plan;
 pub mod region;
 pub mod registry;
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -18,7 +18,6 @@
 
 use crate::metrics::Count;
 use crate::node::Node;
-use crate::node::Shared;
 use crate::probe;
 use crate::service;
 use crate::service::Decision;
@@ -115,14 +114,6 @@
         }
     }
 
-    /// Confirms that the view is current, as a wait for changes is pending at the store of the
-    /// platform.
-    pub(crate) fn confirm_view(&mut self, node: &Shared) {
-        self.event(node, |gossip, context| {
-            gossip.confirm_view(context, Span::ZERO)
-        });
-    }
-
     /// Records that the store of the platform is back after an outage.
     pub(crate) fn record_return(&mut self) {
         let now = self.clock.now();
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -17,23 +17,18 @@
 use oriolecleat_core::site::feed::Contact;
 use oriolecleat_core::site::feed::Session;
 use oriolecleat_core::site::feed::Standing;
+use oriolecleat_core::site::freshness::Freshness;
 use oriolecleat_core::time::Span;
 use rand::RngExt;
 use tokio::net::TcpStream;
 
+use crate::clock;
 use crate::host::Host;
 use crate::logs;
 use crate::metrics::Count;
 use crate::node::Shared;
 use crate::socket;
 
-/// Longest wait for changes in one call. An answer can be lost on a connection that stays open, which
-/// only the end of the wait shows; until then this VM misses changes and confirms the view. Together
-/// with [`CALL_TIMEOUT`] it is shorter than the 3 s for which changes may be late after a disruption
-/// of the store. Each call is paid for.
-const WAIT: Duration = Duration::from_secs(2);
-/// While a wait is pending, the view counts as confirmed this often.
-const CONFIRM_EVERY: Duration = Duration::from_secs(1);
 /// Time on top of the wait in which the answer to a call has to arrive; the store answers within
 /// milliseconds and may be two regions away.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -78,6 +73,7 @@
 #[derive(Default)]
 struct Reading {
     session: Session,
+    freshness: Freshness,
     connection: Option<Connection>,
     contact: Contact,
     /// Keys listed from pages that may be old. They are published together with the changes that were
@@ -108,7 +104,8 @@
             }
             Err(error) => {
                 if !reading.contact.is_in_doubt() {
-                    log::warn!(cause:% = logs::chain(&*error); "reading the store failed");
+                    let view_age_ms = node.borrow().view_age_ms();
+                    log::warn!(cause:% = logs::chain(&*error), view_age_ms; "reading the store failed");
                 }
                 reading.connection = None;
                 reading.unseen = Some(Span::ZERO);
@@ -144,6 +141,7 @@
 ) -> Result<bool, Failure> {
     let Reading {
         session,
+        freshness,
         connection,
         contact,
         listed,
@@ -153,29 +151,23 @@
     let waits = matches!(call, feed::Call::Wait { .. });
     // What has changed since old pages is answered at once, and makes the state complete. Nobody may
     // use it before.
-    let wait = if waits && session.is_caught_up() && listed.is_none() && !contact.is_in_doubt() {
-        WAIT
-    } else {
-        Duration::ZERO
-    };
-    let limit = wait + CALL_TIMEOUT;
-    let path = host.call(&call, wait);
-    node.borrow_mut().metrics.add(Count::ConfigurationCalls, 1);
-    let sent_at = node.borrow().clock.now();
-    let answer = tokio::time::timeout(limit, send_call(connection, address, &path));
-    let confirm = async {
-        if wait.is_zero() {
-            std::future::pending::<()>().await;
-        }
-        loop {
-            tokio::time::sleep(CONFIRM_EVERY).await;
-            node.borrow_mut().confirm_view(node);
-        }
-    };
-    let answer = tokio::select! {
-        answer = answer => answer??,
-        () = confirm => return Ok(false),
+    let may_wait = waits && session.is_caught_up() && listed.is_none() && !contact.is_in_doubt();
+    let (sent_at, wait) = {
+        let mut node = node.borrow_mut();
+        node.metrics.add(Count::ConfigurationCalls, 1);
+        let now = node.clock.now();
+        let wait = if may_wait {
+            let wait = freshness.next_wait(now, node.reader.longest_wait(node.gossip.fleet()));
+            Span::from_millis(wait.as_millis())
+        } else {
+            Span::ZERO
+        };
+        (now, wait)
     };
+    freshness.record_call(sent_at, &call);
+    let path = host.call(&call, clock::duration(wait));
+    let limit = clock::duration(wait) + CALL_TIMEOUT;
+    let answer = tokio::time::timeout(limit, send_call(connection, address, &path)).await??;
     let era = host.era(answer.headers())?;
     let before = session.era();
     let newest = node.borrow().catalogue.era();
@@ -227,12 +219,14 @@
         return Ok(false);
     }
     let changed = !news.changes.is_empty();
-    let age = if waits {
-        Span::ZERO
-    } else {
-        node.borrow().clock.now().since(sent_at)
-    };
     let mut state = node.borrow_mut();
+    let now = state.clock.now();
+    if waits {
+        freshness.record_wait(now, sent_at, wait, changed);
+    } else {
+        freshness.record_listing();
+    }
+    let age = freshness.age(now).unwrap_or_default();
     state.removal_age = unseen.replace(Span::ZERO);
     // Pages that are current replace old ones, whose history is gone.
     if let Some(listed) = listed.take().filter(|_| waits) {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -22,6 +22,7 @@
 use oriolecleat_core::message::Departure;
 use oriolecleat_core::message::Message;
 use oriolecleat_core::message::Report;
+use oriolecleat_core::reader;
 use oriolecleat_core::reader::Step;
 use oriolecleat_core::stop::Phase;
 use oriolecleat_core::target;
@@ -353,7 +354,10 @@
         match step {
             Step::Open => {
                 let cut_off = self.gossip.is_cut_off();
-                log::info!(view_age_ms, cut_off; "reading of the store starts");
+                let readers = self.settings.view.readers_per_data_center;
+                let takes_over = !reader::is_designated(self.gossip.fleet(), readers);
+                self.metrics.add(Count::Takeovers, u64::from(takes_over));
+                log::info!(view_age_ms, cut_off, takes_over; "reading of the store starts");
             }
             Step::Close => log::info!(view_age_ms; "reading of the store ends"),
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -53,6 +53,8 @@
         CatalogueRejected,
         /// Calls to the configuration service.
         ConfigurationCalls,
+        /// Times at which this VM began to read it without being a designated reader.
+        Takeovers,
         /// Frames sent to peers.
         PeerFramesSent,
         /// Bytes sent to peers.
@@ -149,7 +151,7 @@
 }
 
 /// All counts in the order of their declaration.
-pub const COUNTS: [Count; 42] = [
+pub const COUNTS: [Count; 43] = [
     Count::Calls,
     Count::Ran,
     Count::NotRun,
@@ -163,6 +165,7 @@
     Count::CatalogueAccepted,
     Count::CatalogueRejected,
     Count::ConfigurationCalls,
+    Count::Takeovers,
     Count::PeerFramesSent,
     Count::PeerBytesSent,
     Count::PeerBytesReceived,
@@ -231,6 +234,7 @@
             Self::CatalogueAccepted => "catalogue.accepted",
             Self::CatalogueRejected => "catalogue.rejected",
             Self::ConfigurationCalls => "configuration.calls",
+            Self::Takeovers => "configuration.takeovers",
             Self::PeerFramesSent => "peer.frames_sent",
             Self::PeerBytesSent => "peer.bytes_sent",
             Self::PeerBytesReceived => "peer.bytes_received",
