Keep a data centre out of service while its lost order may be written again

Callers' requests went to a data centre that the operator had taken out of service: a store that came back from a copy lacked the order, and the first listing after the restore put the data centre back in service at once.

--- a/crates/core/src/site/registry.rs
+++ b/crates/core/src/site/registry.rs
@@ -87,6 +87,8 @@
     records: Map<Box<str>, Record>,
     /// Until when registrations that lapsed during an outage of the store come back.
     back_by: Instant,
+    /// Until when the operator may write again what a store has lost that was restored from a copy.
+    restored_by: Instant,
     /// Data centres out of service.
     withdrawn: withdrawn::Orders,
     /// Whether all registrations were read once, so that others are of targets that start.
@@ -114,8 +116,25 @@
     }
 
     /// Removes the order under `key` that took a data centre out of service. Returns the data centre
-    /// that is back with the services whose targets changed; none if `key` holds no such order.
+    /// that is back with the services whose targets changed; none if `key` holds no such order, or if it
+    /// is kept until [`Registry::lapse_orders`] removes it, as the store was just restored.
     pub fn restore(&mut self, now: Instant, key: &str) -> Option<(Box<str>, Vec<Box<str>>)> {
+        if now < self.restored_by && self.withdrawn.keep(key, self.restored_by) {
+            return None;
+        }
+        self.remove_order(now, key)
+    }
+
+    /// Removes the orders that a restored store lacks and that were not written again in time. Returns
+    /// the data centres that are back, each with the services whose targets changed.
+    pub fn lapse_orders(&mut self, now: Instant) -> Vec<(Box<str>, Vec<Box<str>>)> {
+        let lapsed = self.withdrawn.lapsed(now).into_iter();
+        lapsed
+            .filter_map(|key| self.remove_order(now, &key))
+            .collect()
+    }
+
+    fn remove_order(&mut self, now: Instant, key: &str) -> Option<(Box<str>, Vec<Box<str>>)> {
         let data_center = self.withdrawn.remove(now, key)?;
         let services = self.services_in(&data_center);
         Some((data_center, services))
@@ -134,6 +153,12 @@
         self.back_by = now + RETURN_GRACE;
     }
 
+    /// Records that the store was restored from a copy. What it lacks is written again.
+    pub fn record_restore(&mut self, now: Instant) {
+        self.record_return(now);
+        self.restored_by = self.back_by;
+    }
+
     /// Replaces the registration under `key`, or removes it if there is none because the new value
     /// of the key cannot be used. Returns the services whose targets changed.
     ///
--- a/crates/core/src/site/withdrawn.rs
+++ b/crates/core/src/site/withdrawn.rs
@@ -9,6 +9,8 @@
 pub struct Orders {
     /// The data centre of each order, by key.
     by_key: Map<Box<str>, Box<str>>,
+    /// Orders that a restored store lacks, by key, with the time until which they hold all the same.
+    lapsing: Map<Box<str>, Instant>,
     /// When each data centre last came back into service.
     returned: Map<Box<str>, Instant>,
 }
@@ -17,13 +19,31 @@
     /// Takes `data_center` out of service until `key` is removed. Returns whether it was in service.
     pub fn put(&mut self, key: &str, data_center: &str) -> bool {
         let was_out = self.contains(data_center);
+        self.lapsing.remove(key);
         self.by_key.insert(key.into(), data_center.into());
         !was_out
     }
 
+    /// Keeps the order under `key`, which was removed, until `until`. Returns whether there is one.
+    pub fn keep(&mut self, key: &str, until: Instant) -> bool {
+        let is_known = self.by_key.contains_key(key);
+        if is_known {
+            self.lapsing.insert(key.into(), until);
+        }
+        is_known
+    }
+
+    /// Keys of the orders that were kept until `now` or before.
+    #[must_use]
+    pub fn lapsed(&self, now: Instant) -> Vec<Box<str>> {
+        let lapsed = self.lapsing.iter().filter(|(_, until)| **until <= now);
+        lapsed.map(|(key, _)| key.clone()).collect()
+    }
+
     /// Removes the order under `key`. Returns the data centre that is back in service, if it was the
     /// last order for one.
     pub fn remove(&mut self, now: Instant, key: &str) -> Option<Box<str>> {
+        self.lapsing.remove(key);
         let data_center = self.by_key.remove(key)?;
         if self.contains(&data_center) {
             return None;
--- a/crates/core/tests/withdrawn.rs
+++ b/crates/core/tests/withdrawn.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use oriolecleat_core::site::registry::RETURN_GRACE;
 use oriolecleat_core::site::registry::Registration;
 use oriolecleat_core::site::registry::Registry;
 use oriolecleat_core::site::registry::State;
@@ -195,3 +196,47 @@
         assert_eq!(names, case.usable, "{}", case.name);
     }
 }
+
+/// Guards against a data centre that gets work while its order, which a restored store has lost, is not
+/// written again yet, and against one that stays out although it is not.
+#[test]
+fn an_order_that_a_restored_store_lacks_holds_until_it_could_be_written_again() {
+    struct Case {
+        name: &'static str,
+        restored: bool,
+        written_again: bool,
+        /// Targets in use at once, just before the end of the grace, and at its end.
+        usable: [usize; 3],
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "the operator removed it", restored: false, written_again: false, usable: [1, 1, 1] },
+        Case { name: "the store lost it", restored: true, written_again: false, usable: [0, 0, 1] },
+        Case { name: "it is written again", restored: true, written_again: true, usable: [0, 0, 0] },
+    ];
+    let at = |millis: u64| Instant::from_micros(millis * 1_000);
+    let grace = RETURN_GRACE.as_millis();
+    for case in cases {
+        let mut registry = Registry::default();
+        registry.put(at(0), "t0", Some(registration(0, "cai-1")));
+        registry.withdraw("k", "cai-1");
+        if case.restored {
+            registry.record_restore(at(5_000));
+        }
+        let returned = registry.restore(at(5_000), "k");
+        assert_eq!(returned.is_none(), case.restored, "{}", case.name);
+        for (millis, usable) in [5_000, 5_000 + grace - 1, 5_000 + grace]
+            .into_iter()
+            .zip(case.usable)
+        {
+            let lapsed = registry.lapse_orders(at(millis));
+            let is_lapsed = case.restored && !case.written_again && millis == 5_000 + grace;
+            assert_eq!(!lapsed.is_empty(), is_lapsed, "{} at {millis}", case.name);
+            let targets = registry.targets("desk", |_| "cai".into());
+            assert_eq!(targets.len(), usable, "{} at {millis}", case.name);
+            if case.written_again {
+                registry.withdraw("k", "cai-1");
+            }
+        }
+    }
+}
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -103,7 +103,7 @@
         let Some(hosted) = &mut self.hosted else {
             return;
         };
-        let services: Set<Box<str>> = hosted.registry.expire(now).into_iter().collect();
+        let services: Set<Box<str>> = hosted.expire(now).into_iter().collect();
         if !services.is_empty() {
             self.update_targets(&services);
         }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -194,7 +194,7 @@
         let is_restored = before > 0 && era > before;
         if is_restored {
             log::warn!(era, before; "the store was restored from a copy");
-            self.registry.record_return(now);
+            self.registry.record_restore(now);
         }
         is_restored
     }
@@ -211,11 +211,17 @@
     /// Applies the removal of a key that vanished at `removed` or later, or at any time if none is given.
     /// Returns the services whose targets changed.
     fn remove_key(&mut self, now: Instant, removed: Option<Instant>, key: &str) -> Vec<Box<str>> {
-        let Some((data_center, services)) = self.registry.restore(now, key) else {
-            return self.registry.remove(removed, key);
-        };
-        let data_center = &*data_center;
-        log::warn!(data_center, services = services.len(); "data centre back in service");
+        match self.registry.restore(now, key) {
+            Some(returned) => log_return(returned),
+            None => self.registry.remove(removed, key),
+        }
+    }
+
+    /// Removes what vanished and did not come back in time. Returns the services whose targets changed.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<Box<str>> {
+        let returned = self.registry.lapse_orders(now).into_iter();
+        let mut services: Vec<Box<str>> = returned.flat_map(log_return).collect();
+        services.extend(self.registry.expire(now));
         services
     }
 
@@ -288,3 +294,10 @@
         rules.map(|part| part.service.clone()).collect()
     }
 }
+
+/// Logs that a data centre is back in service and returns the services whose targets changed.
+fn log_return((data_center, services): (Box<str>, Vec<Box<str>>)) -> Vec<Box<str>> {
+    let data_center = &*data_center;
+    log::warn!(data_center, services = services.len(); "data centre back in service");
+    services
+}
