--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -39,7 +39,7 @@
 const WAIT_MAX: Span = Span::from_millis(2_000);
 /// Designated readers, each of another data centre, that confirm the view often enough for all. The
 /// second one does so alone while the first one is lost.
-const PACERS: usize = 2;
+const FREQUENT_READERS: usize = 2;
 
 const MICROS_PER_CALL: u64 = 1_000_000;
 // Limits that are safe for any fleet: the documented rate of the service, shared by as many VMs as
@@ -54,9 +54,9 @@
     fleet.own().record().state == State::Alive && rank_in_data_center(fleet) < readers
 }
 
-/// Whether this VM is one of the [`PACERS`] lowest-ranked VMs among the first readers of all data
+/// Whether this VM is one of the [`FREQUENT_READERS`] lowest-ranked VMs among the first readers of all data
 /// centres.
-fn is_pacer(fleet: &Fleet) -> bool {
+fn is_frequent_reader(fleet: &Fleet) -> bool {
     let mut first: Map<&str, &Member> = Map::default();
     for member in fleet.live() {
         let reader = first.entry(&member.record().data_center).or_insert(member);
@@ -68,7 +68,7 @@
     let is_first = |reader: &&Member| reader.record().vm == own.vm;
     let mut readers: Vec<&Member> = first.into_values().collect();
     readers.sort_unstable_by_key(|reader| (reader.rank(), &reader.record().vm));
-    readers.iter().take(PACERS).any(is_first)
+    readers.iter().take(FREQUENT_READERS).any(is_first)
 }
 
 /// Number of alive members of this VM's data centre that rank before it.
@@ -294,7 +294,7 @@
     #[must_use]
     pub fn longest_wait(&self, fleet: &Fleet) -> Span {
         let takes_over = !is_designated(fleet, self.limits.readers_per_data_center);
-        if takes_over || is_pacer(fleet) {
+        if takes_over || is_frequent_reader(fleet) {
             let takeover_after = self.limits.takeover_after.as_micros();
             Span::from_micros(takeover_after / 3 * 2).min(WAIT_MAX)
         } else {
