--- a/crates/core/src/repeat.rs
+++ b/crates/core/src/repeat.rs
@@ -58,12 +58,21 @@
         true
     }
 
+    /// Number of the requests and of the repeats that count now.
+    pub fn counts(&mut self, now: Instant) -> (u64, u64) {
+        self.advance(now);
+        (self.counted_requests(), self.repeats.iter().sum())
+    }
+
+    /// The oldest bucket is only partly inside the window: its repeats count, its requests do not.
+    fn counted_requests(&self) -> u64 {
+        let oldest = index(self.newest + 1);
+        self.requests.iter().sum::<u64>() - self.requests[oldest]
+    }
+
     /// Thousandths of a repeat that are left.
     fn left_thousandths(&self) -> u64 {
-        // The oldest bucket is only partly inside the window: its repeats count, its requests do
-        // not.
-        let oldest = index(self.newest + 1);
-        let requests: u64 = self.requests.iter().sum::<u64>() - self.requests[oldest];
+        let requests = self.counted_requests();
         let repeats: u64 = self.repeats.iter().sum();
         let share = self.bound.slack * 1_000 / self.bound.vm_ceiling.max(1);
         let earned = requests.saturating_mul(self.bound.ratio_thousandths);
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -140,15 +140,29 @@
         }
     }
 
-    /// Takes one repeat of a request from the budget that a service has on a platform; false if
+    /// Takes one repeat of the request `id` from the budget that a service has on a platform; false if
     /// none is left. Without a platform there is no such budget.
-    pub(crate) fn take_repeat(&mut self, service: service::Key) -> bool {
+    pub(crate) fn take_repeat(&mut self, service: service::Key, id: &str) -> bool {
         let now = self.clock.now();
-        match (&mut self.hosted, self.services.get(service)) {
-            (Some(hosted), Some(found)) => hosted.repeats(&found.name).take(now),
-            (None, Some(_)) => true,
-            (_, None) => false,
+        let Some(found) = self.services.get(service) else {
+            return false;
+        };
+        let Some(hosted) = &mut self.hosted else {
+            return true;
+        };
+        let budget = hosted.repeats(&found.name);
+        let taken = budget.take(now);
+        if taken {
+            self.metrics.add(Count::Repeats, 1);
+        } else {
+            let (requests, repeats) = budget.counts(now);
+            log::info!(
+                id, service = &*found.name, requests, repeats;
+                "no repeat: the budget of the service is used up"
+            );
+            self.metrics.add(Count::RepeatsRefused, 1);
         }
+        taken
     }
 
     /// Records that another target has the address of `target`.
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -183,7 +183,7 @@
                     self.ticket.mark_shed();
                     self.refused_by.push(grant.target);
                     let admitted = sent.shed(shed, self.body.is_replayable())?;
-                    if !self.node.borrow_mut().take_repeat(self.service) {
+                    if !self.take_repeat() {
                         return Err(admitted.refuse(Code::Overloaded));
                     }
                     self.requeue(progress);
@@ -271,14 +271,20 @@
 
     /// Takes one retry from the budget; false if none is left.
     fn take_retry(&self) -> bool {
-        let mut node = self.node.borrow_mut();
-        if node.hosted.is_some() {
-            return node.take_repeat(self.service);
+        if self.node.borrow().hosted.is_some() {
+            return self.take_repeat();
         }
+        let mut node = self.node.borrow_mut();
         let quota = node.quotas.get_mut(self.quota);
         quota.is_some_and(|quota| quota.retry.take())
     }
 
+    /// Takes one repeat from the budget of the service; false if none is left.
+    pub(crate) fn take_repeat(&self) -> bool {
+        let mut node = self.node.borrow_mut();
+        node.take_repeat(self.service, self.call.id())
+    }
+
     /// Whether server errors and bad answers of targets are retried. With the product's own targets
     /// they are not: such a target answers an error only where another target would, too.
     fn retries_errors(&self) -> bool {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -115,6 +115,11 @@
         StoreOutdatedAnswers,
         /// Requests behind which none is processed ahead, as their answers may be streamed.
         NotAhead,
+        /// Repeats of requests, such as retries, copies and sends after a shed, that a platform's budget
+        /// allowed.
+        Repeats,
+        /// Repeats that were not made because the budget of their service was used up.
+        RepeatsRefused,
     }
 
     /// What is gauged; each name in docs/metrics.md.
@@ -153,7 +158,7 @@
 }
 
 /// All counts in the order of their declaration.
-pub const COUNTS: [Count; 44] = [
+pub const COUNTS: [Count; 46] = [
     Count::Calls,
     Count::Ran,
     Count::NotRun,
@@ -198,6 +203,8 @@
     Count::StoreRestores,
     Count::StoreOutdatedAnswers,
     Count::NotAhead,
+    Count::Repeats,
+    Count::RepeatsRefused,
 ];
 
 /// All gauges in the order of their declaration.
@@ -268,6 +275,8 @@
             Self::StoreRestores => "store.restores",
             Self::StoreOutdatedAnswers => "store.outdated_answers",
             Self::NotAhead => "pipelining.not_ahead",
+            Self::Repeats => "repeats.allowed",
+            Self::RepeatsRefused => "repeats.refused",
         }
     }
 }
--- a/crates/daemon/src/race.rs
+++ b/crates/daemon/src/race.rs
@@ -132,8 +132,7 @@
             match decision {
                 Decision::Hedge(grant) => {
                     let attempt = self.call.start_attempt(grant.target);
-                    let allowed = self.body.is_replayable()
-                        && self.node.borrow_mut().take_repeat(self.service);
+                    let allowed = self.body.is_replayable() && self.take_repeat();
                     if allowed && allow_copy() {
                         copies.push(self.hedge(&grant, attempt));
                     }
