Let the requests of the last window pay for repeats

Cause: each VM limited the repeats of its own last 10 s to a ratio of its own requests of these 10 s. When requests move to another VM, the old one spends for those before the move and the new one for those after it, in the same window.

Change: each repeat is paid for by requests that this VM received at most a window before, each at half of the ratio. The requests that pay for the repeats of a window are among those of two windows, and each pays once, whichever VM they reached. The platform counts the window before as well. The share of the slack is there from a window after the start on, so that processes that replace each other have one share together.

The rows of core repeat change with the design: a request pays for half as much, and the share comes later. All other expectations stay.

--- a/crates/core/src/repeat.rs
+++ b/crates/core/src/repeat.rs
@@ -1,23 +1,40 @@
 //! Budget for the repeats of requests to one service, such as retries and hedged copies, bounded
 //! over all VMs together.
 //!
-//! In each sliding window the repeats of all VMs together stay below a ratio of the requests plus a
-//! slack. A VM spends the ratio of its own requests, and a fixed share of the slack. The shares add
-//! up to the slack whatever each VM believes of the fleet.
+//! In each sliding window, the repeats of all VMs together stay below a ratio of the requests in this
+//! window or in the one before it, whichever are more, plus a slack. VMs keep to this without messages:
+//!
+//! - Each repeat is paid for by requests that this VM received at most a window before. Those that pay
+//!   for the repeats of a window are thus among the requests of two windows, whichever VMs they reached,
+//!   and each pays for half of the ratio. A limit on what each VM sends in its own window would not do: a
+//!   service whose requests move from one VM to another would get the repeats of both.
+//! - Each VM spends a fixed share of the slack. The shares add up to the slack whatever each VM believes
+//!   of the fleet. A process gets its share a window after its start, as the one that it replaces may have
+//!   spent it before.
 
 use crate::settings::Repeats;
 use crate::time::Instant;
 use crate::time::Span;
 
-/// Buckets that a window is counted in. One more is kept, so that the count covers a whole window.
+/// Buckets that a window is counted in.
 const BUCKETS: usize = 20;
+/// Buckets kept for what is spent in any window of this length: one more, as the oldest is only partly in it.
+const SPENT_BUCKETS: usize = BUCKETS + 1;
+/// Windows from which the requests that pay for the repeats of one window come.
+const PAYING_WINDOWS: u64 = 2;
+/// Price of a repeat.
+const REPEAT_THOUSANDTHS: u64 = 1_000;
 
-/// Requests and repeats of one service in the last window.
+/// Requests to one service in the last window, and what is left of what they pay for.
 #[derive(Clone, Debug)]
 pub struct Budget {
     bound: Repeats,
-    requests: [u64; BUCKETS + 1],
-    repeats: [u64; BUCKETS + 1],
+    start: Instant,
+    requests: [u64; BUCKETS],
+    /// Thousandths of a repeat that the requests of a bucket have paid.
+    paid: [u64; BUCKETS],
+    /// Thousandths of a repeat that were taken from the share of the slack in a bucket.
+    slack_spent: [u64; SPENT_BUCKETS],
     /// Number of the newest bucket since the start of the clock.
     newest: u64,
 }
@@ -25,11 +42,13 @@
 impl Budget {
     /// A budget before any request.
     #[must_use]
-    pub const fn new(bound: Repeats) -> Self {
+    pub const fn new(now: Instant, bound: Repeats) -> Self {
         Self {
             bound,
-            requests: [0; BUCKETS + 1],
-            repeats: [0; BUCKETS + 1],
+            start: now,
+            requests: [0; BUCKETS],
+            paid: [0; BUCKETS],
+            slack_spent: [0; SPENT_BUCKETS],
             newest: 0,
         }
     }
@@ -43,53 +62,64 @@
 
     /// Counts a request that arrived for the first time.
     pub fn record_request(&mut self, now: Instant) {
-        let index = self.advance(now);
-        self.requests[index] += 1;
+        self.advance(now);
+        self.requests[index(self.newest, BUCKETS)] += 1;
     }
 
     /// Takes permission for one repeat; false if none is left.
     #[must_use]
     pub fn take(&mut self, now: Instant) -> bool {
-        let index = self.advance(now);
-        if self.left_thousandths() < 1_000 {
+        self.advance(now);
+        let earned: u64 = (0..BUCKETS).map(|index| self.unpaid(index)).sum();
+        if earned + self.slack_left(now) < REPEAT_THOUSANDTHS {
             return false;
         }
-        self.repeats[index] += 1;
+        let mut due = REPEAT_THOUSANDTHS;
+        // The oldest requests pay first, as they leave the window first.
+        for bucket in self.newest + 1..=self.newest + BUCKETS as u64 {
+            let index = index(bucket, BUCKETS);
+            let part = due.min(self.unpaid(index));
+            self.paid[index] += part;
+            due -= part;
+        }
+        self.slack_spent[index(self.newest, SPENT_BUCKETS)] += due;
         true
     }
 
-    /// Number of the requests and of the repeats that count now.
+    /// Number of the requests that count now, and of the repeats that they paid for.
     pub fn counts(&mut self, now: Instant) -> (u64, u64) {
         self.advance(now);
-        (self.counted_requests(), self.repeats.iter().sum())
+        let paid: u64 = self.paid.iter().sum();
+        (self.requests.iter().sum(), paid / REPEAT_THOUSANDTHS)
     }
 
-    /// The oldest bucket is only partly inside the window: its repeats count, its requests do not.
-    fn counted_requests(&self) -> u64 {
-        let oldest = index(self.newest + 1);
-        self.requests.iter().sum::<u64>() - self.requests[oldest]
+    /// Thousandths of a repeat that the requests of a bucket can still pay.
+    fn unpaid(&self, index: usize) -> u64 {
+        let each = self.bound.ratio_thousandths / PAYING_WINDOWS;
+        let whole = self.requests[index].saturating_mul(each);
+        whole.saturating_sub(self.paid[index])
     }
 
-    /// Thousandths of a repeat that are left.
-    fn left_thousandths(&self) -> u64 {
-        let requests = self.counted_requests();
-        let repeats: u64 = self.repeats.iter().sum();
+    /// Thousandths of a repeat that are left of the share of the slack.
+    fn slack_left(&self, now: Instant) -> u64 {
+        if now.since(self.start) < self.bound.window {
+            return 0;
+        }
         let share = self.bound.slack * 1_000 / self.bound.vm_ceiling.max(1);
-        let earned = requests.saturating_mul(self.bound.ratio_thousandths);
-        earned.saturating_add(share).saturating_sub(repeats * 1_000)
+        share.saturating_sub(self.slack_spent.iter().sum())
     }
 
-    /// Clears the buckets that left the window. Returns the index of the newest bucket.
-    fn advance(&mut self, now: Instant) -> usize {
+    /// Clears the buckets that left the window.
+    fn advance(&mut self, now: Instant) {
         let bucket = now.as_micros() / self.bucket_length().as_micros().max(1);
-        let passed = bucket.saturating_sub(self.newest).min(BUCKETS as u64 + 1);
-        for step in 1..=passed {
-            let index = index(bucket - passed + step);
-            self.requests[index] = 0;
-            self.repeats[index] = 0;
+        let passed = bucket.saturating_sub(self.newest);
+        let passed = passed.min(SPENT_BUCKETS as u64);
+        for number in bucket - passed + 1..=bucket {
+            self.requests[index(number, BUCKETS)] = 0;
+            self.paid[index(number, BUCKETS)] = 0;
+            self.slack_spent[index(number, SPENT_BUCKETS)] = 0;
         }
         self.newest = self.newest.max(bucket);
-        index(self.newest)
     }
 
     fn bucket_length(&self) -> Span {
@@ -97,7 +127,7 @@
     }
 }
 
-/// Index of the bucket with the number `bucket`.
-fn index(bucket: u64) -> usize {
-    usize::try_from(bucket % (BUCKETS as u64 + 1)).unwrap_or_default()
+/// Index of the bucket with the number `bucket` among the newest `count` ones.
+fn index(bucket: u64, count: usize) -> usize {
+    usize::try_from(bucket % count as u64).unwrap_or_default()
 }
--- a/crates/core/tests/repeat.rs
+++ b/crates/core/tests/repeat.rs
@@ -37,42 +37,54 @@
 }
 
 const CASES: &[Case] = &[
+    Case {
+        name: "no share of the slack in the first window",
+        requests: &[],
+        at: 9_900,
+        taken: 0,
+    },
     Case {
         name: "a share of the slack",
         requests: &[],
-        at: 0,
+        at: 10_000,
         taken: 3,
     },
     Case {
-        name: "a fifth of the requests besides",
-        requests: &[(0, 50)],
-        at: 100,
-        taken: 13,
+        name: "half of a fifth of the requests besides",
+        requests: &[(20_000, 50)],
+        at: 20_100,
+        taken: 8,
     },
     Case {
         name: "still inside the window",
-        requests: &[(0, 50)],
-        at: 9_400,
-        taken: 13,
+        requests: &[(20_000, 50)],
+        at: 29_400,
+        taken: 8,
     },
     Case {
         name: "requests leave the window",
-        requests: &[(0, 50)],
-        at: 10_500,
+        requests: &[(20_000, 50)],
+        at: 30_000,
         taken: 3,
     },
     Case {
         name: "long after",
-        requests: &[(0, 50)],
+        requests: &[(20_000, 50)],
         at: 3_600_000,
         taken: 3,
     },
+    Case {
+        name: "requests of a second window",
+        requests: &[(20_000, 50), (29_000, 50)],
+        at: 29_900,
+        taken: 13,
+    },
 ];
 
 #[test]
-fn a_vm_spends_the_ratio_of_its_requests_and_its_share_of_the_slack() {
+fn a_vm_spends_half_the_ratio_of_its_requests_and_its_share_of_the_slack() {
     for case in CASES {
-        let mut budget = Budget::new(BOUND);
+        let mut budget = Budget::new(at(0), BOUND);
         for (millis, count) in case.requests {
             for _ in 0..*count {
                 budget.record_request(at(*millis));
@@ -91,10 +103,10 @@
 
 #[test]
 fn what_was_spent_comes_back_with_the_window() {
-    let mut budget = Budget::new(BOUND);
-    assert_eq!(taken(&mut budget, at(0)), 3);
-    assert_eq!(taken(&mut budget, at(9_400)), 0);
-    assert_eq!(taken(&mut budget, at(10_500)), 3);
+    let mut budget = Budget::new(at(0), BOUND);
+    assert_eq!(taken(&mut budget, at(20_000)), 3);
+    assert_eq!(taken(&mut budget, at(29_400)), 0);
+    assert_eq!(taken(&mut budget, at(30_500)), 3);
 }
 
 proptest! {
@@ -106,7 +118,7 @@
     fn no_window_passes_the_bound(
         steps in proptest::collection::vec((0_usize..20, 0_u64..700, any::<bool>()), 1..400),
     ) {
-        let mut budgets: Vec<Budget> = (0..20).map(|_| Budget::new(BOUND)).collect();
+        let mut budgets: Vec<Budget> = (0..20).map(|_| Budget::new(at(0), BOUND)).collect();
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
         let mut now = 0;
         for (vm, pause, repeat) in steps {
