--- a/crates/core/src/repeat.rs
+++ b/crates/core/src/repeat.rs
@@ -8,9 +8,9 @@
 //!   for the repeats of a window are thus among the requests of two windows, whichever VMs they reached,
 //!   and each pays for half of the ratio. A limit on what each VM sends in its own window would not do: a
 //!   service whose requests move from one VM to another would get the repeats of both.
-//! - Each VM spends a fixed share of the slack. The shares add up to the slack whatever each VM believes
-//!   of the fleet. A process gets its share a window after its start, as the one that it replaces may have
-//!   spent it before.
+//! - Each process spends a fixed share of the slack. The shares add up to the slack whatever each VM
+//!   believes of the fleet, as long as no window has more processes than the ceiling, replaced ones
+//!   included.
 
 use crate::settings::Repeats;
 use crate::time::Instant;
@@ -29,7 +29,6 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     bound: Repeats,
-    start: Instant,
     requests: [u64; BUCKETS],
     /// Thousandths of a repeat that the requests of a bucket have paid.
     paid: [u64; BUCKETS],
@@ -42,10 +41,9 @@
 impl Budget {
     /// A budget before any request.
     #[must_use]
-    pub const fn new(now: Instant, bound: Repeats) -> Self {
+    pub const fn new(bound: Repeats) -> Self {
         Self {
             bound,
-            start: now,
             requests: [0; BUCKETS],
             paid: [0; BUCKETS],
             slack_spent: [0; SPENT_BUCKETS],
@@ -71,7 +69,7 @@
     pub fn take(&mut self, now: Instant) -> bool {
         self.advance(now);
         let earned: u64 = (0..BUCKETS).map(|index| self.unpaid(index)).sum();
-        if earned + self.slack_left(now) < REPEAT_THOUSANDTHS {
+        if earned + self.slack_left() < REPEAT_THOUSANDTHS {
             return false;
         }
         let mut due = REPEAT_THOUSANDTHS;
@@ -101,10 +99,7 @@
     }
 
     /// Thousandths of a repeat that are left of the share of the slack.
-    fn slack_left(&self, now: Instant) -> u64 {
-        if now.since(self.start) < self.bound.window {
-            return 0;
-        }
+    fn slack_left(&self) -> u64 {
         let share = self.bound.slack * 1_000 / self.bound.vm_ceiling.max(1);
         share.saturating_sub(self.slack_spent.iter().sum())
     }
--- a/crates/core/src/settings/hosting.rs
+++ b/crates/core/src/settings/hosting.rs
@@ -49,7 +49,8 @@
     }
 
     /// Bound on the repeated requests to a service, over all VMs together: in each window at most
-    /// `ratio` repeats for each request, and `slack` more.
+    /// `ratio` repeats for each request in it or in the window before it, whichever has more, and `slack`
+    /// more.
     #[derive(Copy)]
     pub struct Repeats {
         /// Repeats allowed for each request, in thousandths.
@@ -58,7 +59,8 @@
         pub slack: u64,
         /// Length of the window.
         pub window: Span,
-        /// Maximum number of VM processes, which share the slack equally.
+        /// Maximum number of VM processes in a window, replaced ones included, which share the slack
+        /// equally.
         pub vm_ceiling: u64,
     }
 
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -136,7 +136,7 @@
     pub(crate) fn record_request(&mut self, service: service::Key) {
         let now = self.clock.now();
         if let (Some(hosted), Some(found)) = (&mut self.hosted, self.services.get(service)) {
-            hosted.repeats(now, &found.name).record_request(now);
+            hosted.repeats(&found.name).record_request(now);
         }
     }
 
@@ -150,7 +150,7 @@
         let Some(hosted) = &mut self.hosted else {
             return true;
         };
-        let budget = hosted.repeats(now, &found.name);
+        let budget = hosted.repeats(&found.name);
         let taken = budget.take(now);
         if taken {
             self.metrics.add(Count::Repeats, 1);
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -265,9 +265,9 @@
     }
 
     /// The budget for repeats of requests to `service`.
-    pub(crate) fn repeats(&mut self, now: Instant, service: &str) -> &mut repeat::Budget {
+    pub(crate) fn repeats(&mut self, service: &str) -> &mut repeat::Budget {
         if !self.repeats.contains_key(service) {
-            let budget = repeat::Budget::new(now, self.settings.repeats);
+            let budget = repeat::Budget::new(self.settings.repeats);
             self.repeats.insert(service.into(), budget);
         }
         self.repeats
