Reset the connection to a target when its exchange is given up

The connection of an exchange that is given up (the other copy won, the caller left, the time is over) was closed plainly, and a plain close still delivers what waits in the kernel or on an interrupted path. It is reset now, which discards these bytes.

path cancelled failed before (the target saw a plain close) and passes.

--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -50,12 +50,16 @@
 /// A connection that carries one request at a time.
 ///
 /// It makes progress only while it is polled by the task that uses it, so an exchange costs no
-/// switch between tasks, and dropping the connection closes it at once.
+/// switch between tasks, and dropping the connection closes it at once. If its exchange has not ended,
+/// the connection is reset: bytes of a request that nobody waits for any more would otherwise still reach
+/// the target, seconds later if the path to it is interrupted.
 pub(crate) struct Connection {
     sender: http1::SendRequest<Upload>,
     driver: Option<Box<Driver>>,
     socket: Socket,
     reservation: Reservation,
+    /// Whether a request was sent and the connection not yet returned to the pool.
+    is_in_use: bool,
     /// When it was last returned to the pool.
     idle_since: Option<Instant>,
     /// Its idle time when it was last taken from the pool; none for a new one.
@@ -95,6 +99,7 @@
             driver: Some(Box::new(driver)),
             socket,
             reservation,
+            is_in_use: false,
             idle_since: None,
             last_idle: None,
         })
@@ -119,6 +124,7 @@
         &mut self,
         request: Request<Upload>,
     ) -> Result<Response<Incoming>, hyper::Error> {
+        self.is_in_use = true;
         self.record_progress();
         let mut answer = std::pin::pin!(self.sender.send_request(request));
         let driver = &mut self.driver;
@@ -147,6 +153,14 @@
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.is_in_use {
+            self.socket.discard_unsent();
+        }
+    }
+}
+
 fn drive(driver: &mut Option<Box<Driver>>, context: &mut Context<'_>) {
     if let Some(running) = driver
         && let Poll::Ready(ended) = Pin::new(&mut **running).poll(context)
@@ -222,6 +236,7 @@
     /// Returns a connection to the pool if it can carry another request, else closes it.
     pub(crate) fn put(&mut self, mut connection: Connection, context: &mut Context<'_>) {
         let address = connection.reservation.address;
+        connection.is_in_use = false;
         let clean = connection.is_clean(context);
         let connections = self.by_address.entry(address).or_default();
         // The oldest connections are used only after all others, so without this check they would
--- a/crates/daemon/src/socket.rs
+++ b/crates/daemon/src/socket.rs
@@ -71,6 +71,12 @@
         self.left.set(self.bound);
     }
 
+    /// Makes the end of the connection a reset, which discards what the target has not got yet.
+    pub(crate) fn discard_unsent(&self) {
+        // The call fails if the connection is already closed, which does no harm.
+        let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Whether the connection is open and has no unread bytes from the target.
     pub(crate) fn is_quiet(&self) -> bool {
         // Peeks in the kernel's buffer, as the event loop may not yet know what arrived last.
