--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -20,6 +20,8 @@
 pub const BACKOFF_MIN: Span = Span::from_millis(200);
 /// Upper limit of the random delay after any number of failures.
 pub const BACKOFF_MAX: Span = Span::from_millis(10_000);
+/// The same limit for the calls of a reader. After an outage of any length, changes are read this soon.
+pub const READ_BACKOFF_MAX: Span = Span::from_millis(2_000);
 /// Time for which a VM that took over keeps reading. Without it, the VM would stop as soon as its
 /// own reading has refreshed the view. The time is bounded since each reader adds calls to the
 /// configuration service.
@@ -95,10 +97,17 @@
 }
 
 /// Exponential backoff with full jitter: each delay is a random part of a limit that doubles from
-/// [`BACKOFF_MIN`] to [`BACKOFF_MAX`].
-#[derive(Debug, Default)]
+/// [`BACKOFF_MIN`] to a maximum.
+#[derive(Debug)]
 pub struct Backoff {
     failures: u32,
+    max: Span,
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self::up_to(BACKOFF_MAX)
+    }
 }
 
 data! {
@@ -197,11 +206,17 @@
 }
 
 impl Backoff {
+    /// A backoff whose limit grows to `max`.
+    #[must_use]
+    pub const fn up_to(max: Span) -> Self {
+        Self { failures: 0, max }
+    }
+
     /// Counts one more failure and returns the delay before the next attempt.
     pub fn next_delay(&mut self, random: &mut dyn Rng) -> Span {
         let doubled = BACKOFF_MIN.as_micros() << self.failures.min(16);
         self.failures = self.failures.saturating_add(1);
-        let limit = doubled.min(BACKOFF_MAX.as_micros());
+        let limit = doubled.min(self.max.as_micros());
         Span::from_micros(random.random_range(0..=limit))
     }
 
@@ -229,7 +244,7 @@
             has_failed: false,
             unheard: 0,
             phase: Phase::Idle { next },
-            backoff: Backoff::default(),
+            backoff: Backoff::up_to(READ_BACKOFF_MAX),
             budget: Budget::new(now),
         }
     }
--- a/crates/core/tests/reader.rs
+++ b/crates/core/tests/reader.rs
@@ -10,6 +10,7 @@
 use oriolecleat_core::reader::BACKOFF_MIN;
 use oriolecleat_core::reader::Backoff;
 use oriolecleat_core::reader::Budget;
+use oriolecleat_core::reader::READ_BACKOFF_MAX;
 use oriolecleat_core::reader::Reader;
 use oriolecleat_core::reader::Step;
 use oriolecleat_core::reader::TAKEOVER_HOLD;
@@ -173,15 +174,41 @@
     );
 }
 
+// Guards against readers that all wait for long when the service is back after an outage.
+#[test]
+fn a_reader_asks_again_soon_however_long_the_outage() {
+    for seed in 0..200 {
+        let mut random = random(seed);
+        let alone = Fleet::new(at(0), record("vm-0", "cai-1", State::Alive));
+        let mut reader = Reader::new(at(0), LIMITS, &mut random);
+        let mut now = at(0);
+        for failures in 0..12 {
+            let limit = now + READ_BACKOFF_MAX.max(LIMITS.peer_wait);
+            while reader.step(now, &alone, &mut random) != Some(Step::Open) {
+                now = now + Span::from_millis(50);
+                assert!(
+                    now <= limit,
+                    "seed {seed}: a longer wait after {failures} failures"
+                );
+            }
+            reader.record_end(now, &mut random);
+        }
+    }
+}
+
 // Guards against VMs that retry at the same time, and against a delay without a bound.
 #[test]
 fn backoff_doubles_up_to_a_limit_with_full_jitter() {
     let mut random = random(1);
-    for failures in 0..12_u32 {
-        let limit = (BACKOFF_MIN.as_micros() << failures).min(BACKOFF_MAX.as_micros());
+    let maxima = [BACKOFF_MAX, READ_BACKOFF_MAX];
+    for (max, failures) in maxima
+        .into_iter()
+        .flat_map(|max| (0..12_u32).map(move |n| (max, n)))
+    {
+        let limit = (BACKOFF_MIN.as_micros() << failures).min(max.as_micros());
         let waits: Vec<u64> = (0..400)
             .map(|_| {
-                let mut backoff = Backoff::default();
+                let mut backoff = Backoff::up_to(max);
                 for _ in 0..failures {
                     backoff.next_delay(&mut random);
                 }
