End a fake platform with all its connections before the test goes on

The handle of a fake aborts its task, and its connections ended only when the runtime next ran, so a VM could read what a test published right after the outage had begun. The outage tests stop the fake and wait for that.

--- a/crates/bench/src/fake/server.rs
+++ b/crates/bench/src/fake/server.rs
@@ -4,7 +4,7 @@
 
 use tokio::task::JoinHandle;
 
-/// A running server; dropping it closes the port and all connections.
+/// A running server; dropping it closes the port and all connections once the runtime next runs.
 pub struct Server {
     pub(crate) address: SocketAddr,
     pub(crate) task: JoinHandle<()>,
@@ -16,6 +16,14 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Stops the server and returns when the port and all connections are closed.
+    pub async fn stop(mut self) {
+        self.task.abort();
+        // The error is the cancellation. The tasks of the connections are ended next, before this one goes on.
+        let _ = (&mut self.task).await;
+        tokio::task::yield_now().await;
+    }
 }
 
 impl Drop for Server {
--- a/crates/bench/tests/failure/outage.rs
+++ b/crates/bench/tests/failure/outage.rs
@@ -48,8 +48,7 @@
             world.start_daemon("reads").await;
         }
         for round in 0..2 {
-            world.configuration_server = None;
-            world.list_server = None;
+            world.stop_platform().await;
             let service = format!("service-{round}");
             world.publish(&service, "interactive", &json!({}), None);
             for _ in 0..10 {
@@ -80,8 +79,7 @@
         world.start_targets(2, 1).await;
         world.publish("reads", "interactive", &json!({}), None);
         world.start_daemon("reads").await;
-        world.configuration_server = None;
-        world.list_server = None;
+        world.stop_platform().await;
         world.start_daemon("reads").await;
         assert!(is_served(&world, "reads").await);
     });
--- a/crates/bench/tests/failure/world.rs
+++ b/crates/bench/tests/failure/world.rs
@@ -168,6 +168,14 @@
         self.daemons.push(daemon);
     }
 
+    /// Stops the configuration service and the VM list; what is published from now on reaches no VM.
+    pub async fn stop_platform(&mut self) {
+        let servers = [self.configuration_server.take(), self.list_server.take()];
+        for server in servers.into_iter().flatten() {
+            server.stop().await;
+        }
+    }
+
     /// Restarts the configuration service and the VM list at their old addresses.
     pub async fn restore_platform(&mut self) {
         let (configuration, list) = self.addresses;
