Give each process of the test check directories of its own

Copies of the binary that ran at once wrote to and removed the same directories: two tests failed in 20 of 24 copies before.

--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -78,7 +78,7 @@
         output: &'static [&'static str],
         error: &'static str,
     }
-    let directory = directory(
+    let directory = Directory::create(
         "faults",
         &[
             ("good.json", &format!("{{{ENTRY}}}")),
@@ -94,7 +94,7 @@
             ("notes.txt", "not read"),
         ],
     );
-    let directory = directory.to_str().unwrap().to_owned();
+    let catalogue = directory.catalogue();
     let refusing = loopback::refusing().unwrap().to_string();
     #[rustfmt::skip]
     let cases = [
@@ -128,7 +128,7 @@
     ];
     for case in cases {
         let fill = |text: &&str| {
-            text.replace("DIR", &directory)
+            text.replace("DIR", &catalogue)
                 .replace("REFUSING", &refusing)
         };
         let arguments: Vec<String> = case.arguments.iter().map(fill).collect();
@@ -156,7 +156,7 @@
         let place = r#""vm":"v","region":"r","data_center":"d""#;
         format!(r#""targets":[{{"name":"t","address":"192.0.2.1:{port}",{place}}}]"#)
     };
-    let directory = directory(
+    let directory = Directory::create(
         "warnings",
         &[
             (
@@ -169,7 +169,7 @@
             ),
         ],
     );
-    let (code, output, _) = run(&["check-catalogue", directory.to_str().unwrap()]);
+    let (code, output, _) = run(&["check-catalogue", &directory.catalogue()]);
     let warnings: Vec<&str> = output
         .lines()
         .filter(|line| line.starts_with("warning"))
@@ -192,17 +192,31 @@
     found.map(|file| file.unwrap().path()).collect()
 }
 
-/// Creates a directory with `files` below the temporary directory of the build.
-fn directory(name: &str, files: &[(&str, &str)]) -> PathBuf {
-    let directory = Path::new(env!("CARGO_TARGET_TMPDIR"))
-        .join(name)
-        .join("catalogue");
-    if directory.exists() {
-        fs::remove_dir_all(&directory).unwrap();
+/// A directory below the temporary directory of the build that is removed when it is dropped.
+struct Directory(PathBuf);
+
+impl Directory {
+    /// Creates the directory with `files`. Each process has its own, as several may run at once.
+    fn create(name: &str, files: &[(&str, &str)]) -> Self {
+        let own = format!("{name}-{}", std::process::id());
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(own);
+        let catalogue = path.join("catalogue");
+        fs::create_dir_all(&catalogue).unwrap();
+        for (name, text) in files {
+            fs::write(catalogue.join(name), text).unwrap();
+        }
+        Self(path)
+    }
+
+    fn catalogue(&self) -> String {
+        let path = self.0.join("catalogue");
+        path.to_str().unwrap().to_owned()
     }
-    fs::create_dir_all(&directory).unwrap();
-    for (name, text) in files {
-        fs::write(directory.join(name), text).unwrap();
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        // What stays after a failure does no harm.
+        let _ = fs::remove_dir_all(&self.0);
     }
-    directory
 }
