--- a/crates/bench/src/fake/server.rs
+++ b/crates/bench/src/fake/server.rs
@@ -20,8 +20,9 @@
     /// Stops the server and returns when the port and all connections are closed.
     pub async fn stop(mut self) {
         self.task.abort();
-        // The error is the cancellation. The tasks of the connections are ended next, before this one goes on.
+        // The error is the cancellation.
         let _ = (&mut self.task).await;
+        // The tasks of the connections, which end with it, come before this one.
         tokio::task::yield_now().await;
     }
 }
--- a/crates/core/src/repeat.rs
+++ b/crates/core/src/repeat.rs
@@ -18,7 +18,8 @@
 
 /// Buckets that a window is counted in.
 const BUCKETS: usize = 20;
-/// Buckets kept for what is spent in any window of this length: one more, as the oldest is only partly in it.
+/// Buckets that what was spent of the slack is kept in: one more, as the oldest is only partly in the
+/// window.
 const SPENT_BUCKETS: usize = BUCKETS + 1;
 /// Windows from which the requests that pay for the repeats of one window come.
 const PAYING_WINDOWS: u64 = 2;
--- a/crates/core/tests/repeat_fleet.rs
+++ b/crates/core/tests/repeat_fleet.rs
@@ -99,10 +99,19 @@
     home: fn(region: usize, step: usize, vms: usize) -> usize,
     /// Whether the process of a VM is replaced when it becomes a home.
     restarts: bool,
-    /// Requests of a region in a step, by VM.
+    /// Requests of a region in a step, for each VM of the fleet.
     requests: fn(step: usize) -> u64,
 }
 
+/// The home of a region, which is another VM from step `moved` on.
+fn home_until(moved: usize, region: usize, step: usize, vms: usize) -> usize {
+    if step < moved {
+        region
+    } else {
+        vms - 1 - region
+    }
+}
+
 const CASES: &[Case] = &[
     Case {
         name: "homes that stay",
@@ -112,13 +121,7 @@
     },
     Case {
         name: "VMs are added and become homes",
-        home: |region, step, vms| {
-            if step < FAILING + 10 {
-                region
-            } else {
-                vms - 1 - region
-            }
-        },
+        home: |region, step, vms| home_until(FAILING + 10, region, step, vms),
         restarts: false,
         requests: |_| 1,
     },
@@ -131,8 +134,9 @@
     Case {
         name: "homes freeze and return",
         home: |region, step, vms| {
-            let is_frozen = (FAILING + 5..FAILING + 60).contains(&step);
-            if is_frozen { vms - 1 - region } else { region }
+            let returned = step >= FAILING + 60;
+            let frozen_at = if returned { STEPS } else { FAILING + 5 };
+            home_until(frozen_at, region, step, vms)
         },
         restarts: false,
         requests: |_| 1,
@@ -145,13 +149,7 @@
     },
     Case {
         name: "requests move during a burst",
-        home: |region, step, vms| {
-            if step < FAILING + 20 {
-                region
-            } else {
-                vms - 1 - region
-            }
-        },
+        home: |region, step, vms| home_until(FAILING + 20, region, step, vms),
         restarts: false,
         requests: |step| {
             if (FAILING - 20..FAILING + 40).contains(&step) {
@@ -163,19 +161,13 @@
     },
     Case {
         name: "requests move as most callers leave",
-        home: |region, step, vms| {
-            if step < FAILING + 20 {
-                region
-            } else {
-                vms - 1 - region
-            }
-        },
+        home: |region, step, vms| home_until(FAILING + 20, region, step, vms),
         restarts: false,
         requests: |step| if step < FAILING { 3 } else { 1 },
     },
 ];
 
-/// Plays a case; each VM adds to the requests as a larger fleet has more callers.
+/// Plays a case: requests reach the homes, and all fail from step [`FAILING`] on.
 fn play(case: &Case, vms: usize, slack: u64) -> Fleet {
     let mut fleet = Fleet::new(vms, slack);
     let mut homes = [usize::MAX; HOMES];
@@ -225,7 +217,10 @@
     #[test]
     fn no_window_passes_the_bound_while_requests_move(
         vms in 3_usize..40,
-        moves in proptest::collection::vec((any::<usize>(), 1_usize..60, 0_u64..12, any::<bool>(), any::<bool>()), 10..60),
+        moves in proptest::collection::vec(
+            (any::<usize>(), 1_usize..60, 0_u64..12, any::<bool>(), any::<bool>()),
+            10..60,
+        ),
     ) {
         let mut fleet = Fleet::new(vms, 0);
         let mut step = 0;
