--- a/crates/core/src/repeat.rs
+++ b/crates/core/src/repeat.rs
@@ -31,8 +31,8 @@
 pub struct Budget {
     bound: Repeats,
     requests: [u64; BUCKETS],
-    /// Thousandths of a repeat that the requests of a bucket have paid.
-    paid: [u64; BUCKETS],
+    /// Thousandths of a repeat that were spent of what the requests of a bucket earned.
+    spent: [u64; BUCKETS],
     /// Thousandths of a repeat that were taken from the share of the slack in a bucket.
     slack_spent: [u64; SPENT_BUCKETS],
     /// Number of the newest bucket since the start of the clock.
@@ -46,7 +46,7 @@
         Self {
             bound,
             requests: [0; BUCKETS],
-            paid: [0; BUCKETS],
+            spent: [0; BUCKETS],
             slack_spent: [0; SPENT_BUCKETS],
             newest: 0,
         }
@@ -69,16 +69,16 @@
     #[must_use]
     pub fn take(&mut self, now: Instant) -> bool {
         self.advance(now);
-        let earned: u64 = (0..BUCKETS).map(|index| self.unpaid(index)).sum();
+        let earned: u64 = (0..BUCKETS).map(|index| self.unspent(index)).sum();
         if earned + self.slack_left() < REPEAT_THOUSANDTHS {
             return false;
         }
         let mut due = REPEAT_THOUSANDTHS;
-        // The oldest requests pay first, as they leave the window first.
+        // What the oldest requests earned is spent first, as it expires first.
         for bucket in self.newest + 1..=self.newest + BUCKETS as u64 {
             let index = index(bucket, BUCKETS);
-            let part = due.min(self.unpaid(index));
-            self.paid[index] += part;
+            let part = due.min(self.unspent(index));
+            self.spent[index] += part;
             due -= part;
         }
         self.slack_spent[index(self.newest, SPENT_BUCKETS)] += due;
@@ -88,15 +88,15 @@
     /// Number of the requests that count now, and of the repeats that they paid for.
     pub fn counts(&mut self, now: Instant) -> (u64, u64) {
         self.advance(now);
-        let paid: u64 = self.paid.iter().sum();
-        (self.requests.iter().sum(), paid / REPEAT_THOUSANDTHS)
+        let spent: u64 = self.spent.iter().sum();
+        (self.requests.iter().sum(), spent / REPEAT_THOUSANDTHS)
     }
 
-    /// Thousandths of a repeat that the requests of a bucket can still pay.
-    fn unpaid(&self, index: usize) -> u64 {
+    /// Thousandths of a repeat that are left of what the requests of a bucket earned.
+    fn unspent(&self, index: usize) -> u64 {
         let each = self.bound.ratio_thousandths / PAYING_WINDOWS;
         let whole = self.requests[index].saturating_mul(each);
-        whole.saturating_sub(self.paid[index])
+        whole.saturating_sub(self.spent[index])
     }
 
     /// Thousandths of a repeat that are left of the share of the slack.
@@ -112,7 +112,7 @@
         let passed = passed.min(SPENT_BUCKETS as u64);
         for number in bucket - passed + 1..=bucket {
             self.requests[index(number, BUCKETS)] = 0;
-            self.paid[index(number, BUCKETS)] = 0;
+            self.spent[index(number, BUCKETS)] = 0;
             self.slack_spent[index(number, SPENT_BUCKETS)] = 0;
         }
         self.newest = self.newest.max(bucket);
